--- a/packages/common/include/savoryledge/common/packet.h
+++ b/packages/common/include/savoryledge/common/packet.h
@@ -47,6 +47,8 @@
     struct SlAddress source;
     struct SlAddress destination;
     uint8_t protocol;
+    /// Offset of the header after the IP headers within bytes.
+    uint32_t transport_offset;
     /// True when the IP header forbids fragmentation (always for IPv6).
     bool dont_fragment;
     /// TCP: header fields. Host byte order.
