Apply changes to a configuration: compare-and-set, holds, resends

Labels, selectors, keyed holds and the bounded record of request results are one deterministic state machine over shared objects. A request tells the version that its client knew, so that one whose result was forgotten is refused as too old and never run again.

--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -53,11 +53,17 @@
     SL_LAYOUT(SlServiceSpec, SERVICE_FIELDS);
 
 static const struct SlField NODE_FIELDS[] = {
-    U64(SlNodeSpec, node_id),        U32(SlNodeSpec, roles),
-    TEXT(SlNodeSpec, zone),          PART(SlNodeSpec, tunnel, ADDRESS),
-    PART(SlNodeSpec, link, ADDRESS), U64(SlNodeSpec, boot),
-    U32(SlNodeSpec, slots),          U32(SlNodeSpec, capacity_flows),
-    BOOL(SlNodeSpec, leaving),       BOOL(SlNodeSpec, unreachable),
+    U64(SlNodeSpec, node_id),
+    U32(SlNodeSpec, roles),
+    TEXT(SlNodeSpec, zone),
+    SL_FIELD_ITEMS(SlNodeSpec, announced, SL_LABELS_MAX, LABEL),
+    PART(SlNodeSpec, tunnel, ADDRESS),
+    PART(SlNodeSpec, link, ADDRESS),
+    U64(SlNodeSpec, boot),
+    U32(SlNodeSpec, slots),
+    U32(SlNodeSpec, capacity_flows),
+    BOOL(SlNodeSpec, leaving),
+    BOOL(SlNodeSpec, unreachable),
 };
 static const struct SlLayout NODE = SL_LAYOUT(SlNodeSpec, NODE_FIELDS);
 
@@ -76,6 +82,7 @@
 static const struct SlField CHANGE_FIELDS[] = {
     U64(SlChange, client),
     U64(SlChange, request),
+    PART(SlChange, base, VERSION),
     ENUM(SlChange, verb, SL_VERB_COUNT),
     PART(SlChange, expected, VERSION),
     U64(SlChange, time_us),
--- a/packages/state/include/savoryledge/state/config.h
+++ b/packages/state/include/savoryledge/state/config.h
@@ -68,6 +68,10 @@
     uint64_t request;
     struct SlResult result;
 };
+enum {
+    /// Results remembered at most; the oldest goes first.
+    SL_REQUESTS_MAX = 2048,
+};
 uint32_t
 SlConfig_ResultCount(const struct SlConfig *config);
 const struct SlRequestRecord *
@@ -76,14 +80,28 @@
 SlConfig_PutResult(struct SlConfig *config,
                    const struct SlRequestRecord *record);
 
+/// The place in the log of the newest result that was forgotten, for
+/// snapshots.
+struct SlVersion
+SlConfig_Forgotten(const struct SlConfig *config);
+void
+SlConfig_SetForgotten(struct SlConfig *config, struct SlVersion version);
+
 /// True when the service's selector picks a group whose selector picks the
 /// node. Holds and reachability do not count here.
 bool
 SlConfig_Selects(const struct SlConfig *config, const struct SlObject *service,
                  const struct SlObject *node);
 
-/// True when a hold keeps the zone or node itself out. A zone nobody has
-/// created is in.
+/// Fills nodes with those that SlConfig_Selects is true for, in order of
+/// name, without testing every group for every node. Returns how many there
+/// are, which may be more than room.
+uint32_t
+SlConfig_SelectNodes(const struct SlConfig *config,
+                     const struct SlObject *service,
+                     const struct SlObject **nodes, uint32_t room);
+
+/// True when a hold keeps the zone out. A zone nobody has created is in.
 bool
 SlConfig_ZoneOut(const struct SlConfig *config, const char *zone);
 
--- a/packages/state/include/savoryledge/state/object.h
+++ b/packages/state/include/savoryledge/state/object.h
@@ -87,6 +87,9 @@
     /// A set of SlRole bits.
     uint32_t roles;
     char zone[SL_NAME_BYTES];
+    /// Labels the process announces. The object's own labels, set by
+    /// operators, go before them; an empty value there hides one.
+    struct SlLabels announced;
     /// Where tunnel datagrams and links reach the process.
     struct SlAddress tunnel;
     struct SlAddress link;
@@ -148,6 +151,10 @@
     /// the same pair and gets the first result. Client 0 is control itself.
     uint64_t client;
     uint64_t request;
+    /// Version that the client knew when it made the request, the same in
+    /// every resend. A request from before the oldest remembered result is
+    /// refused as too old, since it may have run.
+    struct SlVersion base;
     enum SlVerb verb;
     /// Compare-and-set: {0, 0} skips the comparison.
     struct SlVersion expected;
@@ -163,7 +170,7 @@
 /// The outcome of a change.
 struct SlResult {
     enum SlStatus status;
-    /// Where the change stands in the log; with SL_CONFLICT, present.modified.
+    /// Where the change stands in the log, also when it was turned down.
     struct SlVersion version;
     /// The object after the change, or as it stands with SL_CONFLICT.
     bool has_object;
@@ -190,6 +197,11 @@
 void
 SlLabels_Unset(struct SlLabels *labels, const char *key);
 
+/// The label of an object as selectors see it: operators' labels, then
+/// announced ones, then the built-in "name" and "zone". NULL if none.
+const char *
+SlObject_Label(const struct SlObject *object, const char *key);
+
 /// Checks a change before it is proposed: names, sizes, selector syntax,
 /// ranges. The message names the word at fault.
 enum SlStatus
--- /dev/null
+++ b/packages/state/src/config.c
@@ -0,0 +1,322 @@
+#include "savoryledge/state/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "object_set.h"
+
+/// Results of requests in order of application; the oldest stands at first.
+struct request_ring {
+    struct SlRequestRecord *records;
+    uint32_t first;
+    uint32_t count;
+    uint32_t room;
+    struct SlVersion forgotten;
+};
+
+struct SlConfig {
+    struct SlVersion version;
+    struct SlObjectSet sets[SL_KIND_COUNT];
+    struct request_ring requests;
+};
+
+struct SlConfig *
+SlConfig_Create(void)
+{
+    return calloc(1, sizeof(struct SlConfig));
+}
+
+void
+SlConfig_Destroy(struct SlConfig *config)
+{
+    if (config == NULL) {
+        return;
+    }
+    for (uint32_t kind = 0; kind < SL_KIND_COUNT; kind++) {
+        SlObjectSet_Release(&config->sets[kind]);
+    }
+    free(config->requests.records);
+    free(config);
+}
+
+struct SlConfig *
+SlConfig_Clone(const struct SlConfig *config)
+{
+    struct SlConfig *clone = SlConfig_Create();
+
+    if (clone == NULL) {
+        return NULL;
+    }
+    clone->version = config->version;
+    for (uint32_t kind = 0; kind < SL_KIND_COUNT; kind++) {
+        if (SlObjectSet_Share(&clone->sets[kind], &config->sets[kind]) !=
+            SL_OK) {
+            SlConfig_Destroy(clone);
+            return NULL;
+        }
+    }
+    for (uint32_t i = 0; i < config->requests.count; i++) {
+        if (SlConfig_PutResult(clone, SlConfig_ResultAt(config, i)) != SL_OK) {
+            SlConfig_Destroy(clone);
+            return NULL;
+        }
+    }
+    clone->requests.forgotten = config->requests.forgotten;
+    return clone;
+}
+
+struct SlVersion
+SlConfig_Version(const struct SlConfig *config)
+{
+    return config->version;
+}
+
+void
+SlConfig_SetVersion(struct SlConfig *config, struct SlVersion version)
+{
+    config->version = version;
+}
+
+const struct SlObject *
+SlConfig_Find(const struct SlConfig *config, enum SlKind kind,
+              const char *name)
+{
+    return SlObjectSet_Find(&config->sets[kind], name);
+}
+
+const struct SlObject *
+SlConfig_FindNode(const struct SlConfig *config, uint64_t node_id)
+{
+    const struct SlObjectSet *nodes = &config->sets[SL_KIND_NODE];
+
+    for (uint32_t i = 0; i < nodes->count; i++) {
+        if (nodes->items[i]->object.node.node_id == node_id) {
+            return &nodes->items[i]->object;
+        }
+    }
+    return NULL;
+}
+
+uint32_t
+SlConfig_Count(const struct SlConfig *config, enum SlKind kind)
+{
+    return config->sets[kind].count;
+}
+
+const struct SlObject *
+SlConfig_At(const struct SlConfig *config, enum SlKind kind, uint32_t index)
+{
+    return &config->sets[kind].items[index]->object;
+}
+
+enum SlStatus
+SlConfig_Put(struct SlConfig *config, const struct SlObject *object)
+{
+    return SlObjectSet_Put(&config->sets[object->kind], object);
+}
+
+void
+SlConfig_Remove(struct SlConfig *config, enum SlKind kind, const char *name)
+{
+    SlObjectSet_Remove(&config->sets[kind], name);
+}
+
+uint32_t
+SlConfig_ResultCount(const struct SlConfig *config)
+{
+    return config->requests.count;
+}
+
+const struct SlRequestRecord *
+SlConfig_ResultAt(const struct SlConfig *config, uint32_t index)
+{
+    const struct request_ring *ring = &config->requests;
+
+    return &ring->records[(ring->first + index) % SL_REQUESTS_MAX];
+}
+
+struct SlVersion
+SlConfig_Forgotten(const struct SlConfig *config)
+{
+    return config->requests.forgotten;
+}
+
+void
+SlConfig_SetForgotten(struct SlConfig *config, struct SlVersion version)
+{
+    config->requests.forgotten = version;
+}
+
+const struct SlResult *
+SlConfig_FindResult(const struct SlConfig *config, uint64_t client,
+                    uint64_t request)
+{
+    for (uint32_t i = config->requests.count; i > 0; i--) {
+        const struct SlRequestRecord *record =
+            SlConfig_ResultAt(config, i - 1);
+
+        if (record->client == client && record->request == request) {
+            return &record->result;
+        }
+    }
+    return NULL;
+}
+
+/// Makes room for one more record, up to the bound.
+static enum SlStatus
+reserve_record(struct request_ring *ring)
+{
+    struct SlRequestRecord *records;
+    uint32_t room = ring->room ? ring->room * 2 : 16;
+
+    if (ring->count < ring->room || ring->room == SL_REQUESTS_MAX) {
+        return SL_OK;
+    }
+    room = room > SL_REQUESTS_MAX ? SL_REQUESTS_MAX : room;
+    records = realloc(ring->records, room * sizeof(*records));
+    if (records == NULL) {
+        return SL_NO_MEMORY;
+    }
+    ring->records = records;
+    ring->room = room;
+    return SL_OK;
+}
+
+enum SlStatus
+SlConfig_PutResult(struct SlConfig *config,
+                   const struct SlRequestRecord *record)
+{
+    struct request_ring *ring = &config->requests;
+
+    if (reserve_record(ring) != SL_OK) {
+        return SL_NO_MEMORY;
+    }
+    if (ring->count == SL_REQUESTS_MAX) {
+        ring->forgotten = ring->records[ring->first].result.version;
+        ring->first = (ring->first + 1) % SL_REQUESTS_MAX;
+        ring->count--;
+    }
+    ring->records[(ring->first + ring->count) % SL_REQUESTS_MAX] = *record;
+    ring->count++;
+    return SL_OK;
+}
+
+/// Context of a selector over a node: its zone's labels count too.
+struct node_context {
+    const struct SlConfig *config;
+    const struct SlObject *node;
+};
+
+static const char *
+lookup_node(const void *context, const char *key)
+{
+    const struct node_context *of = context;
+    const struct SlObject *zone;
+
+    if (strncmp(key, "zone.", 5) != 0) {
+        return SlObject_Label(of->node, key);
+    }
+    zone = SlConfig_Find(of->config, SL_KIND_ZONE, of->node->node.zone);
+    return zone ? SlLabels_Get(&zone->labels, key + 5) : NULL;
+}
+
+static const char *
+lookup_object(const void *context, const char *key)
+{
+    return SlObject_Label(context, key);
+}
+
+static bool
+group_picks(const struct SlConfig *config, const struct SlObject *group,
+            const struct SlObject *node)
+{
+    struct node_context context = {.config = config, .node = node};
+
+    return (node->node.roles & SL_ROLE_AGENT) &&
+           SlSelector_Matches(group->selector, lookup_node, &context);
+}
+
+bool
+SlConfig_Selects(const struct SlConfig *config, const struct SlObject *service,
+                 const struct SlObject *node)
+{
+    for (uint32_t i = 0; i < SlConfig_Count(config, SL_KIND_GROUP); i++) {
+        const struct SlObject *group = SlConfig_At(config, SL_KIND_GROUP, i);
+
+        if (SlSelector_Matches(service->selector, lookup_object, group) &&
+            group_picks(config, group, node)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Groups that the service picks; returns the count, at most room.
+static uint32_t
+groups_of(const struct SlConfig *config, const struct SlObject *service,
+          const struct SlObject **groups, uint32_t room)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < SlConfig_Count(config, SL_KIND_GROUP); i++) {
+        const struct SlObject *group = SlConfig_At(config, SL_KIND_GROUP, i);
+
+        if (count < room &&
+            SlSelector_Matches(service->selector, lookup_object, group)) {
+            groups[count++] = group;
+        }
+    }
+    return count;
+}
+
+static bool
+any_picks(const struct SlConfig *config, const struct SlObject *const *groups,
+          uint32_t group_count, const struct SlObject *node)
+{
+    for (uint32_t i = 0; i < group_count; i++) {
+        if (group_picks(config, groups[i], node)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+SlConfig_SelectNodes(const struct SlConfig *config,
+                     const struct SlObject *service,
+                     const struct SlObject **nodes, uint32_t room)
+{
+    uint32_t group_room = SlConfig_Count(config, SL_KIND_GROUP);
+    const struct SlObject **groups;
+    uint32_t group_count;
+    uint32_t count = 0;
+
+    if (group_room == 0) {
+        return 0;
+    }
+    groups = calloc(group_room, sizeof(const struct SlObject *));
+    if (groups == NULL) {
+        return 0;
+    }
+    group_count = groups_of(config, service, groups, group_room);
+    for (uint32_t i = 0; i < SlConfig_Count(config, SL_KIND_NODE); i++) {
+        const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
+
+        if (any_picks(config, groups, group_count, node)) {
+            if (count < room) {
+                nodes[count] = node;
+            }
+            count++;
+        }
+    }
+    free(groups);
+    return count;
+}
+
+bool
+SlConfig_ZoneOut(const struct SlConfig *config, const char *zone)
+{
+    const struct SlObject *object = SlConfig_Find(config, SL_KIND_ZONE, zone);
+
+    return object != NULL && object->holds.count != 0;
+}
--- a/packages/state/src/x.c
+++ /dev/null
@@ -1,2 +0,0 @@
-extern int sl_placeholder_s;
-int sl_placeholder_s;
