--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -14,6 +14,7 @@
     struct SlCoreOptions core;
     /// Control instances to ask, from the settings.
     uint32_t control_count;
+    uint64_t control_id[SL_MEMBERS_CONTROL_MAX];
     struct SlAddress control[SL_MEMBERS_CONTROL_MAX];
     /// What this process announces of itself (kind SL_KIND_NODE).
     struct SlObject announce;
--- /dev/null
+++ b/packages/coordination/src/config_parts.c
@@ -0,0 +1,137 @@
+#include "config_parts.h"
+
+#include <string.h>
+
+/// A part being filled.
+struct part_writer {
+    struct SlSink *sink;
+    uint64_t link;
+    struct SlMessage message;
+    struct SlObject objects[SL_CONFIG_OBJECTS_MAX];
+};
+
+static void
+send_part(struct part_writer *writer, bool last)
+{
+    writer->message.config.last = last;
+    writer->sink->type->send_message(writer->sink, writer->link,
+                                     &writer->message);
+    writer->message.config.first = false;
+    writer->message.config.object_count = 0;
+}
+
+static void
+add_object(struct part_writer *writer, const struct SlObject *object)
+{
+    struct SlConfigPart *part = &writer->message.config;
+
+    if (part->object_count == SL_CONFIG_OBJECTS_MAX) {
+        send_part(writer, false);
+    }
+    writer->objects[part->object_count++] = *object;
+}
+
+void
+SlConfigParts_SendWhole(const struct SlConfig *config, bool fresh,
+                        struct SlSink *sink, uint64_t link)
+{
+    struct part_writer writer = {
+        .sink = sink,
+        .link = link,
+        .message = {.kind = SL_MESSAGE_CONFIG,
+                    .config = {.to = SlConfig_Version(config),
+                               .whole = true,
+                               .first = true,
+                               .fresh = fresh}}};
+
+    writer.message.config.objects = writer.objects;
+    for (uint32_t kind = SL_KIND_ZONE; kind < SL_KIND_COUNT; kind++) {
+        for (uint32_t i = 0; i < SlConfig_Count(config, kind); i++) {
+            add_object(&writer, SlConfig_At(config, kind, i));
+        }
+    }
+    send_part(&writer, true);
+}
+
+void
+SlConfigGather_Release(struct SlConfigGather *gather)
+{
+    SlConfig_Destroy(gather->config);
+    *gather = (struct SlConfigGather){.config = NULL};
+}
+
+/// Begins with an empty configuration or, for a delta, with the present one.
+static enum SlStatus
+begin(struct SlConfigGather *gather, const struct SlConfig *present,
+      const struct SlConfigPart *part)
+{
+    SlConfigGather_Release(gather);
+    if (!part->whole &&
+        SlVersion_Compare(part->from, SlConfig_Version(present)) != 0) {
+        return SL_INVALID;
+    }
+    gather->config = part->whole ? SlConfig_Create() : SlConfig_Clone(present);
+    gather->to = part->to;
+    return gather->config ? SL_OK : SL_NO_MEMORY;
+}
+
+static enum SlStatus
+put_objects(struct SlConfigGather *gather, const struct SlConfigPart *part)
+{
+    for (uint32_t i = 0; i < part->object_count; i++) {
+        if (part->objects[i].kind == SL_KIND_NONE) {
+            return SL_INVALID;
+        }
+        if (SlConfig_Put(gather->config, &part->objects[i]) != SL_OK) {
+            return SL_NO_MEMORY;
+        }
+    }
+    for (uint32_t i = 0; i < part->removed_count; i++) {
+        SlConfig_Remove(gather->config, part->removed[i].kind,
+                        part->removed[i].name);
+    }
+    gather->objects += part->object_count;
+    gather->removed += part->removed_count;
+    return SL_OK;
+}
+
+static enum SlStatus
+take(struct SlConfigGather *gather, const struct SlConfig *present,
+     const struct SlConfigPart *part)
+{
+    enum SlStatus status = SL_OK;
+
+    if (SlVersion_Compare(part->to, SlConfig_Version(present)) <= 0) {
+        return SL_STALE;
+    }
+    if (part->first) {
+        status = begin(gather, present, part);
+    }
+    else if (gather->config == NULL ||
+             SlVersion_Compare(gather->to, part->to) != 0) {
+        status = SL_INVALID;
+    }
+    if (status == SL_OK) {
+        status = put_objects(gather, part);
+    }
+    if (status == SL_OK && !part->last) {
+        return SL_AGAIN;
+    }
+    if (status == SL_OK) {
+        SlConfig_SetVersion(gather->config, part->to);
+    }
+    return status;
+}
+
+enum SlStatus
+SlConfigGather_Take(struct SlConfigGather *gather,
+                    const struct SlConfig *present,
+                    const struct SlConfigPart *part)
+{
+    enum SlStatus status = take(gather, present, part);
+
+    if (status != SL_OK && status != SL_AGAIN) {
+        SlConfigGather_Release(gather);
+    }
+    return status;
+}
--- /dev/null
+++ b/packages/coordination/src/replica.c
@@ -0,0 +1,460 @@
+#include "savoryledge/coordination/replica.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_parts.h"
+
+enum {
+    DEFAULT_LEASE_US = 1500 * 1000,
+    HEARTBEAT_US = 500 * 1000,
+    ANNOUNCE_US = 5 * 1000 * 1000,
+    /// Time for a control instance to answer before the next is tried.
+    CONTROL_PATIENCE_US = 1000 * 1000,
+    /// Part of the patience that differs between processes.
+    JITTER_US = 500 * 1000,
+    /// Time for control to bring a version that a peer already holds.
+    PULL_DELAY_US = 200 * 1000,
+    PULL_PATIENCE_US = 1000 * 1000,
+};
+
+/// A link on which a configuration may come.
+struct source {
+    uint64_t node_id;
+    /// 0 while the link is not up.
+    uint64_t link;
+    uint64_t since_us;
+    struct SlConfigGather gather;
+};
+
+struct SlReplica {
+    struct SlReplicaOptions options;
+    struct SlConfig *config;
+    uint64_t generation;
+    /// The control instance in use, and which of the list it is.
+    struct source control;
+    uint32_t control_index;
+    uint64_t patience_us;
+    /// A peer that holds a newer version; node_id 0 when none is asked.
+    struct source peer;
+    struct SlVersion peer_version;
+    uint64_t last_fresh_us;
+    uint64_t last_heartbeat_us;
+    uint64_t last_announce_us;
+    uint64_t echo_us;
+    bool cut_off;
+    bool leaving;
+};
+
+/// A step of a 64-bit linear congruential generator (Knuth, TAOCP 3.3.4):
+/// spreads retries; no secret depends on it.
+static uint64_t
+next_random(uint64_t *state)
+{
+    *state = *state * 6364136223846793005u + 1442695040888963407u;
+    return *state >> 33;
+}
+
+struct SlReplica *
+SlReplica_Create(const struct SlReplicaOptions *options, uint64_t now_us)
+{
+    struct SlReplica *replica = calloc(1, sizeof(*replica));
+
+    if (replica == NULL) {
+        return NULL;
+    }
+    replica->options = *options;
+    if (replica->options.lease_us == 0) {
+        replica->options.lease_us = DEFAULT_LEASE_US;
+    }
+    replica->config = SlConfig_Create();
+    if (replica->config == NULL) {
+        SlReplica_Destroy(replica);
+        return NULL;
+    }
+    if (options->control_count != 0) {
+        replica->control_index =
+            (uint32_t)(SlNode_Id(options->core.name) % options->control_count);
+    }
+    replica->last_fresh_us = now_us;
+    return replica;
+}
+
+void
+SlReplica_Destroy(struct SlReplica *replica)
+{
+    if (replica == NULL) {
+        return;
+    }
+    SlConfigGather_Release(&replica->control.gather);
+    SlConfigGather_Release(&replica->peer.gather);
+    SlConfig_Destroy(replica->config);
+    free(replica);
+}
+
+const struct SlConfig *
+SlReplica_Config(const struct SlReplica *replica)
+{
+    return replica->config;
+}
+
+uint64_t
+SlReplica_Generation(const struct SlReplica *replica)
+{
+    return replica->generation;
+}
+
+bool
+SlReplica_CutOff(const struct SlReplica *replica, uint64_t now_us)
+{
+    return now_us - replica->last_fresh_us > replica->options.lease_us;
+}
+
+static void
+log_event(const struct SlReplica *replica, struct SlSink *sink,
+          struct SlEvent event)
+{
+    event.version = SlConfig_Version(replica->config);
+    sink->type->event(sink, &event);
+}
+
+static const char *
+node_name(const struct SlReplica *replica, uint64_t node_id)
+{
+    const struct SlObject *node = SlConfig_FindNode(replica->config, node_id);
+
+    return node ? node->name : NULL;
+}
+
+static void
+send_subscribe(const struct SlReplica *replica, struct SlSink *sink,
+               uint64_t link)
+{
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_SUBSCRIBE,
+        .subscribe = {.version = SlConfig_Version(replica->config)}};
+
+    sink->type->send_message(sink, link, &message);
+}
+
+static void
+send_announce(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_ANNOUNCE,
+                                .announce = replica->options.announce};
+
+    message.announce.node.leaving = replica->leaving;
+    replica->last_announce_us = now_us;
+    sink->type->send_message(sink, replica->control.link, &message);
+}
+
+static void
+send_heartbeat(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_HEARTBEAT,
+        .heartbeat = {.version = SlConfig_Version(replica->config),
+                      .sent_us = now_us,
+                      .echo_us = replica->echo_us}};
+
+    replica->last_heartbeat_us = now_us;
+    sink->type->send_message(sink, replica->control.link, &message);
+}
+
+/// Goes on to the next control instance of the list.
+static void
+dial_control(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    const struct SlReplicaOptions *options = &replica->options;
+
+    if (options->control_count == 0) {
+        return;
+    }
+    if (replica->control.node_id != 0) {
+        sink->type->drop(sink, replica->control.node_id);
+        replica->control_index =
+            (replica->control_index + 1) % options->control_count;
+    }
+    SlConfigGather_Release(&replica->control.gather);
+    replica->control =
+        (struct source){.node_id = options->control_id[replica->control_index],
+                        .since_us = now_us};
+    replica->patience_us =
+        CONTROL_PATIENCE_US +
+        next_random(&replica->options.core.seed) % JITTER_US;
+    sink->type->dial(sink, replica->control.node_id,
+                     &options->control[replica->control_index]);
+}
+
+/// True when the control instance in use has had its time: its link is not
+/// up, or it has not been fresh.
+static bool
+control_is_silent(const struct SlReplica *replica, uint64_t now_us)
+{
+    const struct source *control = &replica->control;
+
+    if (control->node_id == 0) {
+        return true;
+    }
+    return now_us - control->since_us > replica->patience_us &&
+           (control->link == 0 ||
+            now_us - replica->last_fresh_us > replica->patience_us);
+}
+
+static void
+note_cut_off(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    bool cut_off = SlReplica_CutOff(replica, now_us);
+
+    if (cut_off == replica->cut_off) {
+        return;
+    }
+    replica->cut_off = cut_off;
+    log_event(replica, sink,
+              (struct SlEvent){
+                  .number = cut_off ? SL_EVENT_CUT_OFF : SL_EVENT_JOINED,
+                  .now_us = now_us,
+                  .reason = cut_off ? "control_silent" : "control_fresh",
+                  .value = (int64_t)(now_us - replica->last_fresh_us),
+                  .limit = (int64_t)replica->options.lease_us});
+}
+
+static void
+drop_peer(struct SlReplica *replica, struct SlSink *sink)
+{
+    if (replica->peer.node_id != 0) {
+        sink->type->drop(sink, replica->peer.node_id);
+    }
+    SlConfigGather_Release(&replica->peer.gather);
+    replica->peer = (struct source){.node_id = 0};
+}
+
+/// Asks the peer that showed a newer version, when control has not brought
+/// it within the delay; gives up on one that does not answer.
+static void
+pull_from_peer(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    struct source *peer = &replica->peer;
+    const struct SlObject *node;
+
+    if (peer->node_id == 0) {
+        return;
+    }
+    if (SlVersion_Compare(replica->peer_version,
+                          SlConfig_Version(replica->config)) <= 0 ||
+        now_us - peer->since_us > PULL_DELAY_US + PULL_PATIENCE_US) {
+        drop_peer(replica, sink);
+        return;
+    }
+    if (peer->link != 0 || now_us - peer->since_us < PULL_DELAY_US) {
+        return;
+    }
+    node = SlConfig_FindNode(replica->config, peer->node_id);
+    if (node != NULL) {
+        sink->type->dial(sink, peer->node_id, &node->node.link);
+    }
+}
+
+static void
+handle_tick(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
+{
+    note_cut_off(replica, sink, now_us);
+    if (control_is_silent(replica, now_us)) {
+        dial_control(replica, sink, now_us);
+    }
+    if (replica->control.link != 0) {
+        if (now_us - replica->last_heartbeat_us >= HEARTBEAT_US) {
+            send_heartbeat(replica, sink, now_us);
+        }
+        if (now_us - replica->last_announce_us >= ANNOUNCE_US) {
+            send_announce(replica, sink, now_us);
+        }
+    }
+    pull_from_peer(replica, sink, now_us);
+}
+
+static void
+handle_link_up(struct SlReplica *replica, struct SlSink *sink,
+               const struct SlInput *input)
+{
+    if (input->peer->node_id == replica->control.node_id &&
+        replica->control.link == 0) {
+        replica->control.link = input->link;
+        replica->control.since_us = input->now_us;
+        send_announce(replica, sink, input->now_us);
+        send_subscribe(replica, sink, input->link);
+        send_heartbeat(replica, sink, input->now_us);
+    }
+    else if (input->peer->node_id == replica->peer.node_id &&
+             replica->peer.link == 0) {
+        replica->peer.link = input->link;
+        send_subscribe(replica, sink, input->link);
+    }
+}
+
+static void
+handle_link_down(struct SlReplica *replica, const struct SlInput *input)
+{
+    struct source *sources[] = {&replica->control, &replica->peer};
+
+    for (size_t i = 0; i < sizeof(sources) / sizeof(sources[0]); i++) {
+        if (sources[i]->link == input->link) {
+            sources[i]->link = 0;
+            SlConfigGather_Release(&sources[i]->gather);
+        }
+    }
+}
+
+/// Puts the gathered configuration in force.
+static void
+take_config(struct SlReplica *replica, struct SlSink *sink,
+            const struct SlInput *input, struct source *source)
+{
+    SlConfig_Destroy(replica->config);
+    replica->config = source->gather.config;
+    source->gather.config = NULL;
+    replica->generation++;
+    log_event(replica, sink,
+              (struct SlEvent){.number = SL_EVENT_VERSION,
+                               .now_us = input->now_us,
+                               .peer = node_name(replica, source->node_id),
+                               .reason = source == &replica->control
+                                             ? "from_control"
+                                             : "from_peer",
+                               .value = source->gather.objects,
+                               .limit = source->gather.removed});
+    source->gather.objects = 0;
+    source->gather.removed = 0;
+}
+
+static void
+handle_config(struct SlReplica *replica, struct SlSink *sink,
+              const struct SlInput *input, struct source *source)
+{
+    const struct SlConfigPart *part = &input->message->config;
+    enum SlStatus status =
+        SlConfigGather_Take(&source->gather, replica->config, part);
+
+    if (source == &replica->control && part->fresh && status != SL_INVALID) {
+        replica->last_fresh_us = input->now_us;
+    }
+    if (status == SL_OK) {
+        take_config(replica, sink, input, source);
+    }
+    else if (status == SL_INVALID) {
+        send_subscribe(replica, sink, source->link);
+    }
+    else if (status == SL_STALE &&
+             SlVersion_Compare(part->to, SlConfig_Version(replica->config)) <
+                 0) {
+        log_event(replica, sink,
+                  (struct SlEvent){.number = SL_EVENT_STALE_OFFER,
+                                   .now_us = input->now_us,
+                                   .peer = node_name(replica, source->node_id),
+                                   .reason = "older_than_present"});
+    }
+}
+
+/// A control instance's word that its version is current counts only once
+/// that version is in force here.
+static void
+handle_heartbeat(struct SlReplica *replica, struct SlSink *sink,
+                 const struct SlInput *input)
+{
+    const struct SlHeartbeat *heartbeat = &input->message->heartbeat;
+    int order = SlVersion_Compare(heartbeat->version,
+                                  SlConfig_Version(replica->config));
+
+    replica->echo_us = heartbeat->sent_us;
+    if (!heartbeat->fresh) {
+        return;
+    }
+    if (order <= 0) {
+        replica->last_fresh_us = input->now_us;
+        return;
+    }
+    if (replica->control.gather.config == NULL) {
+        send_subscribe(replica, sink, input->link);
+    }
+}
+
+/// Answers another process that asks for what is newer than its version.
+static void
+handle_subscribe(const struct SlReplica *replica, struct SlSink *sink,
+                 const struct SlInput *input)
+{
+    if (SlVersion_Compare(input->message->subscribe.version,
+                          SlConfig_Version(replica->config)) < 0) {
+        SlConfigParts_SendWhole(replica->config, false, sink, input->link);
+    }
+}
+
+static void
+handle_message(struct SlReplica *replica, struct SlSink *sink,
+               const struct SlInput *input)
+{
+    struct source *source = NULL;
+
+    if (input->link == replica->control.link) {
+        source = &replica->control;
+    }
+    else if (input->link == replica->peer.link) {
+        source = &replica->peer;
+    }
+    if (input->message->kind == SL_MESSAGE_SUBSCRIBE) {
+        handle_subscribe(replica, sink, input);
+    }
+    else if (input->message->kind == SL_MESSAGE_CONFIG && source != NULL) {
+        handle_config(replica, sink, input, source);
+    }
+    else if (input->message->kind == SL_MESSAGE_HEARTBEAT &&
+             source == &replica->control) {
+        handle_heartbeat(replica, sink, input);
+    }
+}
+
+void
+SlReplica_Handle(struct SlReplica *replica, struct SlSink *sink,
+                 const struct SlInput *input)
+{
+    switch (input->kind) {
+    case SL_INPUT_TICK:
+        handle_tick(replica, sink, input->now_us);
+        break;
+    case SL_INPUT_LINK_UP:
+        handle_link_up(replica, sink, input);
+        break;
+    case SL_INPUT_LINK_DOWN:
+        handle_link_down(replica, input);
+        break;
+    case SL_INPUT_MESSAGE:
+        handle_message(replica, sink, input);
+        break;
+    case SL_INPUT_STOP:
+        replica->leaving = true;
+        if (replica->control.link != 0) {
+            send_announce(replica, sink, input->now_us);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void
+SlReplica_PeerVersion(struct SlReplica *replica, struct SlSink *sink,
+                      uint64_t now_us, uint64_t node_id,
+                      struct SlVersion version)
+{
+    if (SlVersion_Compare(version, SlConfig_Version(replica->config)) <= 0 ||
+        replica->peer.node_id != 0 || node_id == replica->control.node_id) {
+        return;
+    }
+    replica->peer = (struct source){.node_id = node_id, .since_us = now_us};
+    replica->peer_version = version;
+    log_event(replica, sink,
+              (struct SlEvent){.number = SL_EVENT_BEHIND,
+                               .now_us = now_us,
+                               .peer = node_name(replica, node_id),
+                               .reason = "peer_is_newer"});
+}
