--- a/packages/transport/src/x.c
+++ /dev/null
@@ -1,2 +0,0 @@
-extern int sl_placeholder;
-int sl_placeholder;
