--- /dev/null
+++ b/packages/daemon/src/log.c
@@ -0,0 +1,226 @@
+#include <errno.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "savoryledge/transport/loop.h"
+
+enum {
+    RING_LINES = 8192,
+    /// The writer looks at the ring at least this often.
+    WRITE_PAUSE_NS = 10 * 1000 * 1000,
+    CHUNK_BYTES = 64 * 1024,
+    /// After the log was told to end, a stuck reader gets this long.
+    END_WAIT_MS = 500,
+};
+
+struct line {
+    uint32_t length_bytes;
+    char text[SL_EVENT_TEXT_BYTES + 1];
+};
+
+struct SlLog {
+    int descriptor;
+    _Atomic int level;
+    _Atomic uint64_t lost;
+    uint64_t lost_said;
+    pthread_t writer;
+    /// Guards the ring; never held while writing to the descriptor.
+    pthread_mutex_t lock;
+    pthread_cond_t filled;
+    uint64_t first;
+    uint64_t next;
+    bool ending;
+    struct line *ring;
+    char chunk[CHUNK_BYTES];
+};
+
+/// Gathers waiting lines into the chunk; returns its length in bytes.
+static size_t
+take_lines(struct SlLog *log)
+{
+    size_t used = 0;
+
+    while (log->first < log->next) {
+        const struct line *line = &log->ring[log->first % RING_LINES];
+
+        if (used + line->length_bytes > CHUNK_BYTES) {
+            break;
+        }
+        memcpy(log->chunk + used, line->text, line->length_bytes);
+        used += line->length_bytes;
+        log->first++;
+    }
+    return used;
+}
+
+static bool
+wait_writable(struct SlLog *log)
+{
+    struct pollfd waited = {.fd = log->descriptor, .events = POLLOUT};
+
+    return poll(&waited, 1, END_WAIT_MS) > 0 || !log->ending;
+}
+
+static void
+write_chunk(struct SlLog *log, size_t length)
+{
+    size_t written = 0;
+
+    while (written < length) {
+        ssize_t count =
+            write(log->descriptor, log->chunk + written, length - written);
+
+        if (count >= 0) {
+            written += (size_t)count;
+        } else if (errno != EINTR &&
+                   (errno != EAGAIN || !wait_writable(log))) {
+            return;
+        }
+    }
+}
+
+static void
+say_lost(struct SlLog *log)
+{
+    uint64_t lost = atomic_load(&log->lost);
+    struct SlEvent event = {.number = SL_EVENT_LOG_LOST,
+                            .now_us = SlClock_Monotonic(),
+                            .reason = "ring_full",
+                            .value = (int64_t)(lost - log->lost_said),
+                            .limit = RING_LINES};
+
+    if (lost != log->lost_said) {
+        log->lost_said = lost;
+        SlLog_Event(log, &event);
+    }
+}
+
+static void
+wait_for_lines(struct SlLog *log)
+{
+    struct timespec until;
+
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_nsec += WRITE_PAUSE_NS;
+    if (until.tv_nsec >= 1000 * 1000 * 1000) {
+        until.tv_nsec -= 1000 * 1000 * 1000;
+        until.tv_sec++;
+    }
+    pthread_cond_timedwait(&log->filled, &log->lock, &until);
+}
+
+static void *
+run_writer(void *context)
+{
+    struct SlLog *log = context;
+    bool ended = false;
+
+    while (!ended) {
+        size_t length;
+
+        pthread_mutex_lock(&log->lock);
+        if (log->first == log->next && !log->ending) {
+            wait_for_lines(log);
+        }
+        length = take_lines(log);
+        ended = length == 0 && log->ending;
+        pthread_mutex_unlock(&log->lock);
+        write_chunk(log, length);
+        say_lost(log);
+    }
+    return NULL;
+}
+
+struct SlLog *
+SlLog_Create(int descriptor, enum SlLevel level)
+{
+    struct SlLog *log = calloc(1, sizeof(*log));
+
+    if (log == NULL) {
+        return NULL;
+    }
+    log->descriptor = descriptor;
+    atomic_init(&log->level, (int)level);
+    log->ring = calloc(RING_LINES, sizeof(*log->ring));
+    pthread_mutex_init(&log->lock, NULL);
+    pthread_cond_init(&log->filled, NULL);
+    if (log->ring == NULL ||
+        pthread_create(&log->writer, NULL, run_writer, log) != 0) {
+        free(log->ring);
+        free(log);
+        return NULL;
+    }
+    return log;
+}
+
+void
+SlLog_Destroy(struct SlLog *log)
+{
+    if (log == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&log->lock);
+    log->ending = true;
+    pthread_cond_signal(&log->filled);
+    pthread_mutex_unlock(&log->lock);
+    pthread_join(log->writer, NULL);
+    pthread_cond_destroy(&log->filled);
+    pthread_mutex_destroy(&log->lock);
+    free(log->ring);
+    free(log);
+}
+
+static bool
+put_line(struct SlLog *log, const char *text, size_t length)
+{
+    struct line *line;
+    bool has_room;
+
+    pthread_mutex_lock(&log->lock);
+    has_room = log->next - log->first < RING_LINES;
+    if (has_room) {
+        line = &log->ring[log->next++ % RING_LINES];
+        memcpy(line->text, text, length);
+        line->text[length] = '\n';
+        line->length_bytes = (uint32_t)length + 1;
+        if (log->next - log->first == RING_LINES / 2) {
+            pthread_cond_signal(&log->filled);
+        }
+    }
+    pthread_mutex_unlock(&log->lock);
+    return has_room;
+}
+
+void
+SlLog_Event(struct SlLog *log, const struct SlEvent *event)
+{
+    const struct SlEventRow *row = SlEvent_Row(event->number);
+    char text[SL_EVENT_TEXT_BYTES];
+
+    if (row != NULL && (int)row->level > atomic_load(&log->level)) {
+        return;
+    }
+    SlEvent_Format(event, text);
+    if (!put_line(log, text, strlen(text))) {
+        atomic_fetch_add(&log->lost, 1);
+    }
+}
+
+void
+SlLog_SetLevel(struct SlLog *log, enum SlLevel level)
+{
+    atomic_store(&log->level, (int)level);
+}
+
+uint64_t
+SlLog_Lost(const struct SlLog *log)
+{
+    return atomic_load(&log->lost);
+}
--- /dev/null
+++ b/packages/daemon/src/log.h
@@ -0,0 +1,31 @@
+#ifndef SAVORYLEDGE_DAEMON_LOG_H
+#define SAVORYLEDGE_DAEMON_LOG_H
+
+/// Event lines on standard error. Writing an event never waits: lines go
+/// into a bounded ring that a thread of its own empties; what finds no room
+/// is counted, and the loss is logged once there is room again.
+
+#include "savoryledge/common/event.h"
+
+struct SlLog;
+
+/// descriptor: where lines go; the log does not close it. NULL without
+/// memory or thread.
+struct SlLog *
+SlLog_Create(int descriptor, enum SlLevel level);
+/// Writes what waits, as far as the descriptor takes it. NULL is allowed.
+void
+SlLog_Destroy(struct SlLog *log);
+
+/// Any thread. Events below the level are dropped.
+void
+SlLog_Event(struct SlLog *log, const struct SlEvent *event);
+
+void
+SlLog_SetLevel(struct SlLog *log, enum SlLevel level);
+
+/// Lines lost since the start.
+uint64_t
+SlLog_Lost(const struct SlLog *log);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/settings_value.c
@@ -0,0 +1,284 @@
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "settings_value.h"
+
+enum {
+    LIST_BYTES = 1024,
+};
+
+static bool
+is_name(const char *text)
+{
+    size_t length = strlen(text);
+
+    for (size_t i = 0; i < length; i++) {
+        if (!isalnum((unsigned char)text[i]) &&
+            strchr("-_.", text[i]) == NULL) {
+            return false;
+        }
+    }
+    return length > 0 && length < SL_NAME_BYTES;
+}
+
+static bool
+read_text(const char *text, size_t room_bytes, char *target)
+{
+    size_t length = strlen(text);
+
+    if (length == 0 || length >= room_bytes) {
+        return false;
+    }
+    memcpy(target, text, length + 1);
+    return true;
+}
+
+static bool
+read_address(const char *text, bool needs_port, struct SlAddress *target)
+{
+    return SlAddress_Parse(text, target) == SL_OK &&
+           (!needs_port || target->port != 0);
+}
+
+static bool
+read_number(const char *text, uint32_t min, uint32_t max, uint32_t *target)
+{
+    unsigned long long number;
+    char *end;
+
+    if (!isdigit((unsigned char)text[0])) {
+        return false;
+    }
+    errno = 0;
+    number = strtoull(text, &end, 10);
+    if (errno != 0 || *end != '\0' || number < min || number > max) {
+        return false;
+    }
+    *target = (uint32_t)number;
+    return true;
+}
+
+static bool
+read_bool(const char *text, bool *target)
+{
+    *target = strcmp(text, "yes") == 0;
+    return *target || strcmp(text, "no") == 0;
+}
+
+struct choice {
+    const char *text;
+    uint32_t value;
+};
+
+static const struct choice LEVELS[] = {
+    {"error", SL_LEVEL_ERROR},   {"warning", SL_LEVEL_WARNING},
+    {"notice", SL_LEVEL_NOTICE}, {"info", SL_LEVEL_INFO},
+    {"debug", SL_LEVEL_DEBUG},   {NULL, 0},
+};
+
+static const struct choice ROLES[] = {
+    {"entry", SL_ROLE_ENTRY},
+    {"agent", SL_ROLE_AGENT},
+    {"control", SL_ROLE_CONTROL},
+    {NULL, 0},
+};
+
+static const struct choice PORT_KINDS[] = {
+    {"encap", SL_PORT_ENCAP},
+    {"udp", SL_PORT_UDP},
+    {"tun", SL_PORT_TUN},
+    {NULL, 0},
+};
+
+static const struct choice *
+find_choice(const struct choice *choices, const char *text)
+{
+    for (const struct choice *at = choices; at->text != NULL; at++) {
+        if (strcmp(at->text, text) == 0) {
+            return at;
+        }
+    }
+    return NULL;
+}
+
+static char *
+trim(char *text)
+{
+    char *end = text + strlen(text);
+
+    while (end > text && isspace((unsigned char)end[-1])) {
+        *--end = '\0';
+    }
+    while (isspace((unsigned char)*text)) {
+        text++;
+    }
+    return text;
+}
+
+/// Calls add for each part between commas.
+static bool
+for_each_part(const char *text, bool (*add)(char *part, void *target),
+              void *target)
+{
+    char copy[LIST_BYTES];
+    char *rest = copy;
+    char *part;
+
+    if (strlen(text) >= sizeof(copy)) {
+        return false;
+    }
+    snprintf(copy, sizeof(copy), "%s", text);
+    while ((part = strsep(&rest, ",")) != NULL) {
+        part = trim(part);
+        if (*part != '\0' && !add(part, target)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+add_role(char *part, void *target)
+{
+    const struct choice *choice = find_choice(ROLES, part);
+
+    if (choice == NULL) {
+        return false;
+    }
+    *(uint32_t *)target |= choice->value;
+    return true;
+}
+
+static bool
+add_label(char *part, void *target)
+{
+    char *value = strchr(part, '=');
+
+    if (value == NULL) {
+        return false;
+    }
+    *value++ = '\0';
+    return SlLabels_Set(target, trim(part), trim(value)) == SL_OK;
+}
+
+static bool
+add_member(char *part, void *target)
+{
+    struct SlMembers *members = target;
+    struct SlMember *member = &members->items[members->count];
+    char *address = strchr(part, '@');
+
+    if (address == NULL || members->count == SETTINGS_MEMBERS_MAX) {
+        return false;
+    }
+    *address++ = '\0';
+    if (!is_name(part) || !read_address(address, true, &member->link)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (strcmp(members->items[i].name, part) == 0) {
+            return false;
+        }
+    }
+    snprintf(member->name, sizeof(member->name), "%s", part);
+    members->count++;
+    return true;
+}
+
+static bool
+read_choice(const struct choice *choices, const char *text, uint32_t *value)
+{
+    const struct choice *choice = find_choice(choices, text);
+
+    if (choice != NULL) {
+        *value = choice->value;
+    }
+    return choice != NULL;
+}
+
+bool
+SlValue_Read(enum SlValueType type, uint32_t min, uint32_t max,
+             const char *text, void *target)
+{
+    switch (type) {
+    case SL_VALUE_NAME:
+        return is_name(text) && read_text(text, SL_NAME_BYTES, target);
+    case SL_VALUE_PATH:
+        return read_text(text, SETTINGS_PATH_BYTES, target);
+    case SL_VALUE_DEVICE:
+        return is_name(text) && read_text(text, SL_PORT_DEVICE_BYTES, target);
+    case SL_VALUE_ADDRESS:
+        return read_address(text, true, target);
+    case SL_VALUE_HOST:
+        return read_address(text, false, target);
+    case SL_VALUE_NUMBER:
+        return read_number(text, min, max, target);
+    case SL_VALUE_BOOL:
+        return read_bool(text, target);
+    case SL_VALUE_LEVEL:
+        return read_choice(LEVELS, text, target);
+    case SL_VALUE_PORT_KIND:
+        return read_choice(PORT_KINDS, text, target);
+    case SL_VALUE_ROLES:
+        return for_each_part(text, add_role, target) && *(uint32_t *)target;
+    case SL_VALUE_LABELS:
+        return for_each_part(text, add_label, target);
+    case SL_VALUE_MEMBERS:
+        return for_each_part(text, add_member, target);
+    }
+    return false;
+}
+
+static const char *
+allowed_text(enum SlValueType type)
+{
+    switch (type) {
+    case SL_VALUE_NAME:
+        return "1 to 47 letters, digits, \"-\", \"_\" or \".\"";
+    case SL_VALUE_PATH:
+        return "a path of at most 191 bytes";
+    case SL_VALUE_DEVICE:
+        return "a device name of at most 15 characters";
+    case SL_VALUE_ADDRESS:
+        return "IPV4:PORT or [IPV6]:PORT";
+    case SL_VALUE_HOST:
+        return "IPV4 or [IPV6], with or without :PORT";
+    case SL_VALUE_BOOL:
+        return "yes or no";
+    case SL_VALUE_LEVEL:
+        return "error, warning, notice, info or debug";
+    case SL_VALUE_ROLES:
+        return "a list of entry, agent and control";
+    case SL_VALUE_PORT_KIND:
+        return "encap, udp or tun";
+    case SL_VALUE_LABELS:
+        return "at most 8 of KEY=VALUE, separated by commas";
+    case SL_VALUE_MEMBERS:
+        return "at most 9 of NAME@ADDRESS:PORT with different names, "
+               "separated by commas";
+    case SL_VALUE_NUMBER:
+        break;
+    }
+    return "";
+}
+
+const char *
+SlValue_Allowed(enum SlValueType type, uint32_t min, uint32_t max, char *text,
+                size_t room_bytes)
+{
+    if (type == SL_VALUE_NUMBER) {
+        snprintf(text, room_bytes, "a number from %u to %u", min, max);
+    } else {
+        snprintf(text, room_bytes, "%s", allowed_text(type));
+    }
+    return text;
+}
+
+bool
+SlValue_IsList(enum SlValueType type)
+{
+    return type == SL_VALUE_LABELS || type == SL_VALUE_MEMBERS;
+}
