Build routing tables by weighted rendezvous hashing

Ranks in whole numbers, so that every machine agrees; with equal weights the logarithm is left out, since the order of the draws is the same. Nodes and services that did not change are shared with the table before; a service whose members stand and weigh as before copies its buckets. A moved bucket notes its previous home and the time, also across later changes.

SlRouteService gains selected_count (members beyond SL_MEMBERS_MAX show), SlRouting gains SlRouting_MovedBuckets for the routing_changed event.

--- a/packages/state/include/savoryledge/state/routing.h
+++ b/packages/state/include/savoryledge/state/routing.h
@@ -55,7 +55,9 @@
     uint8_t protocol;
     uint32_t silence_ms;
     uint32_t idle_ms;
-    /// Every upstream that the selectors pick, also draining and out ones.
+    /// Every upstream that the selectors pick, also draining and out ones, in
+    /// order of name; those beyond SL_MEMBERS_MAX are left out.
+    uint32_t selected_count;
     uint32_t member_count;
     const struct SlRouteNode *members[SL_MEMBERS_MAX];
     struct SlRouteBucket buckets[SL_BUCKETS];
@@ -82,7 +84,12 @@
 struct SlVersion
 SlRouting_Version(const struct SlRouting *routing);
 
-/// NULL when no service has the address, port and protocol.
+/// Buckets whose home moved when this table was built.
+uint32_t
+SlRouting_MovedBuckets(const struct SlRouting *routing);
+
+/// NULL when no service has the address, port and protocol. Of several with
+/// one address, the first in order of name has it.
 const struct SlRouteService *
 SlRouting_FindService(const struct SlRouting *routing,
                       const struct SlAddress *address, uint8_t protocol);
