--- a/example/standin.h
+++ b/example/standin.h
@@ -53,13 +53,16 @@
     return (uint64_t)time.tv_sec * 1000000U + (uint64_t)time.tv_nsec / 1000U;
 }
 
-/// A small seeded generator (xorshift64*); state must not be 0.
+/// A small seeded generator (xorshift64*); state must not be 0. 0 below 0.
 static inline uint32_t
 standin_random(uint64_t *state, uint32_t below)
 {
     *state ^= *state >> 12;
     *state ^= *state << 25;
     *state ^= *state >> 27;
+    if (below == 0) {
+        return 0;
+    }
     return (uint32_t)((*state * 0x2545f4914f6cdd1dULL) >> 33) % below;
 }
 
