Put sockets, signals and settings around the cores

The shell gives a node its inputs: links and ticks on the control thread, tunnel datagrams and packets on packet threads, each with an outlet that gathers what the cores send into batches.

--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -16,6 +16,8 @@
     /// The writer looks at the ring at least this often.
     WRITE_PAUSE_NS = 10 * 1000 * 1000,
     CHUNK_BYTES = 64 * 1024,
+    /// What a pipe that polls as writable takes without waiting.
+    WRITE_BYTES = 4096,
     /// After the log was told to end, a stuck reader gets this long.
     END_WAIT_MS = 500,
 };
@@ -36,7 +38,7 @@
     pthread_cond_t filled;
     uint64_t first;
     uint64_t next;
-    bool ending;
+    _Atomic bool ending;
     struct line *ring;
     char chunk[CHUNK_BYTES];
 };
@@ -60,12 +62,19 @@
     return used;
 }
 
+/// Waits until a write of WRITE_BYTES cannot block. False when the log ends
+/// and its reader is stuck.
 static bool
 wait_writable(struct SlLog *log)
 {
     struct pollfd waited = {.fd = log->descriptor, .events = POLLOUT};
 
-    return poll(&waited, 1, END_WAIT_MS) > 0 || !log->ending;
+    while (poll(&waited, 1, END_WAIT_MS) <= 0) {
+        if (atomic_load(&log->ending)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 static void
@@ -73,16 +82,15 @@
 {
     size_t written = 0;
 
-    while (written < length) {
-        ssize_t count =
-            write(log->descriptor, log->chunk + written, length - written);
+    while (written < length && wait_writable(log)) {
+        size_t part = length - written;
+        ssize_t count = write(log->descriptor, log->chunk + written,
+                              part < WRITE_BYTES ? part : WRITE_BYTES);
 
-        if (count >= 0) {
-            written += (size_t)count;
-        } else if (errno != EINTR &&
-                   (errno != EAGAIN || !wait_writable(log))) {
+        if (count < 0 && errno != EINTR && errno != EAGAIN) {
             return;
         }
+        written += count > 0 ? (size_t)count : 0;
     }
 }
 
@@ -95,11 +103,16 @@
                             .reason = "ring_full",
                             .value = (int64_t)(lost - log->lost_said),
                             .limit = RING_LINES};
+    size_t length;
 
-    if (lost != log->lost_said) {
-        log->lost_said = lost;
-        SlLog_Event(log, &event);
+    if (lost == log->lost_said) {
+        return;
     }
+    log->lost_said = lost;
+    SlEvent_Format(&event, log->chunk);
+    length = strlen(log->chunk);
+    log->chunk[length] = '\n';
+    write_chunk(log, length + 1);
 }
 
 static void
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -226,7 +226,8 @@
 
     if (key == NULL) {
         refuse_unknown(reading, section, name);
-    } else {
+    }
+    else {
         take_value(reading, key, value);
     }
     return 1;
@@ -261,8 +262,7 @@
     }
     memcpy(line, reading->text, length);
     line[length] = '\0';
-    reading->text =
-        end ? end + 1 : reading->text + strlen(reading->text);
+    reading->text = end ? end + 1 : reading->text + strlen(reading->text);
     return line;
 }
 
@@ -479,8 +479,7 @@
     const struct SlSettings *settings = reading->settings;
 
     if (settings->control.bootstrap && !is_member(settings)) {
-        SlFaults_Add(reading->faults,
-                     line_of(reading, "control", "bootstrap"),
+        SlFaults_Add(reading->faults, line_of(reading, "control", "bootstrap"),
                      "control.bootstrap",
                      "yes only where control.members names this process",
                      "yes");
--- a/packages/daemon/src/settings_value.c
+++ b/packages/daemon/src/settings_value.c
@@ -271,7 +271,8 @@
 {
     if (type == SL_VALUE_NUMBER) {
         snprintf(text, room_bytes, "a number from %u to %u", min, max);
-    } else {
+    }
+    else {
         snprintf(text, room_bytes, "%s", allowed_text(type));
     }
     return text;
--- /dev/null
+++ b/packages/daemon/src/shell.c
@@ -0,0 +1,435 @@
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "shell_internal.h"
+
+enum {
+    US_PER_MS = 1000,
+    /// A leaving entry or agent serves on at least this long, so that the
+    /// others hear of it first.
+    LINGER_US = 2 * 1000 * 1000,
+    REFUSED_PAUSE_US = 1000 * 1000,
+    MAX_SERVICES = 1024,
+};
+
+/// The advertised address of a process that does not set one.
+static const uint8_t NO_IP[sizeof(((struct SlAddress *)0)->ip)];
+
+void
+give_input(struct SlShell *shell, struct outlet *outlet,
+           const struct SlInput *input)
+{
+    SlNode_Handle(shell->node, &outlet->sink, input);
+}
+
+static void
+give_control_input(struct SlShell *shell, enum SlInputKind kind,
+                   uint64_t now_us)
+{
+    struct SlInput input = {
+        .kind = kind, .now_us = now_us, .wall_us = SlClock_Wall()};
+
+    shell->control.now_us = now_us;
+    give_input(shell, &shell->control, &input);
+}
+
+static void
+fill_announcement(const struct SlShell *shell, struct SlObject *object)
+{
+    const struct SlSettings *settings = &shell->settings;
+    struct SlNodeSpec *node = &object->node;
+
+    *object = (struct SlObject){.kind = SL_KIND_NODE};
+    memcpy(object->name, settings->node.name, SL_NAME_BYTES);
+    memcpy(node->zone, settings->node.zone, SL_NAME_BYTES);
+    node->node_id = SlNode_Id(settings->node.name);
+    node->roles = settings->node.roles;
+    node->announced = settings->agent.labels;
+    node->tunnel = settings->node.tunnel;
+    node->link = settings->node.link;
+    node->boot = shell->boot;
+    node->slots = settings->agent.slots;
+    node->capacity_flows = settings->agent.capacity_flows;
+    if (memcmp(settings->node.advertise.ip, NO_IP, sizeof(NO_IP)) != 0) {
+        memcpy(node->tunnel.ip, settings->node.advertise.ip,
+               sizeof(node->tunnel.ip));
+        memcpy(node->link.ip, settings->node.advertise.ip,
+               sizeof(node->link.ip));
+    }
+}
+
+static void
+fill_control(const struct SlShell *shell, struct SlNodeOptions *options)
+{
+    const struct SlMembers *members = &shell->settings.control.members;
+
+    options->control.bootstrap = shell->settings.control.bootstrap;
+    options->control.storage = shell->storage;
+    options->control.member_count = members->count;
+    options->replica.control_count = members->count;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const struct SlMember *member = &members->items[i];
+        struct SlControlMember *filled = &options->control.members[i];
+
+        filled->node_id = SlNode_Id(member->name);
+        memcpy(filled->name, member->name, SL_NAME_BYTES);
+        filled->link = member->link;
+        filled->voter = true;
+        options->replica.control_id[i] = filled->node_id;
+        options->replica.control[i] = member->link;
+    }
+}
+
+static enum SlStatus
+create_node(struct SlShell *shell, uint64_t now_us, struct SlError *error)
+{
+    const struct SlSettings *settings = &shell->settings;
+    struct SlNodeOptions options = {
+        .core = {.roles = settings->node.roles, .boot = shell->boot},
+        .entry = {.cache_flows = settings->entry.cache_flows,
+                  .tunnel_mtu_bytes =
+                      (uint16_t)settings->entry.tunnel_mtu_bytes},
+        .agent = {.slots = settings->agent.slots,
+                  .capacity_flows = settings->agent.capacity_flows},
+    };
+
+    memcpy(options.core.name, settings->node.name, SL_NAME_BYTES);
+    memcpy(options.core.zone, settings->node.zone, SL_NAME_BYTES);
+    randombytes_buf(&options.core.seed, sizeof(options.core.seed));
+    randombytes_buf(&options.core.hash_seed, sizeof(options.core.hash_seed));
+    fill_control(shell, &options);
+    fill_announcement(shell, &options.replica.announce);
+    return SlNode_Create(&options, now_us, &shell->node, error);
+}
+
+static enum SlStatus
+open_storage(struct SlShell *shell, struct SlError *error)
+{
+    uint64_t incarnation;
+
+    if (!(shell->settings.node.roles & SL_ROLE_CONTROL)) {
+        return SL_OK;
+    }
+    randombytes_buf(&incarnation, sizeof(incarnation));
+    return SlStorage_OpenFolder(shell->settings.control.data_folder,
+                                SlNode_Id(shell->settings.node.name),
+                                incarnation, &shell->storage, error);
+}
+
+static enum SlStatus
+create_transport(struct SlShell *shell, struct SlError *error)
+{
+    struct SlSealerOptions seal = {
+        .keyring = shell->settings.keyring,
+        .sender = SlNode_Id(shell->settings.node.name),
+        .start_wall_us = shell->boot,
+    };
+    struct SlLinksOptions links = {.owner = &shell->links_owner,
+                                   .keyring = shell->settings.keyring};
+
+    shell->loop = SlLoop_Create();
+    links.loop = shell->loop;
+    shell->sealer = SlSealer_Create(&seal);
+    shell->links = SlLinks_Create(&links);
+    if (shell->loop == NULL || shell->sealer == NULL || shell->links == NULL ||
+        outlet_init(&shell->control, shell, true) != SL_OK) {
+        return SlError_Set(error, SL_NO_MEMORY, SL_STEP_OPEN, NULL,
+                           "no memory for the transport");
+    }
+    return SlLinks_Listen(shell->links, &shell->settings.node.link, NULL,
+                          error);
+}
+
+static void
+ready_signals(struct SlWatch *watch, uint32_t events);
+static void
+fire_tick(struct SlTimer *timer, uint64_t now_us);
+
+static enum SlStatus
+watch_signals(struct SlShell *shell, struct SlError *error)
+{
+    static const int SIGNALS[] = {SIGTERM, SIGINT, SIGHUP};
+    int descriptor;
+
+    if (SlSignals_Open(SIGNALS, 3, &descriptor) != SL_OK) {
+        return SlError_Set(error, SL_IO, SL_STEP_OPEN, NULL,
+                           "cannot watch for signals");
+    }
+    shell->signals.shell = shell;
+    shell->signals.watch.descriptor = descriptor;
+    shell->signals.watch.ready = ready_signals;
+    return SlLoop_Watch(shell->loop, &shell->signals.watch, SL_LOOP_READ);
+}
+
+static enum SlStatus
+open_parts(struct SlShell *shell, struct SlError *error)
+{
+    enum SlStatus status = open_storage(shell, error);
+
+    if (status == SL_OK) {
+        status = create_transport(shell, error);
+    }
+    if (status == SL_OK) {
+        status = watch_signals(shell, error);
+    }
+    if (status == SL_OK) {
+        status = threads_open(shell, error);
+    }
+    if (status == SL_OK) {
+        status = create_node(shell, shell->started_us, error);
+    }
+    return status;
+}
+
+enum SlStatus
+SlShell_Create(const struct SlShellOptions *options, struct SlShell **shell,
+               struct SlError *error)
+{
+    struct SlShell *made = calloc(1, sizeof(*made));
+    enum SlStatus status;
+
+    *shell = NULL;
+    if (made == NULL || sodium_init() < 0) {
+        free(made);
+        return SlError_Set(error, SL_NO_MEMORY, SL_STEP_OPEN, NULL,
+                           "no memory to start");
+    }
+    made->links_owner.type = &SHELL_LINKS;
+    made->settings = *options->settings;
+    made->settings_path = options->settings_path;
+    made->log = options->log;
+    made->boot = SlClock_Wall();
+    made->started_us = SlClock_Monotonic();
+    made->control.tunnel = -1;
+    made->signals.watch.descriptor = -1;
+    rcu_register_thread();
+    status = open_parts(made, error);
+    if (status != SL_OK) {
+        SlShell_Destroy(made);
+        return status;
+    }
+    *shell = made;
+    return SL_OK;
+}
+
+void
+SlShell_Destroy(struct SlShell *shell)
+{
+    if (shell == NULL) {
+        return;
+    }
+    threads_close(shell);
+    SlLinks_Destroy(shell->links);
+    SlNode_Destroy(shell->node);
+    SlStorage_Destroy(shell->storage);
+    SlSealer_Destroy(shell->sealer);
+    outlet_release(&shell->control);
+    forget_peers(shell);
+    SlBuffer_Release(&shell->encoded);
+    if (shell->signals.watch.descriptor >= 0) {
+        close(shell->signals.watch.descriptor);
+    }
+    SlLoop_Destroy(shell->loop);
+    rcu_unregister_thread();
+    sodium_memzero(&shell->settings.keyring, sizeof(shell->settings.keyring));
+    free(shell);
+}
+
+static void
+begin_stop(struct SlShell *shell)
+{
+    uint64_t now_us = SlClock_Monotonic();
+
+    if (shell->stopping) {
+        return;
+    }
+    shell->stopping = true;
+    shell->stop_us = now_us;
+    log_event(shell,
+              (struct SlEvent){
+                  .number = SL_EVENT_STOPPING,
+                  .now_us = now_us,
+                  .reason = "signal",
+                  .limit = (int64_t)shell->settings.node.stop_timeout_ms *
+                           US_PER_MS});
+    give_control_input(shell, SL_INPUT_STOP, now_us);
+    shell->has_inputs = true;
+}
+
+/// Takes what may change while the process runs: log level and keys.
+static void
+reload(struct SlShell *shell)
+{
+    struct SlSettings settings;
+    struct SlFaults faults;
+
+    SlSettings_Load(shell->settings_path, &settings, &faults);
+    for (uint32_t i = 0; i < faults.count; i++) {
+        log_event(shell, (struct SlEvent){.number = SL_EVENT_FAILED,
+                                          .node = faults.items[i].key,
+                                          .reason = "settings",
+                                          .value = faults.items[i].line});
+    }
+    if (faults.count > 0) {
+        log_event(shell, (struct SlEvent){.number = SL_EVENT_RELOADED,
+                                          .reason = "refused"});
+        return;
+    }
+    shell->settings.node.log_level = settings.node.log_level;
+    shell->settings.keyring = settings.keyring;
+    SlLog_SetLevel(shell->log, settings.node.log_level);
+    SlLinks_SetKeyring(shell->links, &settings.keyring);
+    SlSealer_SetKeyring(shell->sealer, &settings.keyring);
+    sodium_memzero(&settings.keyring, sizeof(settings.keyring));
+    log_event(shell, (struct SlEvent){.number = SL_EVENT_RELOADED,
+                                      .reason = "taken"});
+}
+
+static void
+ready_signals(struct SlWatch *watch, uint32_t events)
+{
+    struct SlShell *shell = ((struct signal_watch *)watch)->shell;
+    int number;
+
+    (void)events;
+    while ((number = SlSignals_Next(watch->descriptor)) != 0) {
+        if (number == SIGHUP) {
+            reload(shell);
+        }
+        else {
+            begin_stop(shell);
+        }
+    }
+}
+
+static void
+say_refused(struct SlShell *shell, uint64_t now_us)
+{
+    struct SlSealerCounters seal;
+    uint64_t refused;
+
+    SlSealer_Counters(shell->sealer, &seal);
+    refused = seal.malformed + seal.unknown_key + seal.bad_tag +
+              seal.replayed + seal.too_late +
+              atomic_load(&shell->counts.datagrams_malformed) +
+              atomic_load(&shell->counts.datagrams_wrong_sender);
+    if (refused == shell->refused_said ||
+        now_us < shell->refused_said_us + REFUSED_PAUSE_US) {
+        return;
+    }
+    log_event(shell,
+              (struct SlEvent){
+                  .number = SL_EVENT_DATAGRAM_REFUSED,
+                  .now_us = now_us,
+                  .reason = seal.unknown_key + seal.bad_tag ? "forbidden"
+                                                            : "malformed",
+                  .value = (int64_t)(refused - shell->refused_said)});
+    shell->refused_said = refused;
+    shell->refused_said_us = now_us;
+}
+
+/// Tells the callers' port which addresses the services have.
+static void
+refresh_addresses(struct SlShell *shell)
+{
+    const struct SlRouting *routing = SlNode_Routing(shell->node);
+    struct SlPort *port = shell->control.callers;
+    struct SlPortAddress addresses[MAX_SERVICES];
+    uint32_t count;
+
+    if (routing == NULL || port == NULL ||
+        SlVersion_Compare(SlRouting_Version(routing),
+                          shell->addresses_version) == 0) {
+        return;
+    }
+    shell->addresses_version = SlRouting_Version(routing);
+    count = SlRouting_ServiceCount(routing);
+    count = count < MAX_SERVICES ? count : MAX_SERVICES;
+    for (uint32_t i = 0; i < count; i++) {
+        const struct SlRouteService *service = SlRouting_ServiceAt(routing, i);
+
+        addresses[i] = (struct SlPortAddress){.address = service->address,
+                                              .protocol = service->protocol};
+    }
+    port->type->set_addresses(port, addresses, count);
+}
+
+static void
+fire_tick(struct SlTimer *timer, uint64_t now_us)
+{
+    struct SlShell *shell = ((struct tick_timer *)timer)->shell;
+
+    SlLinks_Tick(shell->links, now_us);
+    give_control_input(shell, SL_INPUT_TICK, now_us);
+    shell->has_inputs = true;
+    say_refused(shell, now_us);
+    SlLoop_StartTimer(shell->loop, timer, now_us + SL_TICK_US);
+}
+
+/// Ends the batch: the cores write what they gathered, then it is sent.
+static void
+end_batch(struct SlShell *shell)
+{
+    uint64_t now_us = SlClock_Monotonic();
+
+    if (!shell->has_inputs) {
+        return;
+    }
+    shell->has_inputs = false;
+    give_control_input(shell, SL_INPUT_BATCH_END, now_us);
+    outlet_flush(&shell->control);
+    SlLinks_Flush(shell->links);
+    refresh_addresses(shell);
+}
+
+static bool
+may_end(const struct SlShell *shell)
+{
+    uint64_t now_us = SlClock_Monotonic();
+    uint64_t spent_us = now_us - shell->stop_us;
+    uint32_t roles = shell->settings.node.roles;
+    uint64_t linger_us =
+        roles & (SL_ROLE_ENTRY | SL_ROLE_AGENT) ? LINGER_US : 0;
+
+    if (!shell->stopping) {
+        return false;
+    }
+    if (spent_us >=
+        (uint64_t)shell->settings.node.stop_timeout_ms * US_PER_MS) {
+        return true;
+    }
+    return spent_us >= linger_us && SlNode_Idle(shell->node);
+}
+
+int
+SlShell_Run(struct SlShell *shell)
+{
+    struct SlError error;
+    bool idle;
+
+    if (threads_start(shell, &error) != SL_OK) {
+        log_event(shell, (struct SlEvent){.number = SL_EVENT_FAILED,
+                                          .reason = "threads"});
+        return 1;
+    }
+    shell->tick.shell = shell;
+    shell->tick.timer.fire = fire_tick;
+    SlLoop_StartTimer(shell->loop, &shell->tick.timer, SlClock_Monotonic());
+    log_event(shell, (struct SlEvent){.number = SL_EVENT_STARTED,
+                                      .node = shell->settings.node.name,
+                                      .reason = "settings_hold",
+                                      .value = (int64_t)shell->boot});
+    while (!may_end(shell)) {
+        SlLoop_Turn(shell->loop, SL_TICK_US);
+        end_batch(shell);
+    }
+    idle = SlNode_Idle(shell->node);
+    threads_close(shell);
+    log_event(shell, (struct SlEvent){.number = SL_EVENT_STOPPED,
+                                      .reason = idle ? "idle" : "time_is_up"});
+    return 0;
+}
