--- /dev/null
+++ b/packages/coordination/src/agent.c
@@ -0,0 +1,383 @@
+#include "agent_private.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+enum {
+    SOFT_MIN = 8192,
+    HANDSHAKES_MIN = 128,
+    TABLE_SLACK = 4096,
+};
+
+void
+agent_count(struct SlAgent *agent, enum agent_counter counter)
+{
+    atomic_fetch_add_explicit(&agent->counters[counter], 1,
+                              memory_order_relaxed);
+}
+
+void
+agent_event(const struct agent_call *call, struct SlEvent *event)
+{
+    event->now_us = call->now_us;
+    if (call->routing != NULL) {
+        event->version = SlRouting_Version(call->routing);
+    }
+    call->sink->type->event(call->sink, event);
+}
+
+const char *
+agent_node_name(const struct agent_call *call, uint64_t node_id)
+{
+    const struct SlRouteNode *node = NULL;
+
+    if (node_id != 0 && call->routing != NULL) {
+        node = SlRouting_FindNode(call->routing, node_id);
+    }
+    return node != NULL ? node->name : NULL;
+}
+
+static bool
+carries_load(enum SlTunnelKind kind)
+{
+    return kind == SL_TUNNEL_FORWARD || kind == SL_TUNNEL_LOCATE ||
+           kind == SL_TUNNEL_LOCATED || kind == SL_TUNNEL_LOAD;
+}
+
+bool
+agent_send(const struct agent_call *call, uint64_t node_id,
+           struct SlTunnel *tunnel)
+{
+    const struct SlRouteNode *node;
+
+    if (call->routing == NULL || node_id == 0) {
+        return false;
+    }
+    node = SlRouting_FindNode(call->routing, node_id);
+    if (node == NULL) {
+        return false;
+    }
+    tunnel->sender = call->agent->node_id;
+    tunnel->version = SlRouting_Version(call->routing);
+    if (carries_load(tunnel->kind)) {
+        agent_admission_load(call->agent, tunnel);
+    }
+    call->sink->type->send_tunnel(call->sink, node_id, &node->tunnel, tunnel);
+    return true;
+}
+
+bool
+agent_started_within(const struct agent_call *call, uint64_t bound_us)
+{
+    return call->now_us - call->agent->started_us < bound_us;
+}
+
+bool
+agent_serves(const struct agent_call *call,
+             const struct SlRouteService *service)
+{
+    return service != NULL &&
+           SlRouteService_IndexOf(service, call->agent->node_id) !=
+               SL_NO_MEMBER;
+}
+
+bool
+agent_takes_new(const struct agent_call *call)
+{
+    struct SlAgent *agent = call->agent;
+
+    return !atomic_load(&agent->stopping) && !atomic_load(&agent->zone_out) &&
+           !atomic_load(&agent->draining);
+}
+
+bool
+agent_is_opening(const struct SlPacket *packet)
+{
+    const uint8_t mask = SL_TCP_SYN | SL_TCP_ACK | SL_TCP_RST | SL_TCP_FIN;
+
+    if (packet->kind == SL_PACKET_UDP) {
+        return true;
+    }
+    return packet->kind == SL_PACKET_TCP &&
+           (packet->tcp_flags & mask) == SL_TCP_SYN;
+}
+
+bool
+agent_has_payload(const struct SlPacket *packet)
+{
+    return packet->kind == SL_PACKET_UDP || packet->payload_bytes != 0;
+}
+
+bool
+agent_visited(const struct SlTunnel *tunnel, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < tunnel->visited_count; i++) {
+        if (tunnel->visited[i] == node_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+init_table(struct SlAgent *agent, uint64_t now_us)
+{
+    uint32_t capacity = agent->options.capacity_flows;
+    uint32_t soft = capacity * 2 < SOFT_MIN ? SOFT_MIN : capacity * 2;
+    uint32_t handshakes =
+        capacity / 4 < HANDSHAKES_MIN ? HANDSHAKES_MIN : capacity / 4;
+    struct SlFlowTableOptions table = {
+        .shards = agent->options.shards,
+        .limit_entries = capacity * 2 + soft * 2 + TABLE_SLACK,
+        .hash_seed = agent->options.core.hash_seed,
+    };
+    uint32_t shards;
+
+    agent->table = SlFlowTable_Create(&table, now_us);
+    if (agent->table == NULL) {
+        return false;
+    }
+    shards = SlFlowTable_ShardCount(agent->table);
+    agent->soft_per_shard = (soft + shards - 1) / shards;
+    agent->handshakes_per_shard = (handshakes + shards - 1) / shards;
+    return true;
+}
+
+struct SlAgent *
+SlAgent_Create(const struct SlAgentOptions *options, uint64_t now_us)
+{
+    struct SlAgent *agent = calloc(1, sizeof(*agent));
+
+    if (agent == NULL) {
+        return NULL;
+    }
+    agent->options = *options;
+    if (agent->options.adopt_us == 0) {
+        agent->options.adopt_us = AGENT_DEFAULT_ADOPT_US;
+    }
+    agent->node_id = SlNode_Id(options->core.name);
+    agent->started_us = now_us;
+    if (!agent_admission_init(&agent->admission, options, now_us) ||
+        !agent_peers_init(&agent->peers) ||
+        !agent_searches_init(&agent->searches) ||
+        !agent_paths_init(&agent->paths) || !init_table(agent, now_us)) {
+        SlAgent_Destroy(agent);
+        return NULL;
+    }
+    return agent;
+}
+
+void
+SlAgent_Destroy(struct SlAgent *agent)
+{
+    if (agent == NULL) {
+        return;
+    }
+    agent_searches_release(&agent->searches);
+    SlFlowTable_Destroy(agent->table);
+    SlRouting_Unref(agent->routing);
+    pthread_mutex_destroy(&agent->admission.lock);
+    pthread_mutex_destroy(&agent->peers.lock);
+    pthread_mutex_destroy(&agent->searches.lock);
+    pthread_mutex_destroy(&agent->paths.lock);
+    free(agent);
+}
+
+static struct agent_call
+make_call(struct SlAgent *agent, struct SlSink *sink, uint64_t now_us,
+          const struct SlRouting *routing)
+{
+    return (struct agent_call){
+        .agent = agent,
+        .sink = sink,
+        .now_us = now_us,
+        .now_ms = (uint32_t)(now_us / 1000),
+        .routing = routing,
+    };
+}
+
+/// Takes over how this node stands in a new table.
+static void
+note_own_state(const struct agent_call *call)
+{
+    struct SlAgent *agent = call->agent;
+    const struct SlRouteNode *self =
+        SlRouting_FindNode(call->routing, agent->node_id);
+    bool out = self != NULL && self->zone_out;
+    bool drains = self != NULL && self->draining;
+    struct SlEvent event = {.node = agent->options.core.name, .service = NULL};
+
+    event.value = agent->admission.open_flows;
+    if (out != atomic_load(&agent->zone_out)) {
+        event.number = SL_EVENT_ZONE_LEFT;
+        event.reason = out ? "out" : "in";
+        agent->leave_shard = 0;
+        agent->leave_place = 0;
+        agent->leave_flows =
+            agent->admission.open_flows / AGENT_LEAVE_TICKS + 1;
+        atomic_store(&agent->zone_out, out);
+        agent_event(call, &event);
+    }
+    if (drains != atomic_load(&agent->draining)) {
+        event.number = SL_EVENT_DRAINED;
+        event.reason = drains ? "began" : "returned";
+        atomic_store(&agent->draining, drains);
+        agent_event(call, &event);
+    }
+}
+
+void
+SlAgent_SetRouting(struct SlAgent *agent, struct SlSink *sink, uint64_t now_us,
+                   struct SlRouting *routing)
+{
+    struct agent_call call = make_call(agent, sink, now_us, routing);
+    struct SlRouting *old = agent->routing;
+
+    SlRouting_Ref(routing);
+    rcu_xchg_pointer(&agent->routing, routing);
+    atomic_store(&agent->behind, false);
+    agent_peers_routing(agent, routing);
+    note_own_state(&call);
+    if (old != NULL) {
+        synchronize_rcu();
+        SlRouting_Unref(old);
+    }
+}
+
+/// A newer version at a peer: this agent's table may be old.
+static void
+note_version(const struct agent_call *call, const struct SlTunnel *tunnel)
+{
+    if (call->routing != NULL &&
+        SlVersion_Compare(tunnel->version, SlRouting_Version(call->routing)) >
+            0) {
+        atomic_store(&call->agent->behind, true);
+    }
+}
+
+static void
+handle_tunnel(const struct agent_call *call, const struct SlTunnel *tunnel)
+{
+    if (call->routing == NULL) {
+        agent_drop(call, NULL, "no_configuration");
+        return;
+    }
+    note_version(call, tunnel);
+    if (carries_load(tunnel->kind)) {
+        agent_peers_heard(call, tunnel);
+    }
+    switch (tunnel->kind) {
+    case SL_TUNNEL_FORWARD:
+        agent_handle_forward(call, tunnel);
+        break;
+    case SL_TUNNEL_LOCATE:
+        agent_handle_locate(call, tunnel);
+        break;
+    case SL_TUNNEL_LOCATED:
+        agent_handle_located(call, tunnel);
+        break;
+    case SL_TUNNEL_PONG:
+        agent_paths_pong(call, tunnel);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+handle_stop(const struct agent_call *call)
+{
+    struct SlAgent *agent = call->agent;
+    struct SlEvent event = {.number = SL_EVENT_DRAINED,
+                            .node = agent->options.core.name,
+                            .reason = "stopping",
+                            .value = agent->admission.open_flows};
+
+    if (!atomic_exchange(&agent->stopping, true)) {
+        agent_event(call, &event);
+    }
+}
+
+void
+SlAgent_Handle(struct SlAgent *agent, struct SlSink *sink,
+               const struct SlInput *input)
+{
+    struct agent_call call;
+
+    rcu_read_lock();
+    call =
+        make_call(agent, sink, input->now_us, rcu_dereference(agent->routing));
+    switch (input->kind) {
+    case SL_INPUT_UPSTREAM_PACKET:
+        agent_handle_upstream(&call, input->packet.bytes,
+                              input->packet.length_bytes);
+        break;
+    case SL_INPUT_TUNNEL:
+        handle_tunnel(&call, input->tunnel);
+        break;
+    case SL_INPUT_TICK:
+        agent_timers_tick(&call);
+        agent_peers_tick(&call);
+        agent_paths_tick(&call);
+        break;
+    case SL_INPUT_STOP:
+        handle_stop(&call);
+        break;
+    default:
+        break;
+    }
+    rcu_read_unlock();
+}
+
+bool
+SlAgent_Idle(const struct SlAgent *agent)
+{
+    struct agent_admission *admission =
+        (struct agent_admission *)&agent->admission;
+    bool idle;
+
+    pthread_mutex_lock(&admission->lock);
+    idle = admission->open_flows == 0 ||
+           (admission->exchanges == 0 && admission->handshakes == 0);
+    pthread_mutex_unlock(&admission->lock);
+    return idle;
+}
+
+static uint64_t
+read_counter(const struct SlAgent *agent, enum agent_counter counter)
+{
+    return atomic_load_explicit(&agent->counters[counter],
+                                memory_order_relaxed);
+}
+
+void
+SlAgent_Counters(const struct SlAgent *agent, struct SlAgentCounters *counters)
+{
+    struct agent_admission *admission =
+        (struct agent_admission *)&agent->admission;
+
+    *counters = (struct SlAgentCounters){
+        .delivered = read_counter(agent, COUNT_DELIVERED),
+        .returned = read_counter(agent, COUNT_RETURNED),
+        .admitted = read_counter(agent, COUNT_ADMITTED),
+        .passed_on = read_counter(agent, COUNT_PASSED_ON),
+        .refused_not_run = read_counter(agent, COUNT_REFUSED_NOT_RUN),
+        .refused_unknown = read_counter(agent, COUNT_REFUSED_UNKNOWN),
+        .located = read_counter(agent, COUNT_LOCATED),
+        .locate_failed = read_counter(agent, COUNT_LOCATE_FAILED),
+        .adopted = read_counter(agent, COUNT_ADOPTED),
+        .reset = read_counter(agent, COUNT_RESET),
+        .silent = read_counter(agent, COUNT_SILENT),
+        .foreign = read_counter(agent, COUNT_FOREIGN),
+        .dropped = read_counter(agent, COUNT_DROPPED),
+        .table_bytes = SlFlowTable_Bytes(agent->table),
+    };
+    pthread_mutex_lock(&admission->lock);
+    counters->open_flows = admission->open_flows;
+    counters->exchanges = admission->exchanges;
+    counters->limit_flows = admission->limit_flows;
+    counters->limit_exchanges = admission->limit_exchanges;
+    pthread_mutex_unlock(&admission->lock);
+}
--- /dev/null
+++ b/packages/coordination/src/agent_admission.c
@@ -0,0 +1,392 @@
+/// What the upstream may carry, judged by what is seen beside it: completed
+/// handshakes, first answers and their time, failures, exchanges in progress
+/// against its slots, and open flows.
+///
+/// A cold upstream starts with one exchange and few flows; both limits grow
+/// in steps as answers come in the usual time. Answers that come late while
+/// the upstream had free slots, or failures, make it cold again.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+
+enum {
+    COLD_EXCHANGES = 1,
+    COLD_FLOWS = 20,
+    /// Exchanges that may queue at a warm upstream, for each slot.
+    QUEUE_FACTOR = 16,
+    STEP_US = 500 * 1000,
+    CUT_INTERVAL_US = 200 * 1000,
+    /// Samples before answers are called late.
+    SAMPLES_MIN = 8,
+    SAMPLE_SHARE = 16,
+    LATE_SLACK_US = 20 * 1000,
+    BAD_IN_A_ROW = 2,
+};
+
+bool
+agent_admission_init(struct agent_admission *admission,
+                     const struct SlAgentOptions *options, uint64_t now_us)
+{
+    admission->slots = options->slots == 0 ? 1 : options->slots;
+    admission->capacity_flows = options->capacity_flows;
+    admission->limit_exchanges = COLD_EXCHANGES;
+    admission->limit_flows = COLD_FLOWS < options->capacity_flows
+                                 ? COLD_FLOWS
+                                 : options->capacity_flows;
+    admission->grown_us = now_us;
+    return pthread_mutex_init(&admission->lock, NULL) == 0;
+}
+
+/// Exchanges in progress, and those that are about to begin while the
+/// upstream is not yet known to carry more than its slots.
+static uint32_t
+work(const struct agent_admission *admission)
+{
+    uint32_t expected = 0;
+
+    if (admission->limit_exchanges <= admission->slots) {
+        expected = admission->handshakes;
+    }
+    return admission->exchanges + expected;
+}
+
+static uint32_t
+room(const struct agent_admission *admission)
+{
+    uint32_t flows = 0;
+    uint32_t exchanges = 0;
+    uint32_t in_work = work(admission);
+
+    if (admission->open_flows < admission->limit_flows) {
+        flows = admission->limit_flows - admission->open_flows;
+    }
+    if (in_work < admission->limit_exchanges) {
+        exchanges = admission->limit_exchanges - in_work;
+    }
+    return flows < exchanges ? flows : exchanges;
+}
+
+uint32_t
+agent_admission_room(struct agent_admission *admission)
+{
+    uint32_t result;
+
+    pthread_mutex_lock(&admission->lock);
+    result = room(admission);
+    pthread_mutex_unlock(&admission->lock);
+    return result;
+}
+
+static void
+hold(struct agent_admission *admission, uint64_t service_id, int change)
+{
+    struct agent_held *held = admission->held;
+    uint32_t i = 0;
+
+    while (i < admission->held_count && held[i].service_id != service_id) {
+        i++;
+    }
+    if (i == admission->held_count) {
+        if (change < 0 || i == AGENT_SERVICES_MAX) {
+            return;
+        }
+        held[i] = (struct agent_held){.service_id = service_id};
+        admission->held_count++;
+    }
+    held[i].flows += (uint32_t)change;
+    if (held[i].flows == 0) {
+        held[i] = held[--admission->held_count];
+    }
+}
+
+bool
+agent_admission_open(const struct agent_call *call, uint64_t service_id,
+                     bool handshake, bool adopted)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    bool allowed;
+
+    pthread_mutex_lock(&admission->lock);
+    allowed = adopted || room(admission) > 0;
+    if (allowed) {
+        admission->open_flows++;
+        admission->handshakes += handshake ? 1 : 0;
+        hold(admission, service_id, 1);
+    }
+    if (adopted && admission->limit_flows < admission->capacity_flows) {
+        admission->limit_flows++;
+    }
+    pthread_mutex_unlock(&admission->lock);
+    return allowed;
+}
+
+void
+agent_admission_close(const struct agent_call *call, const struct SlFlow *flow)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    bool handshake =
+        (flow->flags & SL_FLOW_HANDSHAKE) && flow->key.protocol == IPPROTO_TCP;
+
+    pthread_mutex_lock(&admission->lock);
+    admission->open_flows--;
+    admission->handshakes -= handshake ? 1 : 0;
+    admission->exchanges -= flow->flags & SL_FLOW_EXCHANGE ? 1 : 0;
+    hold(admission, flow->service_id, -1);
+    pthread_mutex_unlock(&admission->lock);
+}
+
+void
+agent_admission_handshake_done(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+
+    pthread_mutex_lock(&admission->lock);
+    admission->handshakes--;
+    pthread_mutex_unlock(&admission->lock);
+}
+
+uint32_t
+agent_admission_begin(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    uint32_t before;
+
+    pthread_mutex_lock(&admission->lock);
+    before = admission->exchanges++;
+    pthread_mutex_unlock(&admission->lock);
+    return before;
+}
+
+void
+agent_admission_cancel(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+
+    pthread_mutex_lock(&admission->lock);
+    admission->exchanges--;
+    pthread_mutex_unlock(&admission->lock);
+}
+
+static void
+event_limit(const struct agent_call *call, enum SlEventNumber number,
+            const char *reason, int64_t value, int64_t limit)
+{
+    struct SlEvent event = {.number = number,
+                            .node = call->agent->options.core.name,
+                            .reason = reason,
+                            .value = value,
+                            .limit = limit};
+
+    agent_event(call, &event);
+}
+
+static uint32_t
+at_most(uint64_t value, uint32_t limit)
+{
+    return value < limit ? (uint32_t)value : limit;
+}
+
+/// Raises the limits by a step when enough answers came in time. Returns
+/// true when they changed.
+static bool
+grow(struct agent_admission *admission, uint64_t now_us)
+{
+    uint32_t slots = admission->slots;
+    uint32_t exchanges = admission->limit_exchanges;
+    uint64_t flows = admission->limit_flows;
+    uint32_t needed = exchanges < slots ? exchanges * 2 : exchanges;
+
+    admission->good_answers++;
+    if (admission->good_answers < needed ||
+        now_us - admission->grown_us < STEP_US) {
+        return false;
+    }
+    admission->good_answers = 0;
+    admission->grown_us = now_us;
+    if (exchanges < slots) {
+        admission->limit_exchanges = exchanges + 1;
+        flows += flows / 2;
+    }
+    else {
+        admission->limit_exchanges =
+            at_most((uint64_t)exchanges * 2, slots * QUEUE_FACTOR);
+        flows *= 2;
+    }
+    admission->limit_flows = at_most(flows, admission->capacity_flows);
+    return admission->limit_exchanges != exchanges ||
+           admission->limit_flows != flows;
+}
+
+static void
+turn_cold(struct agent_admission *admission, uint64_t now_us)
+{
+    admission->limit_exchanges = COLD_EXCHANGES;
+    admission->limit_flows =
+        at_most((uint64_t)admission->open_flows + COLD_FLOWS,
+                admission->capacity_flows);
+    admission->good_answers = 0;
+    admission->bad_answers = 0;
+    admission->grown_us = now_us;
+    admission->cut_us = now_us;
+}
+
+/// Halves what may be in progress, at most once in a while.
+static void
+cut(struct agent_admission *admission, uint64_t now_us, uint32_t least)
+{
+    uint32_t half = admission->limit_exchanges / 2;
+
+    if (now_us - admission->cut_us < CUT_INTERVAL_US) {
+        return;
+    }
+    admission->cut_us = now_us;
+    admission->grown_us = now_us;
+    admission->good_answers = 0;
+    admission->limit_exchanges = half < least ? least : half;
+}
+
+static bool
+is_late(const struct agent_admission *admission, uint64_t took_us)
+{
+    return admission->usual_samples >= SAMPLES_MIN &&
+           took_us > admission->usual_us * 2 &&
+           took_us >
+               admission->usual_us + 4 * admission->spread_us + LATE_SLACK_US;
+}
+
+/// Jacobson's estimate of mean and mean deviation (RFC 6298).
+static void
+learn(struct agent_admission *admission, uint64_t took_us)
+{
+    uint64_t usual = admission->usual_us;
+    uint64_t off = took_us > usual ? took_us - usual : usual - took_us;
+
+    if (admission->usual_samples++ == 0) {
+        admission->usual_us = took_us;
+        admission->spread_us = took_us / 2;
+        return;
+    }
+    admission->usual_us =
+        (usual * (SAMPLE_SHARE - 1) + took_us) / SAMPLE_SHARE;
+    admission->spread_us =
+        (admission->spread_us * (SAMPLE_SHARE - 1) + off) / SAMPLE_SHARE;
+}
+
+enum verdict {
+    VERDICT_NONE,
+    VERDICT_LIMIT,
+    VERDICT_COLD,
+};
+
+/// One bad answer or failure. alone: the upstream had a free slot, so that
+/// a queue does not explain it.
+static enum verdict
+judge_bad(struct agent_admission *admission, uint64_t now_us, bool alone)
+{
+    if (!alone) {
+        cut(admission, now_us, admission->slots);
+        return VERDICT_LIMIT;
+    }
+    admission->bad_answers++;
+    if (admission->bad_answers >= BAD_IN_A_ROW &&
+        admission->limit_exchanges > COLD_EXCHANGES) {
+        turn_cold(admission, now_us);
+        return VERDICT_COLD;
+    }
+    cut(admission, now_us, COLD_EXCHANGES);
+    return VERDICT_LIMIT;
+}
+
+static enum verdict
+judge_answer(struct agent_admission *admission, const struct agent_call *call,
+             const struct SlFlow *flow)
+{
+    uint64_t took_us = (uint64_t)(call->now_ms - flow->exchange_ms) * 1000;
+    bool measured = flow->flags & SL_FLOW_ASKED;
+
+    admission->exchanges--;
+    admission->answered_us = call->now_us;
+    if (measured && is_late(admission, took_us)) {
+        return judge_bad(admission, call->now_us,
+                         flow->queued < admission->slots);
+    }
+    if (measured) {
+        learn(admission, took_us);
+    }
+    admission->bad_answers = 0;
+    return grow(admission, call->now_us) ? VERDICT_LIMIT : VERDICT_NONE;
+}
+
+static void
+tell(const struct agent_call *call, enum verdict verdict, const char *reason,
+     int64_t took_us)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    int64_t flows = admission->limit_flows;
+
+    if (verdict == VERDICT_COLD) {
+        event_limit(call, SL_EVENT_COLD, reason, took_us,
+                    (int64_t)admission->usual_us);
+    }
+    if (verdict != VERDICT_NONE) {
+        event_limit(call, SL_EVENT_LIMIT, reason, flows,
+                    admission->limit_exchanges);
+    }
+}
+
+void
+agent_admission_answered(const struct agent_call *call,
+                         const struct SlFlow *flow)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    int64_t took_us = (int64_t)(call->now_ms - flow->exchange_ms) * 1000;
+    enum verdict verdict;
+
+    pthread_mutex_lock(&admission->lock);
+    verdict = judge_answer(admission, call, flow);
+    tell(call, verdict, "answers", took_us);
+    pthread_mutex_unlock(&admission->lock);
+}
+
+void
+agent_admission_failed(const struct agent_call *call, const char *reason)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    enum verdict verdict;
+
+    pthread_mutex_lock(&admission->lock);
+    verdict = judge_bad(admission, call->now_us, true);
+    tell(call, verdict, reason, 0);
+    pthread_mutex_unlock(&admission->lock);
+}
+
+bool
+agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    uint64_t waited_us = (uint64_t)(call->now_ms - since_ms) * 1000;
+    bool silent;
+
+    pthread_mutex_lock(&admission->lock);
+    silent = call->now_us - admission->answered_us >= waited_us &&
+             waited_us > admission->usual_us + 4 * admission->spread_us;
+    pthread_mutex_unlock(&admission->lock);
+    return silent;
+}
+
+void
+agent_admission_load(struct SlAgent *agent, struct SlTunnel *tunnel)
+{
+    struct agent_admission *admission = &agent->admission;
+    bool closed = atomic_load(&agent->stopping) ||
+                  atomic_load(&agent->zone_out) ||
+                  atomic_load(&agent->draining);
+
+    pthread_mutex_lock(&admission->lock);
+    tunnel->load_flows = admission->open_flows;
+    tunnel->load_capacity = admission->capacity_flows;
+    tunnel->load_exchanges = admission->exchanges;
+    tunnel->load_room = closed ? 0 : room(admission);
+    pthread_mutex_unlock(&admission->lock);
+}
--- /dev/null
+++ b/packages/coordination/src/agent_flow.c
@@ -0,0 +1,335 @@
+/// The life of a flow at this agent's upstream: opened or adopted,
+/// delivered, ended.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+
+/// Keeps the entries other than open flows within their bound.
+static void
+make_room_for_soft(const struct agent_call *call, struct SlFlowShard *shard)
+{
+    struct SlFlow *oldest;
+
+    if (SlFlowShard_Queued(shard, SL_FLOW_QUEUE_SOFT) <
+        call->agent->soft_per_shard) {
+        return;
+    }
+    oldest = SlFlowShard_Oldest(shard, SL_FLOW_QUEUE_SOFT);
+    SlFlowShard_Remove(shard, oldest);
+}
+
+/// Inserts; the oldest entry of another kind than OPEN gives way.
+static struct SlFlow *
+insert(struct SlFlowShard *shard, const struct SlFlowKey *key)
+{
+    struct SlFlow *flow = SlFlowShard_Insert(shard, key);
+    struct SlFlow *oldest;
+
+    if (flow != NULL) {
+        return flow;
+    }
+    oldest = SlFlowShard_Oldest(shard, SL_FLOW_QUEUE_SOFT);
+    if (oldest == NULL) {
+        return NULL;
+    }
+    SlFlowShard_Remove(shard, oldest);
+    return SlFlowShard_Insert(shard, key);
+}
+
+struct SlFlow *
+agent_insert_soft(const struct agent_call *call, struct SlFlowShard *shard,
+                  const struct SlFlowKey *key, enum SlFlowKind kind)
+{
+    struct SlFlow *flow;
+
+    make_room_for_soft(call, shard);
+    flow = insert(shard, key);
+    if (flow == NULL) {
+        return NULL;
+    }
+    flow->kind = kind;
+    flow->last_ms = call->now_ms;
+    if (kind == SL_FLOW_REFUSED) {
+        SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
+                             call->now_ms + AGENT_REFUSED_MS);
+    }
+    else if (kind != SL_FLOW_PENDING) {
+        SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_SOFT,
+                             call->now_ms + AGENT_SOFT_MS);
+    }
+    return flow;
+}
+
+/// Ends the oldest flow without a complete handshake when there are too
+/// many of them.
+static void
+make_room_for_handshake(const struct agent_call *call,
+                        struct SlFlowShard *shard)
+{
+    struct SlFlow *oldest;
+
+    if (SlFlowShard_Queued(shard, SL_FLOW_QUEUE_HANDSHAKE) <
+        call->agent->handshakes_per_shard) {
+        return;
+    }
+    oldest = SlFlowShard_Oldest(shard, SL_FLOW_QUEUE_HANDSHAKE);
+    agent_reset_flow(call, shard, oldest, "handshakes");
+}
+
+static struct SlFlow *
+insert_open(const struct agent_call *call, struct SlFlowShard *shard,
+            const struct SlFlowKey *key, const struct SlRouteService *service,
+            uint64_t origin)
+{
+    struct SlFlow *flow = insert(shard, key);
+
+    if (flow == NULL) {
+        return NULL;
+    }
+    flow->kind = SL_FLOW_OPEN;
+    flow->service_id = service->service_id;
+    flow->holder = origin;
+    flow->opened_s = (uint32_t)(call->now_us / AGENT_SECOND_US);
+    flow->last_ms = call->now_ms;
+    return flow;
+}
+
+bool
+agent_open_flow(const struct agent_call *call, struct SlFlowShard *shard,
+                struct agent_packet *p)
+{
+    struct SlEvent event = {.number = SL_EVENT_ADMIT,
+                            .flow = &p->key,
+                            .service = p->service->name,
+                            .node = call->agent->options.core.name,
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = "room"};
+    struct SlFlow *flow;
+
+    make_room_for_handshake(call, shard);
+    if (!agent_admission_open(call, p->service->service_id,
+                              p->packet.kind == SL_PACKET_TCP, false)) {
+        return false;
+    }
+    flow = insert_open(call, shard, &p->key, p->service, p->tunnel->origin);
+    if (flow == NULL) {
+        struct SlFlow none = {.key = p->key,
+                              .service_id = p->service->service_id,
+                              .flags = SL_FLOW_HANDSHAKE};
+
+        agent_admission_close(call, &none);
+        return false;
+    }
+    flow->flags = SL_FLOW_HANDSHAKE;
+    if (p->packet.kind == SL_PACKET_TCP && agent_has_payload(&p->packet)) {
+        flow->flags |= SL_FLOW_EARLY_DATA;
+    }
+    SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_HANDSHAKE,
+                         call->now_ms + AGENT_HANDSHAKE_MS);
+    agent_count(call->agent, COUNT_ADMITTED);
+    event.value = call->agent->admission.open_flows;
+    event.limit = call->agent->admission.limit_flows;
+    agent_event(call, &event);
+    agent_deliver(call, shard, flow, p);
+    return true;
+}
+
+struct SlFlow *
+agent_adopt(const struct agent_call *call, struct SlFlowShard *shard,
+            const struct SlFlowKey *key, const struct SlRouteService *service,
+            uint64_t origin)
+{
+    struct SlEvent event = {.number = SL_EVENT_ADOPT,
+                            .flow = key,
+                            .service = service->name,
+                            .node = call->agent->options.core.name,
+                            .reason = "restarted"};
+    struct SlFlow *flow = insert_open(call, shard, key, service, origin);
+
+    if (flow == NULL) {
+        return NULL;
+    }
+    agent_admission_open(call, service->service_id, false, true);
+    flow->flags = SL_FLOW_ADOPTED;
+    agent_schedule(call, shard, flow);
+    agent_count(call->agent, COUNT_ADOPTED);
+    agent_event(call, &event);
+    return flow;
+}
+
+static void
+send_hint(const struct agent_call *call, const struct agent_packet *p,
+          uint64_t holder)
+{
+    struct SlTunnel hint = {
+        .kind = SL_TUNNEL_HINT, .flow = p->key, .holder = holder};
+
+    if (p->service != NULL) {
+        hint.service_id = p->service->service_id;
+    }
+    agent_send(call, p->tunnel->origin, &hint);
+}
+
+/// The caller's payload went to the upstream: an exchange is in progress.
+static void
+note_question(const struct agent_call *call, struct SlFlow *flow)
+{
+    uint32_t queued;
+
+    if (flow->flags & SL_FLOW_ASKED) {
+        return;
+    }
+    if (!(flow->flags & SL_FLOW_EXCHANGE)) {
+        queued = agent_admission_begin(call);
+        flow->queued = (uint8_t)(queued < UINT8_MAX ? queued : UINT8_MAX);
+    }
+    flow->flags |= SL_FLOW_EXCHANGE | SL_FLOW_ASKED;
+    flow->exchange_ms = call->now_ms;
+}
+
+/// The caller completed the handshake: it is expected to ask at once.
+static void
+note_handshake(const struct agent_call *call, struct SlFlow *flow,
+               const struct SlPacket *packet)
+{
+    uint32_t queued;
+
+    if (!(flow->flags & SL_FLOW_HANDSHAKE) ||
+        !(flow->flags & SL_FLOW_SYN_ACKED) ||
+        !(packet->tcp_flags & SL_TCP_ACK)) {
+        return;
+    }
+    flow->flags &= (uint16_t)~SL_FLOW_HANDSHAKE;
+    agent_admission_handshake_done(call);
+    if (!(flow->flags & SL_FLOW_EXCHANGE)) {
+        queued = agent_admission_begin(call);
+        flow->queued = (uint8_t)(queued < UINT8_MAX ? queued : UINT8_MAX);
+        flow->flags |= SL_FLOW_EXCHANGE;
+        flow->exchange_ms = call->now_ms;
+    }
+}
+
+/// A reset of the caller ends the flow only where the upstream must accept
+/// it (RFC 5961, 3.2); elsewhere the upstream challenges it.
+static bool
+caller_resets(const struct SlFlow *flow, const struct SlPacket *packet)
+{
+    return packet->kind == SL_PACKET_TCP && (packet->tcp_flags & SL_TCP_RST) &&
+           ((flow->flags & SL_FLOW_HANDSHAKE) ||
+            packet->tcp_seq == flow->caller_acked);
+}
+
+static void
+deliver_bytes(const struct agent_call *call, const struct agent_packet *p)
+{
+    agent_count(call->agent, COUNT_DELIVERED);
+    call->sink->type->send_to_upstream(call->sink, p->packet.bytes,
+                                       p->packet.length_bytes);
+}
+
+static void
+deliver_open(const struct agent_call *call, struct SlFlowShard *shard,
+             struct SlFlow *flow, struct agent_packet *p)
+{
+    bool resets = caller_resets(flow, &p->packet);
+    bool in_handshake = flow->flags & SL_FLOW_HANDSHAKE;
+
+    flow->holder = p->tunnel->origin;
+    if (agent_track_caller(flow, &p->packet, call->now_ms)) {
+        note_question(call, flow);
+    }
+    if (p->packet.kind == SL_PACKET_TCP) {
+        note_handshake(call, flow, &p->packet);
+    }
+    deliver_bytes(call, p);
+    if (!(p->tunnel->flags & SL_TUNNEL_CACHED)) {
+        send_hint(call, p, call->agent->node_id);
+    }
+    if (resets) {
+        agent_end_flow(call, shard, flow, "caller_reset");
+        return;
+    }
+    if (agent_is_closed(flow)) {
+        agent_end_flow(call, shard, flow, "closed");
+        return;
+    }
+    if (in_handshake != ((flow->flags & SL_FLOW_HANDSHAKE) != 0) ||
+        !in_handshake) {
+        agent_schedule(call, shard, flow);
+    }
+}
+
+void
+agent_deliver(const struct agent_call *call, struct SlFlowShard *shard,
+              struct SlFlow *flow, struct agent_packet *p)
+{
+    if (p->packet.kind == SL_PACKET_ICMP_ERROR) {
+        deliver_bytes(call, p);
+        return;
+    }
+    if (!agent_plausible(flow, &p->packet)) {
+        if (p->tunnel->flags & SL_TUNNEL_CACHED) {
+            send_hint(call, p, 0);
+        }
+        agent_drop(call, &p->key, "implausible");
+        return;
+    }
+    if (flow->kind == SL_FLOW_ENDED) {
+        deliver_bytes(call, p);
+        return;
+    }
+    deliver_open(call, shard, flow, p);
+}
+
+void
+agent_end_flow(const struct agent_call *call, struct SlFlowShard *shard,
+               struct SlFlow *flow, const char *reason)
+{
+    struct SlFlowKey key = flow->key;
+    const struct SlRouteService *service =
+        SlRouting_FindServiceById(call->routing, flow->service_id);
+    uint32_t now_s = (uint32_t)(call->now_us / AGENT_SECOND_US);
+    struct SlEvent event = {.number = SL_EVENT_FLOW_END,
+                            .flow = &key,
+                            .service = service != NULL ? service->name : NULL,
+                            .node = call->agent->options.core.name,
+                            .reason = reason,
+                            .value = (int64_t)(now_s - flow->opened_s) *
+                                     AGENT_SECOND_US};
+
+    agent_admission_close(call, flow);
+    event.limit = call->agent->admission.open_flows;
+    flow->flags &=
+        (uint16_t) ~(SL_FLOW_EXCHANGE | SL_FLOW_ASKED | SL_FLOW_HANDSHAKE);
+    if (key.protocol == IPPROTO_TCP) {
+        make_room_for_soft(call, shard);
+        flow->kind = SL_FLOW_ENDED;
+        SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_SOFT,
+                             call->now_ms + AGENT_SOFT_MS);
+    }
+    else {
+        SlFlowShard_Remove(shard, flow);
+    }
+    agent_event(call, &event);
+}
+
+void
+agent_reset_flow(const struct agent_call *call, struct SlFlowShard *shard,
+                 struct SlFlow *flow, const char *reason)
+{
+    struct SlFlowKey key = flow->key;
+    const struct SlRouteService *service =
+        SlRouting_FindServiceById(call->routing, flow->service_id);
+    struct SlEvent event = {.number = SL_EVENT_RESET,
+                            .flow = &key,
+                            .service = service != NULL ? service->name : NULL,
+                            .node = call->agent->options.core.name,
+                            .reason = reason};
+
+    agent_send_resets(call, flow);
+    agent_count(call->agent, COUNT_RESET);
+    flow->flags |= SL_FLOW_WAS_RESET;
+    agent_event(call, &event);
+    agent_end_flow(call, shard, flow, reason);
+}
--- /dev/null
+++ b/packages/coordination/src/agent_locate.c
@@ -0,0 +1,643 @@
+/// Searches: who holds a flow? Asked of all agents of the service before a
+/// flow that may be known elsewhere is admitted, adopted or given up.
+///
+/// A search with a claim also keeps the others from admitting the flow. Of
+/// two claims at once that of the lower node id wins.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+bool
+agent_searches_init(struct agent_searches *searches)
+{
+    searches->free_count = AGENT_SEARCHES_MAX;
+    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
+        searches->free[i] = (uint16_t)(AGENT_SEARCHES_MAX - 1 - i);
+    }
+    return pthread_mutex_init(&searches->lock, NULL) == 0;
+}
+
+static void
+release_search(struct agent_search *search)
+{
+    if (search == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < search->waiting_count; i++) {
+        free(search->waiting[i].bytes);
+    }
+    free(search);
+}
+
+void
+agent_searches_release(struct agent_searches *searches)
+{
+    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
+        release_search(searches->slots[i]);
+        searches->slots[i] = NULL;
+    }
+}
+
+static struct agent_search *
+start_search(struct agent_searches *searches, uint64_t *slot)
+{
+    struct agent_search *search = calloc(1, sizeof(*search));
+
+    if (search == NULL) {
+        return NULL;
+    }
+    pthread_mutex_lock(&searches->lock);
+    if (searches->free_count == 0) {
+        pthread_mutex_unlock(&searches->lock);
+        free(search);
+        return NULL;
+    }
+    *slot = searches->free[--searches->free_count];
+    searches->slots[*slot] = search;
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+static struct agent_search *
+search_of(struct agent_searches *searches, const struct SlFlow *flow)
+{
+    struct agent_search *search;
+
+    pthread_mutex_lock(&searches->lock);
+    search = searches->slots[flow->holder];
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+/// Takes a search out of its slot; the caller owns it then.
+static struct agent_search *
+take_search(struct agent_searches *searches, const struct SlFlow *flow)
+{
+    struct agent_search *search;
+
+    pthread_mutex_lock(&searches->lock);
+    search = searches->slots[flow->holder];
+    searches->slots[flow->holder] = NULL;
+    searches->free[searches->free_count++] = (uint16_t)flow->holder;
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+static void
+ask(struct agent_search *search, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (search->asked[i] == node_id) {
+            return;
+        }
+    }
+    if (search->asked_count < AGENT_SEARCH_ASKED_MAX) {
+        search->asked[search->asked_count++] = node_id;
+    }
+}
+
+/// Everybody who may have the flow: members whose zone is in, and former
+/// members that still hold flows.
+static void
+list_asked(const struct agent_call *call, struct agent_search *search,
+           const struct SlRouteService *service)
+{
+    uint64_t holders[AGENT_HOLDERS_MAX];
+    uint32_t count = agent_peers_holders(call, service->service_id, holders,
+                                         AGENT_HOLDERS_MAX);
+
+    for (uint32_t i = 0; i < service->member_count; i++) {
+        const struct SlRouteNode *node = service->members[i];
+
+        if (node->node_id != call->agent->node_id && !node->zone_out) {
+            ask(search, node->node_id);
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        const struct SlRouteNode *node =
+            SlRouting_FindNode(call->routing, holders[i]);
+
+        if (node != NULL && !node->zone_out) {
+            ask(search, holders[i]);
+        }
+    }
+}
+
+static void
+send_round(const struct agent_call *call, const struct SlFlowKey *key,
+           const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        struct SlTunnel locate = {.kind = SL_TUNNEL_LOCATE,
+                                  .service_id = search->service_id,
+                                  .flow = *key};
+
+        locate.flags = search->claim ? SL_TUNNEL_CLAIM : 0;
+        if (!search->answered[i]) {
+            agent_send(call, search->asked[i], &locate);
+        }
+    }
+}
+
+void
+agent_locate_wait(const struct agent_call *call, struct SlFlow *flow,
+                  const struct agent_packet *p)
+{
+    struct agent_search *search = search_of(&call->agent->searches, flow);
+    struct agent_waiting *waiting;
+    uint8_t *bytes;
+
+    if (search->waiting_count == AGENT_SEARCH_PACKETS) {
+        agent_drop(call, &p->key, "search_full");
+        return;
+    }
+    bytes = malloc(p->packet.length_bytes);
+    if (bytes == NULL) {
+        agent_drop(call, &p->key, "no_memory");
+        return;
+    }
+    memcpy(bytes, p->packet.bytes, p->packet.length_bytes);
+    waiting = &search->waiting[search->waiting_count++];
+    waiting->tunnel = *p->tunnel;
+    waiting->tunnel.packet = bytes;
+    waiting->tunnel.packet_bytes = p->packet.length_bytes;
+    waiting->bytes = bytes;
+}
+
+static void
+finish(const struct agent_call *call, struct SlFlowShard *shard,
+       struct SlFlow *flow, uint64_t holder);
+
+void
+agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
+             struct agent_packet *p, bool claim)
+{
+    struct SlEvent event = {.number = SL_EVENT_LOCATE,
+                            .flow = &p->key,
+                            .service = p->service->name,
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = claim ? "claim" : "unknown_flow"};
+    struct agent_search *search;
+    struct SlFlow *flow;
+    uint64_t slot = 0;
+
+    search = start_search(&call->agent->searches, &slot);
+    if (search == NULL) {
+        agent_drop(call, &p->key, "searches_full");
+        return;
+    }
+    flow = agent_insert_soft(call, shard, &p->key, SL_FLOW_PENDING);
+    if (flow == NULL) {
+        struct SlFlow none = {.holder = slot};
+
+        release_search(take_search(&call->agent->searches, &none));
+        agent_drop(call, &p->key, "table_full");
+        return;
+    }
+    flow->holder = slot;
+    flow->service_id = p->service->service_id;
+    search->claim = claim;
+    search->service_id = p->service->service_id;
+    search->started_us = call->now_us;
+    search->has_last_seq = p->has_last_seq;
+    search->last_seq = p->last_seq;
+    list_asked(call, search, p->service);
+    agent_locate_wait(call, flow, p);
+    event.value = search->asked_count;
+    agent_event(call, &event);
+    if (search->asked_count == 0) {
+        finish(call, shard, flow, 0);
+        return;
+    }
+    SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
+                         call->now_ms + AGENT_LOCATE_ROUND_MS);
+    send_round(call, &p->key, search);
+}
+
+void
+agent_locate_abandon(const struct agent_call *call, struct SlFlow *flow)
+{
+    release_search(take_search(&call->agent->searches, flow));
+}
+
+static bool
+is_complete(const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (!search->answered[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// An agent that did not answer was heard lately: it may be restarting, and
+/// hold the flow.
+static bool
+may_return(const struct agent_call *call, const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        uint64_t silent_us = agent_peer_silent_us(call, search->asked[i]);
+
+        if (!search->answered[i] && silent_us < AGENT_PEER_RESTART_US) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Among agents that started too recently to know their flows, the likeliest
+/// holder: the bucket's home, else the first; 0 if none.
+static uint64_t
+recent_holder(const struct agent_call *call, const struct agent_search *search,
+              const struct agent_packet *p)
+{
+    const struct SlRouteService *service = p->service;
+    uint32_t bucket = SlRouting_BucketOf(service->service_id, &p->key);
+    uint16_t home = service->buckets[bucket].choice[0];
+    bool own = agent_started_within(call, call->agent->options.adopt_us);
+    uint64_t home_id = 0;
+    uint64_t first = own ? call->agent->node_id : 0;
+
+    if (home != SL_NO_MEMBER) {
+        home_id = service->members[home]->node_id;
+    }
+    if (own && (home_id == first || (p->tunnel->flags & SL_TUNNEL_CACHED))) {
+        return first;
+    }
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (search->recent[i] && search->asked[i] == home_id) {
+            return home_id;
+        }
+        if (search->recent[i] && first == 0) {
+            first = search->asked[i];
+        }
+    }
+    return first;
+}
+
+/// Nobody has the flow, and the packet is not its first.
+static void
+nobody_has_old(const struct agent_call *call, struct SlFlowShard *shard,
+               const struct agent_search *search, struct agent_packet *p)
+{
+    struct SlFlow *flow = SlFlowShard_Find(shard, &p->key);
+    uint64_t recent = recent_holder(call, search, p);
+    bool cached = p->tunnel->flags & SL_TUNNEL_CACHED;
+    bool known =
+        is_complete(search) || (cached && recent == call->agent->node_id);
+
+    if (flow != NULL) {
+        agent_route(call, shard, p);
+        return;
+    }
+    if (known && recent == call->agent->node_id &&
+        p->packet.kind == SL_PACKET_TCP) {
+        flow =
+            agent_adopt(call, shard, &p->key, p->service, p->tunnel->origin);
+        if (flow != NULL) {
+            agent_deliver(call, shard, flow, p);
+            return;
+        }
+    }
+    if (known && recent != 0 && recent != call->agent->node_id) {
+        agent_mark(call, shard, p, recent);
+        agent_send_on(call, p, recent, SL_TUNNEL_LOCATED_FLOW);
+        return;
+    }
+    if (!known && may_return(call, search)) {
+        agent_drop(call, &p->key, "holder_may_return");
+        return;
+    }
+    agent_answer_reset(call, p, "unknown_flow");
+}
+
+/// Nobody has the new flow: it may be placed, unless a copy of a packet
+/// that carries payload may have reached an agent that did not answer.
+static void
+nobody_has_new(const struct agent_call *call, struct SlFlowShard *shard,
+               const struct agent_search *search, struct agent_packet *p)
+{
+    if (SlFlowShard_Find(shard, &p->key) != NULL) {
+        agent_route(call, shard, p);
+        return;
+    }
+    if (agent_has_payload(&p->packet) && !is_complete(search) &&
+        !agent_settled(call, p, AGENT_COPY_US)) {
+        agent_refuse(call, shard, p, false, "unanswered");
+        return;
+    }
+    agent_decide(call, shard, p);
+}
+
+static void
+finish_packet(const struct agent_call *call, struct SlFlowShard *shard,
+              const struct agent_search *search, uint64_t holder,
+              const struct SlTunnel *tunnel)
+{
+    struct agent_packet p;
+
+    if (!agent_read(call, tunnel, &p)) {
+        return;
+    }
+    if (search->has_last_seq) {
+        p.has_last_seq = true;
+        p.last_seq = search->last_seq;
+    }
+    if (!agent_serves(call, p.service)) {
+        agent_route(call, shard, &p);
+        return;
+    }
+    if (holder != 0) {
+        agent_mark(call, shard, &p, holder);
+        if (!agent_send_on(call, &p, holder, SL_TUNNEL_LOCATED_FLOW)) {
+            agent_drop(call, &p.key, "too_many_hops");
+        }
+        return;
+    }
+    if (agent_is_opening(&p.packet)) {
+        nobody_has_new(call, shard, search, &p);
+        return;
+    }
+    nobody_has_old(call, shard, search, &p);
+}
+
+/// Ends a search; holder 0: nobody is known to have the flow.
+static void
+finish(const struct agent_call *call, struct SlFlowShard *shard,
+       struct SlFlow *flow, uint64_t holder)
+{
+    struct agent_search *search = take_search(&call->agent->searches, flow);
+    struct SlFlowKey key = flow->key;
+    const struct SlRouteService *service =
+        SlRouting_FindServiceById(call->routing, search->service_id);
+    struct SlEvent event = {
+        .number = SL_EVENT_LOCATED,
+        .flow = &key,
+        .service = service != NULL ? service->name : NULL,
+        .node = agent_node_name(call, holder),
+        .reason = is_complete(search) ? "nobody" : "unanswered",
+        .value = (int64_t)(call->now_us - search->started_us)};
+
+    if (holder != 0) {
+        event.reason = "found";
+    }
+    agent_count(call->agent,
+                holder != 0 ? COUNT_LOCATED : COUNT_LOCATE_FAILED);
+    agent_event(call, &event);
+    SlFlowShard_Remove(shard, flow);
+    for (uint32_t i = 0; i < search->waiting_count; i++) {
+        finish_packet(call, shard, search, holder, &search->waiting[i].tunnel);
+    }
+    release_search(search);
+}
+
+void
+agent_locate_due(const struct agent_call *call, struct SlFlowShard *shard,
+                 struct SlFlow *flow)
+{
+    struct agent_search *search = search_of(&call->agent->searches, flow);
+
+    search->round++;
+    if (search->round >= AGENT_LOCATE_ROUNDS) {
+        finish(call, shard, flow, 0);
+        return;
+    }
+    SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
+                         call->now_ms + AGENT_LOCATE_ROUND_MS);
+    send_round(call, &flow->key, search);
+}
+
+void
+agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
+                   struct SlFlow *flow, uint64_t node_id)
+{
+    finish(call, shard, flow, node_id);
+}
+
+/// What this agent knows of a flow that another asks for.
+struct knowledge {
+    enum SlLocateAnswer answer;
+    uint64_t holder;
+    bool has_last_seq;
+    uint32_t last_seq;
+};
+
+static void
+answer_ended(const struct SlFlow *flow, bool claim, uint64_t self,
+             struct knowledge *known)
+{
+    known->has_last_seq = flow->flags & SL_FLOW_CALLER_SEEN;
+    known->last_seq = flow->caller_next;
+    if (!claim && !(flow->flags & SL_FLOW_WAS_RESET)) {
+        known->answer = SL_LOCATE_YES;
+        known->holder = self;
+    }
+}
+
+static void
+answer_mark(const struct agent_call *call, const struct SlFlow *flow,
+            const struct SlTunnel *tunnel, struct knowledge *known)
+{
+    const struct SlRouteNode *node =
+        SlRouting_FindNode(call->routing, flow->holder);
+
+    if (flow->holder != tunnel->sender && node != NULL && !node->zone_out) {
+        known->answer = SL_LOCATE_PASSED;
+        known->holder = flow->holder;
+    }
+}
+
+static void
+look_up(const struct agent_call *call, const struct SlFlow *flow,
+        const struct SlTunnel *tunnel, struct knowledge *known)
+{
+    uint64_t self = call->agent->node_id;
+    bool claim = tunnel->flags & SL_TUNNEL_CLAIM;
+
+    *known = (struct knowledge){.answer = SL_LOCATE_NO};
+    if (flow == NULL || flow->service_id != tunnel->service_id) {
+        return;
+    }
+    switch ((enum SlFlowKind)flow->kind) {
+    case SL_FLOW_OPEN:
+    case SL_FLOW_REFUSED:
+        known->answer = SL_LOCATE_YES;
+        known->holder = self;
+        break;
+    case SL_FLOW_ENDED:
+        answer_ended(flow, claim, self, known);
+        break;
+    case SL_FLOW_MARK:
+        answer_mark(call, flow, tunnel, known);
+        break;
+    case SL_FLOW_PENDING:
+        if (claim && search_of(&call->agent->searches, flow)->claim) {
+            known->answer = SL_LOCATE_CLAIMED;
+            known->holder = self;
+        }
+        break;
+    case SL_FLOW_PROMISED:
+        known->has_last_seq = flow->flags & SL_FLOW_HAS_LAST_SEQ;
+        known->last_seq = flow->caller_next;
+        break;
+    case SL_FLOW_NONE:
+        break;
+    }
+}
+
+static void
+send_answer(const struct agent_call *call, const struct SlTunnel *asked,
+            const struct knowledge *known)
+{
+    struct SlTunnel tunnel = {.kind = SL_TUNNEL_LOCATED,
+                              .service_id = asked->service_id,
+                              .flow = asked->flow,
+                              .answer = known->answer,
+                              .holder = known->holder};
+
+    if (agent_started_within(call, call->agent->options.adopt_us)) {
+        tunnel.flags |= SL_TUNNEL_RECENT_BOOT;
+    }
+    if (known->has_last_seq) {
+        tunnel.flags |= SL_TUNNEL_HAS_LAST_SEQ;
+        tunnel.last_seq = known->last_seq;
+    }
+    agent_send(call, asked->sender, &tunnel);
+}
+
+/// Notes that the asker may admit the flow, and this agent may not. Where
+/// an earlier promise stands, the lower node keeps it.
+static void
+promise(const struct agent_call *call, struct SlFlowShard *shard,
+        struct SlFlow *flow, const struct SlTunnel *tunnel,
+        const struct knowledge *known)
+{
+    if (flow != NULL && flow->kind == SL_FLOW_PROMISED &&
+        flow->holder < tunnel->sender) {
+        return;
+    }
+    if (flow != NULL) {
+        SlFlowShard_Remove(shard, flow);
+    }
+    flow = agent_insert_soft(call, shard, &tunnel->flow, SL_FLOW_PROMISED);
+    if (flow == NULL) {
+        return;
+    }
+    flow->holder = tunnel->sender;
+    flow->service_id = tunnel->service_id;
+    if (known->has_last_seq) {
+        flow->flags |= SL_FLOW_HAS_LAST_SEQ;
+        flow->caller_next = known->last_seq;
+    }
+}
+
+static bool
+may_promise(const struct SlFlow *flow)
+{
+    return flow == NULL || flow->kind == SL_FLOW_PROMISED ||
+           flow->kind == SL_FLOW_ENDED || flow->kind == SL_FLOW_MARK;
+}
+
+void
+agent_handle_locate(const struct agent_call *call,
+                    const struct SlTunnel *tunnel)
+{
+    struct SlFlowShard *shard =
+        SlFlowTable_Lock(call->agent->table, &tunnel->flow);
+    struct SlFlow *flow = SlFlowShard_Find(shard, &tunnel->flow);
+    bool claim = tunnel->flags & SL_TUNNEL_CLAIM;
+    struct knowledge known;
+
+    look_up(call, flow, tunnel, &known);
+    send_answer(call, tunnel, &known);
+    if (claim && known.answer == SL_LOCATE_NO && may_promise(flow)) {
+        promise(call, shard, flow, tunnel, &known);
+    }
+    if (claim && known.answer == SL_LOCATE_CLAIMED &&
+        tunnel->sender < call->agent->node_id) {
+        agent_locate_yield(call, shard, flow, tunnel->sender);
+    }
+    SlFlowShard_Unlock(shard);
+}
+
+/// The place of the sender among those asked; asked_count if it is not.
+static uint32_t
+place_of(const struct agent_search *search, uint64_t node_id)
+{
+    uint32_t i = 0;
+
+    while (i < search->asked_count && search->asked[i] != node_id) {
+        i++;
+    }
+    return i;
+}
+
+static void
+note_last_seq(struct agent_search *search, const struct SlTunnel *tunnel)
+{
+    if (!(tunnel->flags & SL_TUNNEL_HAS_LAST_SEQ)) {
+        return;
+    }
+    if (!search->has_last_seq ||
+        (int32_t)(tunnel->last_seq - search->last_seq) > 0) {
+        search->last_seq = tunnel->last_seq;
+    }
+    search->has_last_seq = true;
+}
+
+/// Who has the flow by this answer, 0 if nobody.
+static uint64_t
+answered_holder(const struct agent_call *call, const struct SlTunnel *tunnel)
+{
+    uint64_t self = call->agent->node_id;
+
+    switch (tunnel->answer) {
+    case SL_LOCATE_YES:
+        return tunnel->sender;
+    case SL_LOCATE_PASSED:
+        return tunnel->holder != self ? tunnel->holder : 0;
+    case SL_LOCATE_CLAIMED:
+        return tunnel->sender < self ? tunnel->sender : 0;
+    case SL_LOCATE_NO:
+        break;
+    }
+    return 0;
+}
+
+static void
+note_answer(const struct agent_call *call, struct SlFlowShard *shard,
+            struct SlFlow *flow, const struct SlTunnel *tunnel)
+{
+    struct agent_search *search = search_of(&call->agent->searches, flow);
+    uint32_t place = place_of(search, tunnel->sender);
+    uint64_t holder = answered_holder(call, tunnel);
+
+    if (place == search->asked_count ||
+        search->service_id != tunnel->service_id) {
+        return;
+    }
+    search->answered[place] = true;
+    search->recent[place] = tunnel->flags & SL_TUNNEL_RECENT_BOOT;
+    note_last_seq(search, tunnel);
+    if (holder != 0 || is_complete(search)) {
+        finish(call, shard, flow, holder);
+    }
+}
+
+void
+agent_handle_located(const struct agent_call *call,
+                     const struct SlTunnel *tunnel)
+{
+    struct SlFlowShard *shard =
+        SlFlowTable_Lock(call->agent->table, &tunnel->flow);
+    struct SlFlow *flow = SlFlowShard_Find(shard, &tunnel->flow);
+
+    if (flow != NULL && flow->kind == SL_FLOW_PENDING) {
+        note_answer(call, shard, flow, tunnel);
+    }
+    SlFlowShard_Unlock(shard);
+}
--- /dev/null
+++ b/packages/coordination/src/agent_path.c
@@ -0,0 +1,210 @@
+/// The entries through which answers leave: two, ranked by zone and then by
+/// rendezvous hashing, and probed. An entry that falls silent is passed over.
+
+#include "agent_private.h"
+
+#include <string.h>
+
+enum {
+    ALIVE_US = 1000 * 1000,
+    RANKED_MAX = 64,
+};
+
+struct ranked {
+    uint64_t node_id;
+    bool same_zone;
+    uint64_t weight;
+};
+
+bool
+agent_paths_init(struct agent_paths *paths)
+{
+    return pthread_mutex_init(&paths->lock, NULL) == 0;
+}
+
+static uint64_t
+weigh(uint64_t self, uint64_t entry)
+{
+    struct SlFlowKey pair = {.protocol = 0};
+
+    memcpy(pair.caller.ip, &self, sizeof(self));
+    memcpy(pair.service.ip, &entry, sizeof(entry));
+    return SlFlowKey_Hash(&pair, 0);
+}
+
+static bool
+is_before(const struct ranked *a, const struct ranked *b)
+{
+    if (a->same_zone != b->same_zone) {
+        return a->same_zone;
+    }
+    return a->weight > b->weight;
+}
+
+/// The best entries, best first.
+static uint32_t
+rank_entries(const struct agent_call *call, struct ranked *ranked)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < SlRouting_NodeCount(call->routing); i++) {
+        const struct SlRouteNode *node = SlRouting_NodeAt(call->routing, i);
+        struct ranked one = {
+            .node_id = node->node_id,
+            .same_zone =
+                strcmp(node->zone, call->agent->options.core.zone) == 0,
+            .weight = weigh(call->agent->node_id, node->node_id)};
+        uint32_t place = count;
+
+        if (!(node->roles & SL_ROLE_ENTRY) || node->zone_out ||
+            node->unreachable) {
+            continue;
+        }
+        while (place > 0 && is_before(&one, &ranked[place - 1])) {
+            place--;
+        }
+        if (place == RANKED_MAX) {
+            continue;
+        }
+        count = count < RANKED_MAX ? count + 1 : RANKED_MAX;
+        memmove(&ranked[place + 1], &ranked[place],
+                (count - 1 - place) * sizeof(one));
+        ranked[place] = one;
+    }
+    return count;
+}
+
+static bool
+is_alive(const struct agent_paths *paths, uint32_t i, uint64_t now_us)
+{
+    return paths->pong_us[i] != 0 && now_us - paths->pong_us[i] < ALIVE_US;
+}
+
+static bool
+any_alive(const struct agent_paths *paths, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < paths->count; i++) {
+        if (is_alive(paths, i, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Takes the entries at the present rank; keeps what is known of them.
+static void
+choose(struct agent_paths *paths, const struct ranked *ranked, uint32_t count)
+{
+    struct agent_paths old = *paths;
+
+    paths->count = count < AGENT_PATHS ? count : AGENT_PATHS;
+    for (uint32_t i = 0; i < paths->count; i++) {
+        paths->nodes[i] = ranked[(paths->offset + i) % count].node_id;
+        paths->pong_us[i] = 0;
+        for (uint32_t j = 0; j < old.count; j++) {
+            if (old.nodes[j] == paths->nodes[i]) {
+                paths->pong_us[i] = old.pong_us[j];
+            }
+        }
+    }
+}
+
+static void
+refresh(const struct agent_call *call)
+{
+    struct agent_paths *paths = &call->agent->paths;
+    struct ranked ranked[RANKED_MAX];
+    uint32_t count = rank_entries(call, ranked);
+
+    pthread_mutex_lock(&paths->lock);
+    if (any_alive(paths, call->now_us)) {
+        paths->chosen_us = call->now_us;
+    }
+    else if (call->now_us - paths->chosen_us >= ALIVE_US && count > 0) {
+        paths->offset = (paths->offset + AGENT_PATHS) % count;
+        paths->chosen_us = call->now_us;
+    }
+    choose(paths, ranked, count);
+    pthread_mutex_unlock(&paths->lock);
+}
+
+void
+agent_paths_tick(const struct agent_call *call)
+{
+    struct agent_paths *paths = &call->agent->paths;
+
+    if (call->routing == NULL ||
+        call->now_us - paths->ping_us < AGENT_PING_US) {
+        return;
+    }
+    paths->ping_us = call->now_us;
+    refresh(call);
+    for (uint32_t i = 0; i < paths->count; i++) {
+        struct SlTunnel ping = {.kind = SL_TUNNEL_PING,
+                                .ping_us = call->now_us};
+
+        agent_send(call, paths->nodes[i], &ping);
+    }
+}
+
+void
+agent_paths_pong(const struct agent_call *call, const struct SlTunnel *tunnel)
+{
+    struct agent_paths *paths = &call->agent->paths;
+
+    pthread_mutex_lock(&paths->lock);
+    for (uint32_t i = 0; i < paths->count; i++) {
+        if (paths->nodes[i] == tunnel->sender) {
+            paths->pong_us[i] = call->now_us;
+        }
+    }
+    pthread_mutex_unlock(&paths->lock);
+}
+
+/// The first probed entry that answers, else the flow's last entry, else the
+/// best ranked one.
+static uint64_t
+pick(const struct agent_call *call, uint64_t last_entry, bool *changed)
+{
+    struct agent_paths *paths = &call->agent->paths;
+    const struct SlRouteNode *last =
+        SlRouting_FindNode(call->routing, last_entry);
+    uint64_t node_id = 0;
+
+    pthread_mutex_lock(&paths->lock);
+    for (uint32_t i = 0; i < paths->count && node_id == 0; i++) {
+        node_id = is_alive(paths, i, call->now_us) ? paths->nodes[i] : 0;
+    }
+    *changed = node_id != 0 && node_id != paths->current;
+    paths->current = node_id != 0 ? node_id : paths->current;
+    if (node_id == 0 && last != NULL) {
+        node_id = last_entry;
+    }
+    if (node_id == 0 && paths->count > 0) {
+        node_id = paths->nodes[0];
+    }
+    pthread_mutex_unlock(&paths->lock);
+    return node_id;
+}
+
+void
+agent_return(const struct agent_call *call, uint64_t service_id,
+             uint64_t last_entry, const uint8_t *bytes, uint32_t length_bytes)
+{
+    struct SlTunnel tunnel = {.kind = SL_TUNNEL_RETURN,
+                              .service_id = service_id,
+                              .packet = bytes,
+                              .packet_bytes = length_bytes};
+    struct SlEvent event = {.number = SL_EVENT_RETURN_PATH,
+                            .reason = "answers"};
+    bool changed;
+    uint64_t node_id = pick(call, last_entry, &changed);
+
+    if (changed) {
+        event.node = agent_node_name(call, node_id);
+        agent_event(call, &event);
+    }
+    if (!agent_send(call, node_id, &tunnel)) {
+        agent_drop(call, NULL, "no_entry");
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/agent_place.c
@@ -0,0 +1,148 @@
+/// Where a new flow goes: claimed first when another agent may have got a
+/// copy of its first packet, then admitted, passed on or refused.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+
+bool
+agent_settled(const struct agent_call *call, const struct agent_packet *p,
+              uint64_t bound_us)
+{
+    const struct SlRouteService *service = p->service;
+    const struct SlRouteBucket *bucket;
+    struct SlVersion own = SlRouting_Version(call->routing);
+    int order = SlVersion_Compare(p->tunnel->version, own);
+    uint16_t home;
+
+    bucket =
+        &service->buckets[SlRouting_BucketOf(service->service_id, &p->key)];
+    home = bucket->choice[0];
+    if (home == SL_NO_MEMBER ||
+        service->members[home]->node_id != call->agent->node_id) {
+        return false;
+    }
+    if (p->tunnel->flags & (SL_TUNNEL_SKIPPED | SL_TUNNEL_CUT_OFF)) {
+        return false;
+    }
+    if (atomic_load(&call->agent->behind) ||
+        (order != 0 && p->tunnel->previous != 0)) {
+        return false;
+    }
+    if (agent_started_within(call, bound_us)) {
+        return false;
+    }
+    return bucket->moved_us == 0 ||
+           call->now_us - bucket->moved_us >= bound_us;
+}
+
+static bool
+must_claim(const struct agent_call *call, const struct agent_packet *p)
+{
+    if (p->tunnel->flags & SL_TUNNEL_LOCATED_FLOW) {
+        return false;
+    }
+    return agent_has_payload(&p->packet) ||
+           !agent_settled(call, p, AGENT_SETTLE_US);
+}
+
+void
+agent_place_new(const struct agent_call *call, struct SlFlowShard *shard,
+                struct agent_packet *p)
+{
+    if (agent_visited(p->tunnel, call->agent->node_id)) {
+        agent_decide_here(call, shard, p);
+        return;
+    }
+    if (must_claim(call, p)) {
+        agent_locate(call, shard, p, true);
+        return;
+    }
+    agent_decide(call, shard, p);
+}
+
+/// A SYN that follows an ended flow must start past where that one stopped.
+static bool
+fits_predecessor(const struct agent_packet *p)
+{
+    return p->packet.kind != SL_PACKET_TCP || !p->has_last_seq ||
+           (int32_t)(p->packet.tcp_seq - p->last_seq) > 0;
+}
+
+static bool
+pass_on(const struct agent_call *call, struct SlFlowShard *shard,
+        const struct agent_packet *p, uint64_t node_id, const char *reason)
+{
+    struct SlEvent event = {.number = SL_EVENT_PASS_ON,
+                            .flow = &p->key,
+                            .service = p->service->name,
+                            .node = agent_node_name(call, node_id),
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = reason,
+                            .value = call->agent->admission.open_flows};
+
+    if (node_id == 0 || agent_mark(call, shard, p, node_id) == NULL) {
+        return false;
+    }
+    if (!agent_send_on(call, p, node_id, SL_TUNNEL_LOCATED_FLOW)) {
+        return false;
+    }
+    agent_count(call->agent, COUNT_PASSED_ON);
+    agent_event(call, &event);
+    return true;
+}
+
+static const char *
+why_not_here(const struct agent_call *call)
+{
+    struct SlAgent *agent = call->agent;
+
+    if (atomic_load(&agent->zone_out)) {
+        return "zone_out";
+    }
+    if (atomic_load(&agent->stopping)) {
+        return "stopping";
+    }
+    return atomic_load(&agent->draining) ? "draining" : "full";
+}
+
+void
+agent_decide_here(const struct agent_call *call, struct SlFlowShard *shard,
+                  struct agent_packet *p)
+{
+    if (!fits_predecessor(p)) {
+        agent_drop(call, &p->key, "old_sequence");
+        return;
+    }
+    if (agent_takes_new(call) && agent_open_flow(call, shard, p)) {
+        return;
+    }
+    agent_refuse(call, shard, p, true, why_not_here(call));
+}
+
+void
+agent_decide(const struct agent_call *call, struct SlFlowShard *shard,
+             struct agent_packet *p)
+{
+    bool first = p->tunnel->visited_count == 0;
+    uint64_t other;
+
+    if (!fits_predecessor(p)) {
+        agent_drop(call, &p->key, "old_sequence");
+        return;
+    }
+    if (agent_takes_new(call)) {
+        other = first ? agent_peers_pick(call, p, true) : 0;
+        if (pass_on(call, shard, p, other, "balance")) {
+            return;
+        }
+        if (agent_open_flow(call, shard, p)) {
+            return;
+        }
+    }
+    other = agent_peers_pick(call, p, false);
+    if (pass_on(call, shard, p, other, why_not_here(call))) {
+        return;
+    }
+    agent_refuse(call, shard, p, true, why_not_here(call));
+}
--- /dev/null
+++ b/packages/coordination/src/agent_refuse.c
@@ -0,0 +1,181 @@
+/// Refusals and resets: what callers and upstreams are told, at once.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+#include <stdio.h>
+
+static void
+return_built(const struct agent_call *call, const struct agent_packet *p,
+             const uint8_t *bytes, uint32_t length_bytes)
+{
+    uint64_t service_id = p->service != NULL ? p->service->service_id : 0;
+
+    if (length_bytes != 0) {
+        agent_return(call, service_id, p->tunnel->origin, bytes, length_bytes);
+    }
+}
+
+/// Copies of what was refused are refused too, wherever they arrive.
+static void
+remember_refusal(const struct agent_call *call, struct SlFlowShard *shard,
+                 const struct agent_packet *p)
+{
+    if (SlFlowShard_Find(shard, &p->key) == NULL) {
+        agent_insert_soft(call, shard, &p->key, SL_FLOW_REFUSED);
+    }
+}
+
+/// A SYN whose payload may have run elsewhere gets no answer: a reset would
+/// tell its caller that it did not. The caller's next SYN carries none.
+static bool
+is_answerable(const struct agent_packet *p, bool not_run)
+{
+    return not_run || p->packet.kind != SL_PACKET_TCP ||
+           !agent_has_payload(&p->packet);
+}
+
+void
+agent_refuse(const struct agent_call *call, struct SlFlowShard *shard,
+             const struct agent_packet *p, bool not_run, const char *reason)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    struct SlEvent event = {.number = SL_EVENT_REFUSE,
+                            .flow = &p->key,
+                            .service =
+                                p->service != NULL ? p->service->name : NULL,
+                            .node = call->agent->options.core.name,
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = not_run ? "not_run" : "unknown",
+                            .value = call->agent->admission.open_flows,
+                            .limit = call->agent->admission.limit_flows};
+    char text[64];
+    uint32_t length = 0;
+
+    snprintf(text, sizeof(text), "%s_%s", reason, event.reason);
+    event.reason = text;
+    agent_count(call->agent,
+                not_run ? COUNT_REFUSED_NOT_RUN : COUNT_REFUSED_UNKNOWN);
+    agent_event(call, &event);
+    if (agent_has_payload(&p->packet) && not_run) {
+        remember_refusal(call, shard, p);
+    }
+    if (!is_answerable(p, not_run)) {
+        return;
+    }
+    if (p->packet.kind == SL_PACKET_TCP) {
+        length = SlPacket_BuildReset(&p->packet, out, sizeof(out));
+    }
+    if (p->packet.kind == SL_PACKET_UDP) {
+        length = SlPacket_BuildIcmp(&p->packet,
+                                    not_run ? SL_ICMP_PROHIBITED
+                                            : SL_ICMP_PORT_UNREACHABLE,
+                                    0, out, sizeof(out));
+    }
+    return_built(call, p, out, length);
+}
+
+void
+agent_answer_reset(const struct agent_call *call, const struct agent_packet *p,
+                   const char *reason)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    struct SlEvent event = {.number = SL_EVENT_RESET,
+                            .flow = &p->key,
+                            .service =
+                                p->service != NULL ? p->service->name : NULL,
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = reason};
+    uint32_t length = 0;
+
+    if (p->packet.kind == SL_PACKET_TCP) {
+        length = SlPacket_BuildReset(&p->packet, out, sizeof(out));
+    }
+    if (p->packet.kind == SL_PACKET_UDP) {
+        length = SlPacket_BuildIcmp(&p->packet, SL_ICMP_PORT_UNREACHABLE, 0,
+                                    out, sizeof(out));
+    }
+    if (length == 0) {
+        agent_drop(call, &p->key, reason);
+        return;
+    }
+    agent_count(call->agent, COUNT_RESET);
+    agent_event(call, &event);
+    return_built(call, p, out, length);
+}
+
+static void
+reset_caller(const struct agent_call *call, const struct SlFlow *flow)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    struct SlTcpSegment segment = {.source = flow->key.service,
+                                   .destination = flow->key.caller,
+                                   .flags = SL_TCP_RST | SL_TCP_ACK,
+                                   .seq = flow->upstream_next,
+                                   .ack = flow->caller_next};
+    uint32_t length = SlPacket_BuildTcp(&segment, out, sizeof(out));
+
+    agent_return(call, flow->service_id, flow->holder, out, length);
+}
+
+static void
+reset_upstream(const struct agent_call *call, const struct SlFlow *flow)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    bool acked = flow->flags & SL_FLOW_UPSTREAM_SEEN;
+    struct SlTcpSegment segment = {.source = flow->key.caller,
+                                   .destination = flow->key.service,
+                                   .flags = SL_TCP_RST,
+                                   .seq = acked ? flow->caller_acked
+                                                : flow->caller_min + 1};
+    uint32_t length = SlPacket_BuildTcp(&segment, out, sizeof(out));
+
+    call->sink->type->send_to_upstream(call->sink, out, length);
+}
+
+/// Tells the caller of a UDP flow by an error about a datagram as it would
+/// have sent it.
+static void
+reset_udp(const struct agent_call *call, const struct SlFlow *flow)
+{
+    static const uint8_t NOTHING[1];
+    uint8_t sent[SL_PACKET_ANSWER_BYTES];
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    struct SlPacket packet;
+    uint32_t length = SlPacket_BuildUdp(&flow->key.caller, &flow->key.service,
+                                        NOTHING, 0, sent, sizeof(sent));
+
+    if (SlPacket_Parse(sent, length, &packet) != SL_OK) {
+        return;
+    }
+    length = SlPacket_BuildIcmp(&packet, SL_ICMP_PORT_UNREACHABLE, 0, out,
+                                sizeof(out));
+    agent_return(call, flow->service_id, flow->holder, out, length);
+}
+
+void
+agent_send_resets(const struct agent_call *call, const struct SlFlow *flow)
+{
+    if (flow->key.protocol != IPPROTO_TCP) {
+        reset_udp(call, flow);
+        return;
+    }
+    reset_caller(call, flow);
+    reset_upstream(call, flow);
+}
+
+void
+agent_reset_upstream(const struct agent_call *call,
+                     const struct SlPacket *packet)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    uint32_t length = 0;
+
+    agent_drop(call, NULL, "unknown_upstream_flow");
+    if (packet->kind == SL_PACKET_TCP) {
+        length = SlPacket_BuildReset(packet, out, sizeof(out));
+    }
+    if (length != 0) {
+        call->sink->type->send_to_upstream(call->sink, out, length);
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/agent_track.c
@@ -0,0 +1,245 @@
+/// What packets tell of a flow: sequence numbers, what waits for an answer,
+/// and the closing of both sides.
+
+#include "agent_private.h"
+
+#include <netinet/in.h>
+
+enum {
+    /// How far behind the last acknowledgement packets are still accepted.
+    KEPT_BYTES = 1 << 30,
+    REPEATS_MAX = 255,
+};
+
+/// Signed distance from b to a on the circle of sequence numbers.
+static int32_t
+distance(uint32_t a, uint32_t b)
+{
+    return (int32_t)(a - b);
+}
+
+static uint32_t
+sequence_end(const struct SlPacket *packet)
+{
+    return packet->tcp_seq + packet->payload_bytes +
+           (packet->tcp_flags & SL_TCP_SYN ? 1 : 0) +
+           (packet->tcp_flags & SL_TCP_FIN ? 1 : 0);
+}
+
+static bool
+ack_plausible(const struct SlFlow *flow, const struct SlPacket *packet)
+{
+    int32_t ahead;
+
+    if (!(packet->tcp_flags & SL_TCP_ACK) || (flow->flags & SL_FLOW_ADOPTED)) {
+        return true;
+    }
+    if (!(flow->flags & SL_FLOW_UPSTREAM_SEEN)) {
+        return (packet->tcp_flags & SL_TCP_RST) != 0;
+    }
+    ahead = distance(packet->tcp_ack, flow->upstream_next);
+    return ahead <= 0 && ahead >= -AGENT_WINDOW_BYTES;
+}
+
+bool
+agent_plausible(const struct SlFlow *flow, const struct SlPacket *packet)
+{
+    if (packet->kind != SL_PACKET_TCP ||
+        !(flow->flags & SL_FLOW_CALLER_SEEN)) {
+        return true;
+    }
+    if (agent_is_opening(packet)) {
+        return !(flow->flags & SL_FLOW_HANDSHAKE) ||
+               distance(packet->tcp_seq, flow->caller_min) >= 0;
+    }
+    return distance(packet->tcp_seq, flow->caller_min) >= 0 &&
+           distance(packet->tcp_seq, flow->caller_next) <=
+               AGENT_WINDOW_BYTES &&
+           ack_plausible(flow, packet);
+}
+
+/// Present time as the begin of a wait; 0 stands for "none".
+static uint32_t
+wait_from(uint32_t now_ms)
+{
+    return now_ms == 0 ? 1 : now_ms;
+}
+
+static void
+repeat(uint8_t *repeats)
+{
+    if (*repeats < REPEATS_MAX) {
+        (*repeats)++;
+    }
+}
+
+static void
+start_caller_numbers(struct SlFlow *flow, const struct SlPacket *packet)
+{
+    flow->caller_min = packet->tcp_seq;
+    if (flow->flags & SL_FLOW_ADOPTED) {
+        flow->caller_min -= AGENT_WINDOW_BYTES;
+    }
+    flow->caller_next = packet->tcp_seq;
+    if (!(flow->flags & SL_FLOW_UPSTREAM_SEEN)) {
+        flow->caller_acked = packet->tcp_seq;
+    }
+    flow->flags |= SL_FLOW_CALLER_SEEN;
+}
+
+/// The caller acknowledges what the upstream sent.
+static void
+note_caller_ack(struct SlFlow *flow, const struct SlPacket *packet,
+                uint32_t now_ms)
+{
+    if (!(packet->tcp_flags & SL_TCP_ACK) ||
+        !(flow->flags & SL_FLOW_UPSTREAM_SEEN) ||
+        distance(packet->tcp_ack, flow->upstream_acked) <= 0) {
+        return;
+    }
+    flow->upstream_acked = packet->tcp_ack;
+    flow->upstream_repeats = 0;
+    if (distance(flow->upstream_acked, flow->upstream_next) < 0) {
+        flow->upstream_wait_ms = wait_from(now_ms);
+        return;
+    }
+    flow->upstream_wait_ms = 0;
+    if (flow->flags & SL_FLOW_UPSTREAM_FIN) {
+        flow->flags |= SL_FLOW_UPSTREAM_FIN_ACKED;
+    }
+}
+
+static bool
+track_caller_udp(struct SlFlow *flow, uint32_t now_ms)
+{
+    if (flow->caller_wait_ms == 0) {
+        flow->caller_wait_ms = wait_from(now_ms);
+        flow->caller_repeats = 0;
+    }
+    repeat(&flow->caller_repeats);
+    return true;
+}
+
+bool
+agent_track_caller(struct SlFlow *flow, const struct SlPacket *packet,
+                   uint32_t now_ms)
+{
+    uint32_t end = sequence_end(packet);
+    bool opening = agent_is_opening(packet);
+    bool is_new;
+
+    flow->last_ms = now_ms;
+    if (packet->kind != SL_PACKET_TCP) {
+        return packet->kind == SL_PACKET_UDP && track_caller_udp(flow, now_ms);
+    }
+    if (opening && !(flow->flags & SL_FLOW_HANDSHAKE) &&
+        (flow->flags & SL_FLOW_CALLER_SEEN)) {
+        return false;
+    }
+    if (!(flow->flags & SL_FLOW_CALLER_SEEN) ||
+        (opening && packet->tcp_seq != flow->caller_min)) {
+        start_caller_numbers(flow, packet);
+    }
+    note_caller_ack(flow, packet, now_ms);
+    if (packet->tcp_flags & SL_TCP_RST) {
+        return false;
+    }
+    is_new = distance(end, flow->caller_next) > 0;
+    if (packet->payload_bytes != 0 && !is_new) {
+        repeat(&flow->caller_repeats);
+    }
+    if (!is_new) {
+        return false;
+    }
+    flow->caller_next = end;
+    flow->flags |= packet->tcp_flags & SL_TCP_FIN ? SL_FLOW_CALLER_FIN : 0;
+    if (packet->payload_bytes != 0 && flow->caller_wait_ms == 0) {
+        flow->caller_wait_ms = wait_from(now_ms);
+        flow->caller_repeats = 0;
+    }
+    return packet->payload_bytes != 0;
+}
+
+/// The upstream acknowledges what the caller sent.
+static void
+note_upstream_ack(struct SlFlow *flow, const struct SlPacket *packet,
+                  uint32_t now_ms)
+{
+    if (!(packet->tcp_flags & SL_TCP_ACK)) {
+        return;
+    }
+    if (!(flow->flags & SL_FLOW_CALLER_SEEN)) {
+        flow->caller_acked = packet->tcp_ack;
+        return;
+    }
+    if (distance(packet->tcp_ack, flow->caller_acked) <= 0) {
+        return;
+    }
+    flow->caller_acked = packet->tcp_ack;
+    flow->caller_repeats = 0;
+    if (distance(flow->caller_acked, flow->caller_min) > KEPT_BYTES) {
+        flow->caller_min = flow->caller_acked - KEPT_BYTES;
+    }
+    if (distance(flow->caller_acked, flow->caller_next) < 0) {
+        flow->caller_wait_ms =
+            flow->caller_wait_ms != 0 ? wait_from(now_ms) : 0;
+        return;
+    }
+    flow->caller_wait_ms = 0;
+    if (flow->flags & SL_FLOW_CALLER_FIN) {
+        flow->flags |= SL_FLOW_CALLER_FIN_ACKED;
+    }
+}
+
+static void
+track_upstream_tcp(struct SlFlow *flow, const struct SlPacket *packet,
+                   uint32_t now_ms)
+{
+    uint32_t end = sequence_end(packet);
+
+    if (!(flow->flags & SL_FLOW_UPSTREAM_SEEN)) {
+        flow->upstream_next = packet->tcp_seq;
+        flow->upstream_acked = packet->tcp_seq;
+    }
+    note_upstream_ack(flow, packet, now_ms);
+    if (packet->tcp_flags & SL_TCP_RST) {
+        return;
+    }
+    flow->flags |= SL_FLOW_UPSTREAM_SEEN;
+    flow->flags |= packet->tcp_flags & SL_TCP_SYN ? SL_FLOW_SYN_ACKED : 0;
+    if (distance(end, flow->upstream_next) <= 0) {
+        if (packet->payload_bytes != 0) {
+            repeat(&flow->upstream_repeats);
+        }
+        return;
+    }
+    flow->upstream_next = end;
+    flow->flags |= packet->tcp_flags & SL_TCP_FIN ? SL_FLOW_UPSTREAM_FIN : 0;
+    if (packet->payload_bytes != 0 && flow->upstream_wait_ms == 0) {
+        flow->upstream_wait_ms = wait_from(now_ms);
+        flow->upstream_repeats = 0;
+    }
+}
+
+void
+agent_track_upstream(struct SlFlow *flow, const struct SlPacket *packet,
+                     uint32_t now_ms)
+{
+    flow->last_ms = now_ms;
+    if (packet->kind == SL_PACKET_UDP) {
+        flow->caller_wait_ms = 0;
+        flow->caller_repeats = 0;
+    }
+    if (packet->kind == SL_PACKET_TCP) {
+        track_upstream_tcp(flow, packet, now_ms);
+    }
+}
+
+bool
+agent_is_closed(const struct SlFlow *flow)
+{
+    const uint16_t both =
+        SL_FLOW_CALLER_FIN_ACKED | SL_FLOW_UPSTREAM_FIN_ACKED;
+
+    return (flow->flags & both) == both;
+}
--- a/packages/state/include/savoryledge/state/flow_table.h
+++ b/packages/state/include/savoryledge/state/flow_table.h
@@ -57,6 +57,12 @@
     SL_FLOW_UPSTREAM_SEEN = 0x0400,
     /// The opening packet carried payload.
     SL_FLOW_EARLY_DATA = 0x0800,
+    /// ENDED: by a reset of this agent, so that nothing is delivered.
+    SL_FLOW_WAS_RESET = 0x1000,
+    /// PROMISED: caller_next is where an ended flow with the key stopped.
+    SL_FLOW_HAS_LAST_SEQ = 0x2000,
+    /// The state of the flow before this agent's start is not known.
+    SL_FLOW_ADOPTED = 0x4000,
 };
 
 /// Where a flow waits. Times are milliseconds of the caller's clock, cut to
@@ -73,8 +79,11 @@
 struct SlFlow {
     struct SlFlowKey key;
     /// enum SlFlowKind and enum SlFlowQueue; queue is the table's own.
-    uint8_t kind;
-    uint8_t queue;
+    uint8_t kind : 4;
+    uint8_t queue : 4;
+    /// Exchanges in progress at the upstream when this one began, at most
+    /// 255.
+    uint8_t queued;
     /// The table's own: hash, chain and queue links.
     uint32_t hash;
     uint32_t next;
@@ -103,9 +112,8 @@
     /// Since when payload in that direction waits for an answer.
     uint32_t caller_wait_ms;
     uint32_t upstream_wait_ms;
-    /// Exchanges in progress at the upstream when this one began, at most
-    /// 255.
-    uint8_t queued;
+    /// When the exchange in progress began.
+    uint32_t exchange_ms;
 };
 
 struct SlFlowTableOptions {
