--- a/packages/coordination/src/recording_read.c
+++ b/packages/coordination/src/recording_read.c
@@ -153,7 +153,9 @@
             addresses.bad = true;
             break;
         }
-        take_address(&addresses, &replica->control[replica->control_count++]);
+        take_address(&addresses, &replica->control[replica->control_count]);
+        replica->control_id[replica->control_count++] =
+            take_number(&addresses);
     }
     object = take_binary(fields, &length_bytes);
     if (addresses.bad || object == NULL ||
--- a/packages/coordination/src/recording_write.c
+++ b/packages/coordination/src/recording_write.c
@@ -126,11 +126,13 @@
 pack_replica(msgpack_packer *packer, const struct SlReplicaOptions *replica)
 {
     struct SlBuffer object = {0};
-    bool packed = pack_number(packer, replica->lease_us) &&
-                  msgpack_pack_array(packer, replica->control_count) == 0;
+    bool packed =
+        pack_number(packer, replica->lease_us) &&
+        msgpack_pack_array(packer, 2 * (size_t)replica->control_count) == 0;
 
     for (uint32_t i = 0; packed && i < replica->control_count; i++) {
-        packed = pack_address(packer, &replica->control[i]);
+        packed = pack_address(packer, &replica->control[i]) &&
+                 pack_number(packer, replica->control_id[i]);
     }
     packed = packed && SlObject_Encode(&replica->announce, &object) == SL_OK &&
              pack_binary(packer, object.bytes, object.length_bytes);
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -19,13 +19,6 @@
 /// The advertised address of a process that does not set one.
 static const uint8_t NO_IP[sizeof(((struct SlAddress *)0)->ip)];
 
-void
-give_input(struct SlShell *shell, struct outlet *outlet,
-           const struct SlInput *input)
-{
-    SlNode_Handle(shell->node, &outlet->sink, input);
-}
-
 static void
 give_control_input(struct SlShell *shell, enum SlInputKind kind,
                    uint64_t now_us)
@@ -103,6 +96,9 @@
     randombytes_buf(&options.core.hash_seed, sizeof(options.core.hash_seed));
     fill_control(shell, &options);
     fill_announcement(shell, &options.replica.announce);
+    if (shell->recording.recorder != NULL) {
+        SlRecorder_Node(shell->recording.recorder, &options, now_us);
+    }
     return SlNode_Create(&options, now_us, &shell->node, error);
 }
 
@@ -179,6 +175,9 @@
     if (status == SL_OK) {
         status = threads_open(shell, error);
     }
+    if (status == SL_OK && shell->settings.record.file[0] != '\0') {
+        status = record_switch(shell, shell->settings.record.file, error);
+    }
     if (status == SL_OK) {
         status = create_node(shell, shell->started_us, error);
     }
@@ -206,6 +205,7 @@
     made->started_us = SlClock_Monotonic();
     made->control.tunnel = -1;
     made->signals.watch.descriptor = -1;
+    pthread_rwlock_init(&made->recording.lock, NULL);
     rcu_register_thread();
     status = open_parts(made, error);
     if (status != SL_OK) {
@@ -224,6 +224,7 @@
     }
     threads_close(shell);
     SlLinks_Destroy(shell->links);
+    (void)record_switch(shell, "", NULL);
     SlNode_Destroy(shell->node);
     SlStorage_Destroy(shell->storage);
     SlSealer_Destroy(shell->sealer);
@@ -234,6 +235,7 @@
         close(shell->signals.watch.descriptor);
     }
     SlLoop_Destroy(shell->loop);
+    pthread_rwlock_destroy(&shell->recording.lock);
     rcu_unregister_thread();
     sodium_memzero(&shell->settings.keyring, sizeof(shell->settings.keyring));
     free(shell);
--- a/packages/daemon/src/shell_internal.h
+++ b/packages/daemon/src/shell_internal.h
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "recorder.h"
 #include "savoryledge/coordination/node.h"
 #include "savoryledge/transport/link.h"
 #include "savoryledge/transport/loop.h"
@@ -25,6 +26,8 @@
     /// Only the control thread's outlet has links.
     bool is_control;
     uint64_t now_us;
+    /// NULL but while an input is handled that is recorded.
+    struct SlRecorder *recorder;
     int tunnel;
     /// NULL where the process lacks the role.
     struct SlPort *callers;
@@ -105,13 +108,25 @@
     uint64_t stop_us;
     _Atomic bool ending;
     struct shell_counts counts;
+    /// Switched on and off by the control thread, under the lock.
+    struct {
+        pthread_rwlock_t lock;
+        struct SlRecorder *recorder;
+        _Atomic bool on;
+    } recording;
 };
 
-/// Every input of the cores passes here; the place for a recording.
+/// Every input of the cores passes here, and is recorded if asked for.
 void
 give_input(struct SlShell *shell, struct outlet *outlet,
            const struct SlInput *input);
 
+/* shell_record.c */
+/// Begins a recording in path; an empty path ends one. Control thread.
+/// Errors: SL_IO, SL_NO_MEMORY.
+enum SlStatus
+record_switch(struct SlShell *shell, const char *path, struct SlError *error);
+
 /* shell_outlet.c */
 enum SlStatus
 outlet_init(struct outlet *outlet, struct SlShell *shell, bool is_control);
--- a/packages/daemon/src/shell_links.c
+++ b/packages/daemon/src/shell_links.c
@@ -118,6 +118,20 @@
                                            &message);
 }
 
+/// The answer tells what went wrong, in words.
+static enum SlStatus
+switch_recording(struct SlShell *shell, const char *path,
+                 struct SlBuffer *text)
+{
+    struct SlError error = {.status = SL_OK};
+    enum SlStatus status = record_switch(shell, path, &error);
+
+    if (status != SL_OK) {
+        (void)SlBuffer_Append(text, error.message, strlen(error.message));
+    }
+    return status;
+}
+
 /// Answers what the process itself knows; false for the cores' queries.
 static bool
 answer_query(struct SlShell *shell, uint64_t link, const struct SlQuery *query)
@@ -133,7 +147,7 @@
         status = write_metrics(shell, &text);
         break;
     case SL_QUERY_RECORD:
-        status = SL_INVALID;
+        status = switch_recording(shell, query->name, &text);
         break;
     default:
         return false;
--- a/packages/daemon/src/shell_outlet.c
+++ b/packages/daemon/src/shell_outlet.c
@@ -146,7 +146,12 @@
 static void
 outlet_event(struct SlSink *sink, const struct SlEvent *event)
 {
-    SlLog_Event(((struct outlet *)sink)->shell->log, event);
+    struct outlet *outlet = (struct outlet *)sink;
+
+    if (outlet->recorder != NULL) {
+        SlRecorder_Event(outlet->recorder, event);
+    }
+    SlLog_Event(outlet->shell->log, event);
 }
 
 static const struct SlSinkType OUTLET = {
