--- /dev/null
+++ b/replay/harness/trace.c
@@ -0,0 +1,272 @@
+/// Reading of traces: one statement a line, words parted by blanks, "#"
+/// begins a comment.
+
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+enum {
+    LINE_BYTES = 512,
+    WORDS_MAX = 12,
+    SERVICE_PORT = 443,
+};
+
+struct line {
+    uint32_t count;
+    char *words[WORDS_MAX];
+};
+
+static void
+split(char *text, struct line *line)
+{
+    char *rest = NULL;
+    char *comment = strchr(text, '#');
+
+    if (comment != NULL) {
+        *comment = '\0';
+    }
+    line->count = 0;
+    for (char *word = strtok_r(text, " \t\n", &rest);
+         word != NULL && line->count < WORDS_MAX;
+         word = strtok_r(NULL, " \t\n", &rest)) {
+        line->words[line->count++] = word;
+    }
+}
+
+static uint32_t
+number(const struct line *line, uint32_t word)
+{
+    return word < line->count ? (uint32_t)strtoul(line->words[word], NULL, 10)
+                              : 0;
+}
+
+static bool
+read_zones(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorld *world = trace->world;
+
+    for (uint32_t i = 1; i < line->count && i <= WORLD_ZONES_MAX; i++) {
+        snprintf(world->zones[world->zone_count++], SL_NAME_BYTES, "%s",
+                 line->words[i]);
+    }
+    return world->zone_count > 0;
+}
+
+static bool
+read_nodes(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorld *world = trace->world;
+    bool entries = strcmp(line->words[0], "entries") == 0;
+    uint32_t count = number(line, 1);
+
+    if (world->zone_count == 0 || count == 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        char name[SL_NAME_BYTES];
+
+        snprintf(name, sizeof(name), "%s-%u", entries ? "entry" : "control",
+                 (i + 1) % 1000);
+        SlWorldNode_Add(world, name, i % world->zone_count,
+                        entries ? SL_ROLE_ENTRY : SL_ROLE_CONTROL);
+    }
+    *(entries ? &world->settings.entries : &world->settings.controls) = count;
+    return true;
+}
+
+/// service NAME tcp|udp UPSTREAMS SLOTS CONNECTIONS [SILENCE_MS]
+static bool
+read_service(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorld *world = trace->world;
+    uint32_t index = world->service_count++;
+    struct SlWorldService *service = &world->services[index];
+    char text[SL_ADDRESS_TEXT_BYTES];
+
+    if (line->count < 6 || world->zone_count == 0 ||
+        index >= WORLD_SERVICES_MAX) {
+        return false;
+    }
+    snprintf(service->name, sizeof(service->name), "%s", line->words[1]);
+    service->protocol =
+        strcmp(line->words[2], "udp") == 0 ? IPPROTO_UDP : IPPROTO_TCP;
+    service->silence_ms = number(line, 6);
+    snprintf(text, sizeof(text), "10.254.0.%u:%u", index + 1, SERVICE_PORT);
+    (void)SlAddress_Parse(text, &service->address);
+    for (uint32_t i = 0; i < number(line, 3); i++) {
+        char name[SL_NAME_BYTES];
+        struct SlWorldNode *node;
+
+        snprintf(name, sizeof(name), "%.40s-%u", service->name,
+                 (i + 1) % 1000);
+        node = &world->nodes[SlWorldNode_Add(
+            world, name, i % world->zone_count, SL_ROLE_AGENT)];
+        node->upstream.service = index;
+        node->upstream.slots = number(line, 4);
+        node->upstream.capacity_flows = number(line, 5);
+        SlLabels_Set(&node->options.replica.announce.node.announced, "service",
+                     service->name);
+    }
+    return true;
+}
+
+static bool
+read_step(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorld *world = trace->world;
+    struct SlWorldStep *step = &world->steps[world->step_count];
+
+    if (line->count < 3 || world->step_count == WORLD_STEPS_MAX) {
+        return false;
+    }
+    world->step_count++;
+    step->time_us = (uint64_t)(strtod(line->words[1], NULL) * 1e6);
+    for (uint32_t i = 2; i < line->count && i < 2 + 8; i++) {
+        snprintf(step->words[i - 2], SL_NAME_BYTES, "%s", line->words[i]);
+        step->word_count++;
+    }
+    return step->time_us > WORLD_START_US;
+}
+
+static bool
+read_bound(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorldBound *bound = &trace->bounds[trace->bound_count];
+    double value;
+
+    if (line->count != 4 || trace->bound_count == WORLD_BOUNDS_MAX ||
+        !SlWorld_Figure(trace->world, line->words[1], &value)) {
+        return false;
+    }
+    trace->bound_count++;
+    snprintf(bound->name, sizeof(bound->name), "%s", line->words[1]);
+    snprintf(bound->sign, sizeof(bound->sign), "%s", line->words[2]);
+    bound->value = strtod(line->words[3], NULL);
+    return strcmp(bound->sign, "=") == 0 || strcmp(bound->sign, "<=") == 0 ||
+           strcmp(bound->sign, ">=") == 0;
+}
+
+static bool
+read_setting(struct SlTrace *trace, const struct line *line)
+{
+    struct SlWorldSettings *settings = &trace->world->settings;
+    const struct {
+        const char *name;
+        uint32_t *value;
+        uint32_t unit;
+    } table[] = {
+        {"client-us", &settings->client_delay_us, 1},
+        {"zone-us", &settings->zone_delay_us, 1},
+        {"jitter-us", &settings->jitter_us, 1},
+        {"service-us", &settings->service_time_us, 1},
+        {"cold-ms", &settings->cold_ms, 1},
+        {"cold-factor", &settings->cold_factor, 1},
+    };
+
+    for (size_t i = 0; i < sizeof(table) / sizeof(table[0]); i++) {
+        if (strcmp(table[i].name, line->words[0]) == 0) {
+            *table[i].value = number(line, 1);
+            return true;
+        }
+    }
+    if (strcmp(line->words[0], "seed") == 0) {
+        settings->seed = number(line, 1);
+        return true;
+    }
+    if (strcmp(line->words[0], "end") == 0) {
+        settings->end_us = (uint64_t)(strtod(line->words[1], NULL) * 1e6);
+        return line->count == 2;
+    }
+    if (strcmp(line->words[0], "reuse") == 0) {
+        trace->world->reuse = true;
+        return true;
+    }
+    return false;
+}
+
+static bool
+read_line(struct SlTrace *trace, const struct line *line)
+{
+    const char *word = line->words[0];
+
+    if (strcmp(word, "zones") == 0) {
+        return read_zones(trace, line);
+    }
+    if (strcmp(word, "entries") == 0 || strcmp(word, "controls") == 0) {
+        return read_nodes(trace, line);
+    }
+    if (strcmp(word, "service") == 0) {
+        return read_service(trace, line);
+    }
+    if (strcmp(word, "at") == 0) {
+        return read_step(trace, line);
+    }
+    if (strcmp(word, "expect") == 0) {
+        return read_bound(trace, line);
+    }
+    return read_setting(trace, line);
+}
+
+static bool
+read_file(struct SlTrace *trace, const char *path, FILE *file)
+{
+    char text[LINE_BYTES];
+    uint32_t place = 0;
+
+    while (fgets(text, sizeof(text), file) != NULL) {
+        struct line line;
+
+        place++;
+        split(text, &line);
+        if (line.count > 0 && strcmp(line.words[0], "include") == 0) {
+            char other[LINE_BYTES];
+            const char *slash = strrchr(path, '/');
+            int folder = slash == NULL ? 0 : (int)(slash - path) + 1;
+
+            snprintf(other, sizeof(other), "%.*s%s", folder, path,
+                     line.count > 1 ? line.words[1] : "");
+            if (!SlTrace_Read(other, trace)) {
+                return false;
+            }
+        }
+        else if (line.count > 0 && !read_line(trace, &line)) {
+            fprintf(stderr, "%s:%u: cannot use \"%s\"\n", path, place,
+                    line.words[0]);
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SlTrace_Read(const char *path, struct SlTrace *trace)
+{
+    FILE *file = fopen(path, "r");
+    bool read;
+
+    if (file == NULL) {
+        perror(path);
+        return false;
+    }
+    if (trace->world == NULL) {
+        trace->world = SlWorld_Create();
+    }
+    read = read_file(trace, path, file);
+    fclose(file);
+    return read;
+}
+
+bool
+SlWorldBound_Holds(const struct SlWorldBound *bound, double value)
+{
+    if (strcmp(bound->sign, "<=") == 0) {
+        return value <= bound->value;
+    }
+    if (strcmp(bound->sign, ">=") == 0) {
+        return value >= bound->value;
+    }
+    return value == bound->value;
+}
