Raise the limit of flows with each answer in time

A service that starts cold as a whole refused 282 of 2,000 flows at 400 a second: the limit of flows grew by half each 500 ms, below the rate of arrival, and stopped for good when idle flows filled it, since no answers came any more. It now grows with each answer in time, and the limit of exchanges also on ticks.

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -319,6 +319,7 @@
         break;
     case SL_INPUT_TICK:
         agent_timers_tick(&call);
+        agent_admission_tick(&call);
         agent_peers_tick(&call);
         agent_paths_tick(&call);
         break;
--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -2,9 +2,10 @@
 /// handshakes, first answers and their time, failures, exchanges in progress
 /// against its slots, and open flows.
 ///
-/// A cold upstream starts with one exchange and few flows; both limits grow
-/// in steps as answers come in the usual time. Answers that come late while
-/// the upstream had free slots, or failures, make it cold again.
+/// A cold upstream starts with one exchange and few flows. Each answer in the
+/// usual time lets it hold one flow more; the exchanges grow in steps of
+/// time. Answers that come late while the upstream had free slots, or
+/// failures, make it cold again.
 
 #include "agent_private.h"
 
@@ -187,33 +188,28 @@
     return value < limit ? (uint32_t)value : limit;
 }
 
-/// Raises the limits by a step when enough answers came in time. Returns
-/// true when they changed.
+/// Raises the limits by a step when enough answers came in time since the
+/// last one. Returns true when they changed.
 static bool
 grow(struct agent_admission *admission, uint64_t now_us)
 {
     uint32_t slots = admission->slots;
     uint32_t exchanges = admission->limit_exchanges;
-    uint64_t flows = admission->limit_flows;
-    uint32_t needed = exchanges < slots ? exchanges * 2 : exchanges;
+    uint32_t flows = admission->limit_flows;
+    bool cold = exchanges < slots;
+    uint32_t needed = cold ? exchanges * 2 : exchanges;
+    uint64_t raised = cold ? flows : (uint64_t)flows * 2;
 
-    admission->good_answers++;
     if (admission->good_answers < needed ||
         now_us - admission->grown_us < STEP_US) {
         return false;
     }
     admission->good_answers = 0;
     admission->grown_us = now_us;
-    if (exchanges < slots) {
-        admission->limit_exchanges = exchanges + 1;
-        flows += flows / 2;
-    }
-    else {
-        admission->limit_exchanges =
-            at_most((uint64_t)exchanges * 2, slots * QUEUE_FACTOR);
-        flows *= 2;
-    }
-    admission->limit_flows = at_most(flows, admission->capacity_flows);
+    admission->limit_exchanges =
+        cold ? exchanges + 1
+             : at_most((uint64_t)exchanges * 2, slots * QUEUE_FACTOR);
+    admission->limit_flows = at_most(raised, admission->capacity_flows);
     return admission->limit_exchanges != exchanges ||
            admission->limit_flows != flows;
 }
@@ -315,6 +311,10 @@
         learn(admission, took_us);
     }
     admission->bad_answers = 0;
+    admission->good_answers++;
+    if (admission->limit_flows < admission->capacity_flows) {
+        admission->limit_flows++;
+    }
     return grow(admission, call->now_us) ? VERDICT_LIMIT : VERDICT_NONE;
 }
 
@@ -361,6 +361,18 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
+void
+agent_admission_tick(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+
+    pthread_mutex_lock(&admission->lock);
+    if (grow(admission, call->now_us)) {
+        tell(call, VERDICT_LIMIT, "answers", 0);
+    }
+    pthread_mutex_unlock(&admission->lock);
+}
+
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms)
 {
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -376,6 +376,9 @@
 /// answered anybody since since_ms.
 void
 agent_admission_failed(const struct agent_call *call, const char *reason);
+/// Raises the limits when it is time.
+void
+agent_admission_tick(const struct agent_call *call);
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms);
 /// New flows that would be admitted now.
--- /dev/null
+++ b/test/agent_admission_test.c
@@ -0,0 +1,195 @@
+/* New flows: spread evenly, never more than an upstream can carry, refused
+   only when nobody has room. */
+
+#include "agent_fixture.h"
+
+enum {
+    FLOWS = 14000,
+    FIRST_PORT = 2000,
+};
+
+static uint32_t
+refused(const struct fixture *fx, uint16_t first, uint32_t count)
+{
+    uint32_t sum = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        sum += fx->callers[first + i].refused;
+    }
+    return sum;
+}
+
+/// Greatest number of open flows over the mean, of the first seven agents.
+static double
+imbalance(const struct fixture *fx)
+{
+    uint64_t sum = 0;
+    uint64_t most = 0;
+
+    for (uint32_t i = 0; i < 7; i++) {
+        struct SlAgentCounters counters;
+
+        SlAgent_Counters(fx->agents[i].agent, &counters);
+        sum += counters.open_flows;
+        most = counters.open_flows > most ? counters.open_flows : most;
+    }
+    return sum == 0 ? 1.0 : (double)most * 7 / (double)sum;
+}
+
+static void
+test_flows_spread_evenly(void)
+{
+    struct fixture fx;
+
+    fx_open(&fx, "workroom");
+    for (uint32_t k = 0; k < 7; k++) {
+        fx_open_flows(&fx, (uint16_t)(FIRST_PORT + k * 2000), 2000, 200);
+        printf("%5u flows: imbalance %.3f, passed on %lu, refused %u\n",
+               (k + 1) * 2000, imbalance(&fx),
+               (unsigned long)FX_TOTAL(&fx, passed_on),
+               refused(&fx, FIRST_PORT, (k + 1) * 2000));
+        CU_ASSERT(imbalance(&fx) <= 1.05);
+    }
+    CU_ASSERT_EQUAL(refused(&fx, FIRST_PORT, FLOWS), 0);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, open_flows), FLOWS);
+    fx_close(&fx);
+}
+
+/* An upstream that was never seen gets one request at a time, then more as
+   its answers come; the others carry the rest and nobody is refused. */
+static void
+test_cold_upstream_ramps_up(void)
+{
+    struct fixture fx;
+    struct fx_agent *cold;
+    struct SlAgentCounters counters;
+    uint32_t at_500_ms = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 6000, 400);
+    cold = fx_agent(&fx, "workroom-3");
+    fx_restart(&fx, cold);
+    memset(cold->connections, 0, FX_PORTS * sizeof(struct fx_connection));
+    cold->busy_most = 0;
+    for (uint32_t i = 0; i < 4000; i++) {
+        uint16_t port = (uint16_t)(FIRST_PORT + 6000 + i);
+
+        fx.callers[port].asks = true;
+        fx_syn(&fx, i % FX_ENTRIES, port);
+        fx_run(&fx, 1000);
+        at_500_ms = i == 499 ? cold->busy_most : at_500_ms;
+    }
+    fx_run(&fx, 500000);
+    SlAgent_Counters(cold->agent, &counters);
+    printf("cold: busy at most %u in 500 ms, %u in 4.5 s; %lu flows of "
+           "%.0f, refused %u\n",
+           at_500_ms, cold->busy_most, (unsigned long)counters.open_flows,
+           10000.0 / 7, refused(&fx, FIRST_PORT + 6000, 4000));
+    CU_ASSERT(at_500_ms <= 1);
+    CU_ASSERT(counters.open_flows > 500);
+    CU_ASSERT_EQUAL(refused(&fx, FIRST_PORT + 6000, 4000), 0);
+    fx_close(&fx);
+}
+
+/* An upstream turns cold without a word: its answers take 40 times as long.
+   What is in progress there falls at once. */
+static void
+test_sudden_cold_is_noticed(void)
+{
+    struct fixture fx;
+    struct fx_agent *slow;
+    struct SlAgentCounters counters;
+    uint64_t passed;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 6000, 400);
+    slow = fx_agent(&fx, "workroom-3");
+    SlAgent_Counters(slow->agent, &counters);
+    CU_ASSERT(counters.limit_exchanges > 3);
+    passed = counters.passed_on;
+    slow->service_us = 80000;
+    fx_open_flows(&fx, FIRST_PORT + 6000, 500, 400);
+    SlAgent_Counters(slow->agent, &counters);
+    printf("suddenly cold: limit %lu, passed on %lu, refused %u\n",
+           (unsigned long)counters.limit_exchanges,
+           (unsigned long)(counters.passed_on - passed),
+           refused(&fx, FIRST_PORT + 6000, 500));
+    CU_ASSERT(slow->events[SL_EVENT_COLD] >= 1);
+    CU_ASSERT(counters.limit_exchanges <= 3);
+    CU_ASSERT_EQUAL(refused(&fx, FIRST_PORT + 6000, 500), 0);
+    fx_close(&fx);
+}
+
+/* All upstreams have all the flows that they can hold: the next one is told
+   at once that it was not run. */
+static void
+test_full_service_refuses_at_once(void)
+{
+    struct fixture fx;
+    uint32_t first = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, FLOWS, 200);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, open_flows), FLOWS);
+    fx_syn(&fx, 0, 30000);
+    fx_run(&fx, 100000);
+    CU_ASSERT(fx.callers[30000].refused);
+    CU_ASSERT_EQUAL(fx_receivers(&fx, 30000, &first), 0);
+    CU_ASSERT_PTR_NULL(fx_holder(&fx, 30000));
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_not_run), 1);
+    fx_close(&fx);
+}
+
+/* SYNs of callers that never answer fill no table and push nobody out. */
+static void
+test_syn_flood_is_bounded(void)
+{
+    struct fixture fx;
+    uint64_t bytes;
+    uint32_t reset = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 2000, 400);
+    SlAddress_Parse("203.0.113.9", &fx.caller);
+    for (uint32_t round = 0; round < 3; round++) {
+        for (uint32_t i = 0; i < 20000; i++) {
+            uint16_t port = (uint16_t)(10000 + i);
+
+            fx.callers[port].isn = 0;
+            fx.callers[port].open = true;
+            fx_syn(&fx, i % FX_ENTRIES, port);
+            if (i % 20 == 0) {
+                fx_run(&fx, 1000);
+            }
+        }
+        bytes = FX_TOTAL(&fx, table_bytes);
+        printf("flood: %lu bytes in 11 tables, %lu open flows\n",
+               (unsigned long)bytes, (unsigned long)FX_TOTAL(&fx, open_flows));
+        CU_ASSERT(bytes < 11 * 4 * 1000 * 1000);
+    }
+    SlAddress_Parse("192.0.2.10", &fx.caller);
+    for (uint32_t i = 0; i < 2000; i++) {
+        fx_ask(&fx, i % FX_ENTRIES, (uint16_t)(FIRST_PORT + i));
+        fx_run(&fx, 1000);
+    }
+    fx_run(&fx, 1000000);
+    for (uint32_t i = 0; i < 2000; i++) {
+        reset += fx.callers[FIRST_PORT + i].answers != 2;
+    }
+    CU_ASSERT_EQUAL(reset, 0);
+    fx_close(&fx);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"flows spread evenly", test_flows_spread_evenly},
+        {"cold upstream ramps up", test_cold_upstream_ramps_up},
+        {"sudden cold is noticed", test_sudden_cold_is_noticed},
+        {"full service refuses at once", test_full_service_refuses_at_once},
+        {"SYN flood is bounded", test_syn_flood_is_bounded},
+    };
+
+    return RUN_SUITE("agent admission", CASES);
+}
