--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -121,13 +121,27 @@
     route_unknown(call, shard, p);
 }
 
+/// True when another agent may leave the decision about a new flow to this
+/// one, although it is marked as passed on. Where two agents passed copies to
+/// each other, the lower node decides and the other drops its copy.
+static bool
+may_take_over(const struct agent_call *call, const struct SlFlow *flow,
+              const struct SlTunnel *tunnel)
+{
+    if (!(tunnel->flags & SL_TUNNEL_LOCATED_FLOW)) {
+        return false;
+    }
+    return flow->kind == SL_FLOW_PROMISED ||
+           (flow->holder == tunnel->sender &&
+            call->agent->node_id < tunnel->sender);
+}
+
 /// Follows a mark or a promise.
 static void
 route_marked(const struct agent_call *call, struct SlFlowShard *shard,
              struct SlFlow *flow, struct agent_packet *p)
 {
     bool opening = agent_is_opening(&p->packet);
-    uint32_t settled = p->tunnel->flags & SL_TUNNEL_LOCATED_FLOW;
     uint32_t flags = flow->kind == SL_FLOW_MARK ? SL_TUNNEL_LOCATED_FLOW : 0;
 
     if (flow->flags & SL_FLOW_HAS_LAST_SEQ) {
@@ -139,7 +153,7 @@
         agent_decide_here(call, shard, p);
         return;
     }
-    if (opening && flow->kind == SL_FLOW_PROMISED && settled) {
+    if (opening && may_take_over(call, flow, p->tunnel)) {
         SlFlowShard_Remove(shard, flow);
         agent_decide(call, shard, p);
         return;
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -167,9 +167,17 @@
     waiting->bytes = bytes;
 }
 
+/// How a search ended.
+struct outcome {
+    /// 0: nobody is known to have the flow.
+    uint64_t holder;
+    /// The holder does not have the flow yet but is about to decide.
+    bool claims;
+};
+
 static void
 finish(const struct agent_call *call, struct SlFlowShard *shard,
-       struct SlFlow *flow, uint64_t holder);
+       struct SlFlow *flow, struct outcome outcome);
 
 void
 agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
@@ -209,7 +217,7 @@
     event.value = search->asked_count;
     agent_event(call, &event);
     if (search->asked_count == 0) {
-        finish(call, shard, flow, 0);
+        finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
     SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
@@ -333,9 +341,24 @@
     agent_decide(call, shard, p);
 }
 
+static void
+send_to_holder(const struct agent_call *call, struct SlFlowShard *shard,
+               const struct agent_packet *p, struct outcome outcome)
+{
+    uint32_t flags = outcome.claims ? 0 : SL_TUNNEL_LOCATED_FLOW;
+    struct SlFlow *flow = agent_mark(call, shard, p, outcome.holder);
+
+    if (flow != NULL && outcome.claims) {
+        flow->kind = SL_FLOW_PROMISED;
+    }
+    if (!agent_send_on(call, p, outcome.holder, flags)) {
+        agent_drop(call, &p->key, "too_many_hops");
+    }
+}
+
 static void
 finish_packet(const struct agent_call *call, struct SlFlowShard *shard,
-              const struct agent_search *search, uint64_t holder,
+              const struct agent_search *search, struct outcome outcome,
               const struct SlTunnel *tunnel)
 {
     struct agent_packet p;
@@ -351,11 +374,8 @@
         agent_route(call, shard, &p);
         return;
     }
-    if (holder != 0) {
-        agent_mark(call, shard, &p, holder);
-        if (!agent_send_on(call, &p, holder, SL_TUNNEL_LOCATED_FLOW)) {
-            agent_drop(call, &p.key, "too_many_hops");
-        }
+    if (outcome.holder != 0) {
+        send_to_holder(call, shard, &p, outcome);
         return;
     }
     if (agent_is_opening(&p.packet)) {
@@ -365,11 +385,11 @@
     nobody_has_old(call, shard, search, &p);
 }
 
-/// Ends a search; holder 0: nobody is known to have the flow.
 static void
 finish(const struct agent_call *call, struct SlFlowShard *shard,
-       struct SlFlow *flow, uint64_t holder)
+       struct SlFlow *flow, struct outcome outcome)
 {
+    uint64_t holder = outcome.holder;
     struct agent_search *search = take_search(&call->agent->searches, flow);
     struct SlFlowKey key = flow->key;
     const struct SlRouteService *service =
@@ -390,7 +410,8 @@
     agent_event(call, &event);
     SlFlowShard_Remove(shard, flow);
     for (uint32_t i = 0; i < search->waiting_count; i++) {
-        finish_packet(call, shard, search, holder, &search->waiting[i].tunnel);
+        finish_packet(call, shard, search, outcome,
+                      &search->waiting[i].tunnel);
     }
     release_search(search);
 }
@@ -403,7 +424,7 @@
 
     search->round++;
     if (search->round >= AGENT_LOCATE_ROUNDS) {
-        finish(call, shard, flow, 0);
+        finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
     SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
@@ -411,13 +432,6 @@
     send_round(call, &flow->key, search);
 }
 
-void
-agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
-                   struct SlFlow *flow, uint64_t node_id)
-{
-    finish(call, shard, flow, node_id);
-}
-
 /// What this agent knows of a flow that another asks for.
 struct knowledge {
     enum SlLocateAnswer answer;
@@ -559,7 +573,8 @@
     }
     if (claim && known.answer == SL_LOCATE_CLAIMED &&
         tunnel->sender < call->agent->node_id) {
-        agent_locate_yield(call, shard, flow, tunnel->sender);
+        finish(call, shard, flow,
+               (struct outcome){.holder = tunnel->sender, .claims = true});
     }
     SlFlowShard_Unlock(shard);
 }
@@ -614,7 +629,8 @@
 {
     struct agent_search *search = search_of(&call->agent->searches, flow);
     uint32_t place = place_of(search, tunnel->sender);
-    uint64_t holder = answered_holder(call, tunnel);
+    struct outcome outcome = {.holder = answered_holder(call, tunnel),
+                              .claims = tunnel->answer == SL_LOCATE_CLAIMED};
 
     if (place == search->asked_count ||
         search->service_id != tunnel->service_id) {
@@ -623,8 +639,8 @@
     search->answered[place] = true;
     search->recent[place] = tunnel->flags & SL_TUNNEL_RECENT_BOOT;
     note_last_seq(search, tunnel);
-    if (holder != 0 || is_complete(search)) {
-        finish(call, shard, flow, holder);
+    if (outcome.holder != 0 || is_complete(search)) {
+        finish(call, shard, flow, outcome);
     }
 }
 
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -437,11 +437,6 @@
 void
 agent_handle_located(const struct agent_call *call,
                      const struct SlTunnel *tunnel);
-/// A claim by a lower node: this agent's own search ends in its favour.
-void
-agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
-                   struct SlFlow *flow, uint64_t node_id);
-
 /* agent_refuse.c */
 /// Refuses a new flow. not_run: nothing was delivered anywhere.
 void
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -17,6 +17,7 @@
     FX_ENTRIES = 4,
     FX_PORTS = 65536,
     FX_LATENCY_US = 1000,
+    FX_SECOND_US = 1000000,
     FX_EVENTS = 1700,
     FX_UPSTREAM = FX_AGENTS,
 };
@@ -104,9 +105,20 @@
     uint32_t queued;
     uint32_t room;
     uint64_t numbers;
+    /// The table before the last one.
     struct SlRouting *old;
+    /// Tunnel datagrams lost, of 100, and the state of the random numbers.
+    uint32_t loss_percent;
+    uint64_t random;
 };
 
+static inline uint32_t
+fx_random(struct fixture *fx)
+{
+    fx->random = fx->random * 6364136223846793005u + 1442695040888963407u;
+    return (uint32_t)(fx->random >> 33);
+}
+
 static inline bool
 fx_before(const struct fx_message *a, const struct fx_message *b)
 {
@@ -249,7 +261,8 @@
 
     (void)to;
     CU_ASSERT_EQUAL(tunnel->sender, agent->node_id);
-    if (agent->cut_off || (peer != NULL && peer->cut_off)) {
+    if (agent->cut_off || (peer != NULL && peer->cut_off) ||
+        fx_random(agent->fx) % 100 < agent->fx->loss_percent) {
         return;
     }
     if (peer != NULL) {
@@ -666,7 +679,8 @@
 {
     SlRouting_Unref(fx->old);
     fx->old = SlRouting_Ref(fx->site.routing);
-    fx->site.now_us = fx->now_us;
+    /* site_build adds a second. */
+    fx->site.now_us = fx->now_us - FX_SECOND_US;
     site_build(&fx->site);
     for (uint32_t i = 0; i < fx->agent_count; i++) {
         if (&fx->agents[i] != behind) {
