--- /dev/null
+++ b/packages/ctl/src/commands.c
@@ -0,0 +1,48 @@
+#include "ctl.h"
+
+/// All commands, in the order of the help text.
+
+#define CHANGE (SL_TAKES_REQUEST | SL_TAKES_EXPECT)
+
+const struct SlCommand SL_COMMANDS[] = {
+    {"create", NULL, 2, 2,
+     SL_TAKES_REQUEST | SL_TAKES_SELECTOR | SL_TAKES_SERVICE | SL_TAKES_LABELS,
+     "create service|zone|group NAME", "create an object", SlCtl_Create},
+    {"show", NULL, 2, 2, 0, "show KIND NAME", "show one object", SlCtl_Show},
+    {"list", NULL, 1, 1, 0, "list KIND", "list all objects of a kind",
+     SlCtl_List},
+    {"label", NULL, 3, SL_CTL_WORDS_MAX, CHANGE,
+     "label KIND NAME KEY=VALUE|KEY-...", "set and remove labels",
+     SlCtl_Label},
+    {"select", NULL, 3, 3, CHANGE, "select service|group NAME SELECTOR",
+     "replace a selector", SlCtl_Select},
+    {"delete", NULL, 2, 2, CHANGE, "delete KIND NAME", "delete an object",
+     SlCtl_Delete},
+    {"zone", "out", 1, 1, CHANGE | SL_TAKES_HOLD,
+     "zone out NAME --hold KEY --reason TEXT",
+     "keep an availability zone out; its flows end", SlCtl_ZoneOut},
+    {"zone", "in", 1, 1, CHANGE | SL_TAKES_HOLD, "zone in NAME --hold KEY",
+     "release a hold; the zone is in when none is left", SlCtl_ZoneIn},
+    {"upstream", "drain", 1, 1, CHANGE | SL_TAKES_HOLD,
+     "upstream drain NAME --hold KEY --reason TEXT",
+     "give an upstream no new flows", SlCtl_UpstreamDrain},
+    {"upstream", "return", 1, 1, CHANGE | SL_TAKES_HOLD,
+     "upstream return NAME --hold KEY", "release a hold of an upstream",
+     SlCtl_UpstreamReturn},
+    {"status", NULL, 0, 0, 0, "status", "what the asked process is and does",
+     SlCtl_Status},
+    {"metrics", NULL, 0, 0, 0, "metrics", "its counters", SlCtl_Metrics},
+    {"wait", NULL, 1, 1, 0, "wait VERSION|latest",
+     "wait until a version is in force everywhere", SlCtl_Wait},
+    {"member", "add", 2, 2, SL_TAKES_REQUEST, "member add NAME ADDRESS",
+     "add a control instance; it votes once caught up", SlCtl_MemberAdd},
+    {"member", "remove", 1, 1, SL_TAKES_REQUEST, "member remove NAME",
+     "remove a control instance", SlCtl_MemberRemove},
+    {"record", "on", 1, 1, 0, "record on FILE",
+     "record inputs and decisions of the asked process", SlCtl_RecordOn},
+    {"record", "off", 0, 0, 0, "record off", "end the recording",
+     SlCtl_RecordOff},
+    {"key", "new", 1, 1, 0, "key new FILE",
+     "draw a site key and write it to a new file", SlCtl_KeyNew},
+    {NULL, NULL, 0, 0, 0, NULL, NULL, NULL},
+};
