--- a/packages/common/include/savoryledge/common/packet.h
+++ b/packages/common/include/savoryledge/common/packet.h
@@ -136,6 +136,15 @@
 bool
 SlPacket_ClampMss(uint8_t *bytes, uint32_t length_bytes, uint16_t mss_bytes);
 
+/// Turns the headers of a datagram's first fragment, from which the fragment
+/// header of IPv6 was taken out, into those of the whole datagram.
+///
+/// bytes: the headers, then the payload; header_bytes: at least those of a
+/// plain IP header; protocol: what follows the headers.
+void
+SlPacket_JoinHeaders(uint8_t *bytes, uint32_t header_bytes,
+                     uint32_t length_bytes, uint8_t protocol);
+
 /// True when the TCP or UDP checksum of a whole packet holds.
 bool
 SlPacket_ChecksumOk(const struct SlPacket *packet);
--- a/packages/common/src/packet_build.c
+++ b/packages/common/src/packet_build.c
@@ -201,3 +201,50 @@
     reset.ack = packet->tcp_seq + occupied;
     return SlPacket_BuildTcp(&reset, out, room_bytes);
 }
+
+static void
+join_ipv4(uint8_t *bytes, uint32_t header_bytes, uint32_t length_bytes)
+{
+    struct iphdr header;
+
+    memcpy(&header, bytes, sizeof(header));
+    header.frag_off = 0;
+    header.tot_len = htons((uint16_t)length_bytes);
+    header.check = 0;
+    memcpy(bytes, &header, sizeof(header));
+    header.check = packet_fold(packet_sum(0, bytes, header_bytes));
+    memcpy(bytes, &header, sizeof(header));
+}
+
+/// Names the protocol where the fragment header stood.
+static void
+join_ipv6(uint8_t *bytes, uint32_t header_bytes, uint32_t length_bytes,
+          uint8_t protocol)
+{
+    uint16_t payload =
+        htons((uint16_t)(length_bytes - PACKET_IPV6_HEADER_BYTES));
+    uint32_t next_at = offsetof(struct ip6_hdr, ip6_nxt);
+    uint32_t at = PACKET_IPV6_HEADER_BYTES;
+
+    memcpy(bytes + offsetof(struct ip6_hdr, ip6_plen), &payload,
+           sizeof(payload));
+    while (bytes[next_at] != IPPROTO_FRAGMENT &&
+           at + PACKET_EXTENSION_UNIT_BYTES <= header_bytes) {
+        next_at = at;
+        at += (bytes[at + 1] + 1U) * PACKET_EXTENSION_UNIT_BYTES;
+    }
+    bytes[next_at] = protocol;
+}
+
+void
+SlPacket_JoinHeaders(uint8_t *bytes, uint32_t header_bytes,
+                     uint32_t length_bytes, uint8_t protocol)
+{
+    assert(length_bytes <= SL_PACKET_MAX_BYTES);
+    if (bytes[0] >> 4 == 4) {
+        join_ipv4(bytes, header_bytes, length_bytes);
+    }
+    else {
+        join_ipv6(bytes, header_bytes, length_bytes, protocol);
+    }
+}
--- a/packages/common/src/packet_parse.c
+++ b/packages/common/src/packet_parse.c
@@ -15,7 +15,6 @@
 
 enum {
     EXTENSION_HEADERS_MAX = 8,
-    EXTENSION_UNIT_BYTES = 8,
     QUOTED_PORTS_BYTES = 4,
 };
 
@@ -101,17 +100,18 @@
 
     for (uint32_t i = 0; is_extension(view->protocol); i++) {
         uint8_t protocol = view->protocol;
-        uint32_t header_bytes = EXTENSION_UNIT_BYTES;
+        uint32_t header_bytes = PACKET_EXTENSION_UNIT_BYTES;
 
         if (i == EXTENSION_HEADERS_MAX ||
-            at + EXTENSION_UNIT_BYTES > length_bytes) {
+            at + PACKET_EXTENSION_UNIT_BYTES > length_bytes) {
             return SL_MALFORMED;
         }
         if (protocol == IPPROTO_FRAGMENT) {
             read_fragment_header(bytes + at, view);
         }
         else {
-            header_bytes += bytes[at + 1] * (uint32_t)EXTENSION_UNIT_BYTES;
+            header_bytes +=
+                bytes[at + 1] * (uint32_t)PACKET_EXTENSION_UNIT_BYTES;
         }
         view->protocol = bytes[at];
         at += header_bytes;
