Route callers' packets at the entry

A zone that is out gets nothing, also from the cache. When only draining members are left they get what is unknown, since one may hold the flow; when nobody is left a SYN is reset, a datagram gets port unreachable (outcome unknown), and packets of established flows stay unanswered, as a stale entry must not end them.

Fragments are sent to the entry that source, destination and identification choose (new datagram kind FRAGMENT) and put together there. SYNs of both directions have their MSS lowered to the tunnel; packets that must not be fragmented are answered with the size.

--- a/packages/coordination/include/savoryledge/coordination/entry.h
+++ b/packages/coordination/include/savoryledge/coordination/entry.h
@@ -6,6 +6,13 @@
 ///
 /// It keeps no state that others need. Its cache only saves the detour over
 /// a bucket's home, and is filled by agents' hints alone.
+///
+/// Fragments of one datagram may reach different entries: each is handed to
+/// one entry, chosen by source, destination and identification, which puts
+/// the datagram together and then treats it as any packet. A datagram is
+/// given up when a fragment is late or lost, when two entries disagree on who
+/// gathers (during a change of the set of entries), or when it is larger than
+/// SL_PACKET_MTU_BYTES.
 
 #include "savoryledge/coordination/core.h"
 #include "savoryledge/state/routing.h"
@@ -16,8 +23,10 @@
     struct SlCoreOptions core;
     /// Flows in the cache, rounded up to a power of two; 0 takes 1 << 20.
     uint32_t cache_flows;
-    /// Largest packet that fits the tunnel; larger ones are answered with
-    /// the size, or cut by MSS clamping. Bytes, 1280..9000; 0 takes 1400.
+    /// Largest packet that fits the tunnel. The MSS option of each SYN is
+    /// lowered to it; a larger packet that must not be fragmented is answered
+    /// with the size; others go through, and the tunnel's own datagram is
+    /// fragmented below. Bytes, 1280..9000; 0 takes 1400.
     uint16_t tunnel_mtu_bytes;
 };
 
@@ -32,6 +41,7 @@
     uint64_t malformed;
     uint64_t too_big;
     uint64_t skipped;
+    uint64_t fragments;
     uint64_t cache_bytes;
 };
 
@@ -48,9 +58,9 @@
 SlEntry_SetRouting(struct SlEntry *entry, struct SlSink *sink, uint64_t now_us,
                    struct SlRouting *routing);
 
-/// Handles CALLER_PACKET, TUNNEL (RETURN, HINT, PING) and TICK; ignores the
-/// rest. Any number of threads, each registered with liburcu, each with its
-/// own sink.
+/// Handles CALLER_PACKET, TUNNEL (RETURN, HINT, PING, FRAGMENT) and TICK;
+/// ignores the rest. Any number of threads, each registered with liburcu, each
+/// with its own sink.
 void
 SlEntry_Handle(struct SlEntry *entry, struct SlSink *sink,
                const struct SlInput *input);
--- /dev/null
+++ b/packages/coordination/src/entry_route.c
@@ -0,0 +1,308 @@
+/// Where a caller's packet goes: the cached holder, else the bucket's home.
+
+#include <netinet/in.h>
+
+#include "entry_internal.h"
+
+enum {
+    /// As long as a packet sent before the move may still be repeated.
+    MOVED_RECENTLY_US = 120 * 1000 * 1000,
+};
+
+/// A packet and what is known about where it goes.
+struct route {
+    const struct SlPacket *packet;
+    struct SlFlowKey flow;
+    const struct SlRouteService *service;
+    uint32_t bucket;
+    uint64_t hash;
+    bool starts_flow;
+    bool cached;
+    const struct SlRouteNode *node;
+    /// A silent first choice that was left out.
+    const struct SlRouteNode *skipped;
+    const char *reason;
+};
+
+uint64_t
+entry_cache_hash(const struct SlEntry *entry, uint64_t service_id,
+                 const struct SlFlowKey *flow)
+{
+    /* A service that takes over an address does not take over its flows. */
+    return SlFlowKey_Hash(flow, entry->options.core.hash_seed ^ service_id);
+}
+
+static void
+report_route(const struct entry_call *call, const struct route *route)
+{
+    entry_event(call, (struct SlEvent){.number = SL_EVENT_ROUTE,
+                                       .flow = &route->flow,
+                                       .service = route->service->name,
+                                       .node = route->node->name,
+                                       .reason = route->reason,
+                                       .value = route->bucket});
+}
+
+static void
+report_failure(const struct entry_call *call, const struct route *route,
+               const char *reason)
+{
+    entry_fail(call, (struct SlEvent){.number = SL_EVENT_ROUTE_FAILED,
+                                      .flow = &route->flow,
+                                      .service = route->service
+                                                     ? route->service->name
+                                                     : NULL,
+                                      .reason = reason});
+}
+
+/// The holder that the cache names, if a packet may still go there.
+static const struct SlRouteNode *
+cached_holder(const struct entry_call *call, const struct route *route)
+{
+    uint64_t node_id =
+        flow_cache_get(call->entry->cache, route->hash, call->now_us);
+    const struct SlRouteNode *node;
+
+    if (node_id == 0) {
+        return NULL;
+    }
+    node = SlRouting_FindNode(call->view->routing, node_id);
+    if (node != NULL && !node->zone_out) {
+        return node;
+    }
+    flow_cache_remove(call->entry->cache, route->hash, node_id);
+    entry_event(call, (struct SlEvent){.number = SL_EVENT_CACHE_DROPPED,
+                                       .flow = &route->flow,
+                                       .service = route->service->name,
+                                       .node = node ? node->name : NULL,
+                                       .reason = node ? "zone_out" : "gone"});
+    return NULL;
+}
+
+static const struct SlRouteNode *
+member_at(const struct SlRouteService *service, uint16_t index)
+{
+    return index == SL_NO_MEMBER ? NULL : service->members[index];
+}
+
+static enum agent_verdict
+ask_health(const struct entry_call *call, const struct SlRouteNode *node)
+{
+    struct agent_health *health =
+        agent_healths_find(call->view->healths, node->node_id);
+    enum agent_verdict verdict;
+    uint64_t silent_us = 0;
+
+    if (health == NULL) {
+        return AGENT_GOOD;
+    }
+    verdict = agent_health_ask(health, call->now_us, &silent_us);
+    if (verdict == AGENT_TURNED_SUSPECT) {
+        entry_event(call, (struct SlEvent){.number = SL_EVENT_UPSTREAM_SUSPECT,
+                                           .node = node->name,
+                                           .reason = "unanswered",
+                                           .value = (int64_t)silent_us,
+                                           .limit = AGENT_SILENCE_US});
+    }
+    return verdict;
+}
+
+/// The bucket's first choice, or the second while the first is silent.
+static void
+choose_home(const struct entry_call *call, struct route *route)
+{
+    const struct SlRouteBucket *bucket =
+        &route->service->buckets[route->bucket];
+    const struct SlRouteNode *first =
+        member_at(route->service, bucket->choice[0]);
+    const struct SlRouteNode *second =
+        member_at(route->service, bucket->choice[1]);
+
+    route->node = first;
+    route->reason = "first_choice";
+    if (first == NULL || second == NULL ||
+        ask_health(call, first) == AGENT_GOOD ||
+        ask_health(call, second) != AGENT_GOOD) {
+        return;
+    }
+    route->node = second;
+    route->skipped = first;
+    route->reason = "second_choice";
+    entry_count(call, COUNT_SKIPPED);
+}
+
+/// Nobody takes new flows, but a draining member may hold this one, and can
+/// find out which.
+static void
+choose_draining(struct route *route)
+{
+    const struct SlRouteService *service = route->service;
+    const struct SlRouteNode *previous =
+        member_at(service, service->buckets[route->bucket].previous);
+
+    route->reason = "draining";
+    if (previous != NULL && !previous->zone_out) {
+        route->node = previous;
+        return;
+    }
+    for (uint32_t i = 0; i < service->member_count; i++) {
+        uint32_t at = (route->bucket + i) % service->member_count;
+
+        if (!service->members[at]->zone_out) {
+            route->node = service->members[at];
+            return;
+        }
+    }
+}
+
+/// Answers a packet that nobody can take. What established flows send stays
+/// unanswered: this entry may know too little to end them.
+static void
+refuse(const struct entry_call *call, const struct route *route)
+{
+    uint8_t answer[SL_PACKET_ANSWER_BYTES];
+    uint32_t length = 0;
+
+    entry_count(call, COUNT_NO_UPSTREAM);
+    report_failure(call, route, "no_upstream");
+    if (route->packet->kind == SL_PACKET_UDP) {
+        length = SlPacket_BuildIcmp(route->packet, SL_ICMP_PORT_UNREACHABLE, 0,
+                                    answer, sizeof(answer));
+    }
+    else if (route->starts_flow) {
+        length = SlPacket_BuildReset(route->packet, answer, sizeof(answer));
+    }
+    if (length > 0) {
+        call->sink->type->send_to_caller(call->sink, answer, length);
+    }
+}
+
+/// The bucket's home before its last move, while that matters.
+static uint64_t
+previous_home(const struct entry_call *call, const struct route *route)
+{
+    const struct SlRouteBucket *bucket =
+        &route->service->buckets[route->bucket];
+    const struct SlRouteNode *previous =
+        member_at(route->service, bucket->previous);
+
+    if (previous == NULL || previous == route->node ||
+        call->now_us >= bucket->moved_us + MOVED_RECENTLY_US) {
+        return 0;
+    }
+    return previous->node_id;
+}
+
+static void
+forward(const struct entry_call *call, const struct route *route)
+{
+    struct SlTunnel tunnel = entry_tunnel(call, SL_TUNNEL_FORWARD);
+    uint8_t copy[SL_PACKET_MTU_BYTES];
+
+    tunnel.service_id = route->service->service_id;
+    tunnel.origin = call->entry->node_id;
+    tunnel.packet = route->packet->bytes;
+    tunnel.packet_bytes = route->packet->length_bytes;
+    if (route->cached) {
+        tunnel.flags |= SL_TUNNEL_CACHED;
+    }
+    else {
+        tunnel.previous = previous_home(call, route);
+    }
+    if (route->skipped != NULL) {
+        tunnel.flags |= SL_TUNNEL_SKIPPED;
+        tunnel.skipped = route->skipped->node_id;
+    }
+    if (route->packet->kind == SL_PACKET_TCP &&
+        (route->packet->tcp_flags & SL_TCP_SYN)) {
+        tunnel.packet = entry_clamp_mss(call->entry, tunnel.packet,
+                                        tunnel.packet_bytes, copy);
+    }
+    entry_count(call, COUNT_FORWARDED);
+    call->sink->type->send_tunnel(call->sink, route->node->node_id,
+                                  &route->node->tunnel, &tunnel);
+}
+
+/// Notes that an answer is due: agents answer what may start a flow.
+static void
+note_waiting(const struct entry_call *call, const struct route *route)
+{
+    struct agent_health *health;
+
+    if (!route->starts_flow && route->packet->kind != SL_PACKET_UDP) {
+        return;
+    }
+    health = agent_healths_find(call->view->healths, route->node->node_id);
+    if (health != NULL) {
+        agent_health_sent(health, call->now_us);
+    }
+}
+
+static void
+route_uncached(const struct entry_call *call, struct route *route)
+{
+    choose_home(call, route);
+    if (route->node == NULL) {
+        choose_draining(route);
+    }
+    if (route->node == NULL) {
+        refuse(call, route);
+        return;
+    }
+    report_route(call, route);
+    note_waiting(call, route);
+    forward(call, route);
+}
+
+static void
+route_known_service(const struct entry_call *call, struct route *route)
+{
+    const struct SlPacket *packet = route->packet;
+
+    route->bucket =
+        SlRouting_BucketOf(route->service->service_id, &route->flow);
+    route->hash = entry_cache_hash(call->entry, route->service->service_id,
+                                   &route->flow);
+    route->starts_flow =
+        packet->kind == SL_PACKET_TCP &&
+        (packet->tcp_flags & (SL_TCP_SYN | SL_TCP_ACK | SL_TCP_RST)) ==
+            SL_TCP_SYN;
+    if (route->starts_flow) {
+        flow_cache_remove(call->entry->cache, route->hash, 0);
+        route_uncached(call, route);
+        return;
+    }
+    route->node = cached_holder(call, route);
+    if (route->node == NULL) {
+        route_uncached(call, route);
+        return;
+    }
+    route->cached = true;
+    entry_count(call, COUNT_CACHE_HITS);
+    forward(call, route);
+}
+
+void
+entry_route(const struct entry_call *call, const struct SlPacket *packet,
+            bool gathered)
+{
+    struct route route = {.packet = packet};
+
+    SlPacket_CallerKey(packet, &route.flow);
+    route.service = SlRouting_FindService(
+        call->view->routing, &route.flow.service, route.flow.protocol);
+    if (route.service == NULL) {
+        entry_count(call, COUNT_NO_SERVICE);
+        report_failure(call, &route, "no_service");
+        return;
+    }
+    if (!gathered && entry_refuse_too_big(call, packet)) {
+        return;
+    }
+    if (packet->length_bytes > SL_PACKET_MTU_BYTES) {
+        entry_count(call, COUNT_TOO_BIG);
+        report_failure(call, &route, "too_long");
+        return;
+    }
+    route_known_service(call, &route);
+}
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -146,6 +146,7 @@
     case SL_TUNNEL_RETURN:
     case SL_TUNNEL_HINT:
     case SL_TUNNEL_PING:
+    case SL_TUNNEL_FRAGMENT:
         if (node->entry != NULL) {
             SlEntry_Handle(node->entry, sink, input);
         }
--- a/packages/protocol/include/savoryledge/protocol/tunnel.h
+++ b/packages/protocol/include/savoryledge/protocol/tunnel.h
@@ -37,6 +37,8 @@
     /// Agent to the entries on its return path, and the echo.
     SL_TUNNEL_PING,
     SL_TUNNEL_PONG,
+    /// Entry to entry: a fragment, for the entry that gathers its datagram.
+    SL_TUNNEL_FRAGMENT,
     SL_TUNNEL_KIND_COUNT
 };
 
@@ -101,7 +103,7 @@
     uint32_t load_room;
     /// PING, PONG: the pinger's time, echoed.
     uint64_t ping_us;
-    /// FORWARD, RETURN: the IP packet, borrowed.
+    /// FORWARD, RETURN, FRAGMENT: the IP packet, borrowed.
     const uint8_t *packet;
     uint32_t packet_bytes;
 };
--- a/packages/protocol/src/tunnel.c
+++ b/packages/protocol/src/tunnel.c
@@ -39,6 +39,7 @@
     [SL_TUNNEL_LOAD] = {"load", PART_LOAD},
     [SL_TUNNEL_PING] = {"ping", PART_PING},
     [SL_TUNNEL_PONG] = {"pong", PART_PING},
+    [SL_TUNNEL_FRAGMENT] = {"fragment", PART_PACKET},
 };
 
 static uint32_t
