--- a/example/standin_callers.c
+++ b/example/standin_callers.c
@@ -204,7 +204,7 @@
     flow->state = FLOW_THINKING;
     flow->due_us =
         now_us +
-        1000U * (THINK_MS / 2 + standin_random(&callers->random, THINK_MS));
+        1000ULL * (THINK_MS / 2 + standin_random(&callers->random, THINK_MS));
 }
 
 static void
@@ -398,7 +398,8 @@
         flow->fd = -1;
         flow->service = service;
         flow->forever = i % 2 == 0;
-        flow->due_us = now_us + 1000U * standin_random(&callers->random, 4000);
+        flow->due_us =
+            now_us + 1000ULL * standin_random(&callers->random, 4000);
     }
 }
 
--- a/example/standin_fabric.c
+++ b/example/standin_fabric.c
@@ -215,6 +215,7 @@
     struct arg_end *end = arg_end(8);
     void *table[] = {seed, seconds, encap, callers, entry, service, end};
     struct SlAddress own;
+    struct SlAddress from;
 
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, "standin_fabric");
@@ -222,13 +223,15 @@
     }
     fabric.random = seed->count > 0 ? (uint64_t)seed->ival[0] : 1;
     own = standin_address(encap->sval[0]);
+    from = own;
+    from.port = 0;
     fabric.encap = standin_socket(&own, NULL);
     fabric.callers = standin_address(callers->sval[0]);
     for (int i = 0; i < entry->count; i++) {
         struct port *port = &fabric.entries[fabric.entry_count++];
 
         port->address = standin_address(entry->sval[i]);
-        port->fd = standin_socket(NULL, &port->address);
+        port->fd = standin_socket(&from, &port->address);
     }
     for (int i = 0; i < service->count; i++) {
         struct port *port = &fabric.services[fabric.service_count++];
--- a/example/standin_upstream.c
+++ b/example/standin_upstream.c
@@ -2,8 +2,9 @@
 /// slots and a cold start, and a TCP end whose packets come over encap.
 ///
 /// It answers requests with its own name and zone, pushes nothing of its own,
-/// and at its end prints what it saw: requests, the most it had in progress,
-/// requests of a foreign service, orders that ran twice, the last packet.
+/// and at its end, on SIGTERM and on SIGUSR1 prints what it saw: requests, the
+/// most it had in progress, requests of a foreign service, orders that ran
+/// twice, the last packet.
 
 #include <argtable2.h>
 #include <poll.h>
@@ -57,6 +58,27 @@
     uint64_t last_us;
 };
 
+static volatile sig_atomic_t print_asked;
+static volatile sig_atomic_t end_asked;
+
+static void
+on_signal(int number)
+{
+    print_asked = print_asked || number == SIGUSR1;
+    end_asked = end_asked || number == SIGTERM;
+}
+
+static void
+print_counts(const struct upstream *upstream)
+{
+    printf("upstream name=%s zone=%s requests=%" PRIu64 " foreign=%" PRIu64
+           " unknown=%" PRIu64 " dropped=%" PRIu64
+           " most_waiting=%u last_us=%" PRIu64 "\n",
+           upstream->name, upstream->zone, upstream->requests,
+           upstream->foreign, upstream->unknown, upstream->dropped,
+           upstream->most_waiting, upstream->last_us);
+}
+
 static void
 answer(struct upstream *upstream, const struct job *job)
 {
@@ -255,11 +277,15 @@
         {.fd = upstream->udp, .events = POLLIN},
         {.fd = upstream->encap, .events = POLLIN},
     };
-    uint64_t now_us;
+    uint64_t now_us = standin_now_us();
 
-    while ((now_us = standin_now_us()) < end_us) {
+    while (now_us < end_us && !end_asked) {
         (void)poll(polls, 2, upstream->job_count > 0 ? 1 : 10);
         now_us = standin_now_us();
+        if (print_asked) {
+            print_asked = 0;
+            print_counts(upstream);
+        }
         read_udp(upstream, now_us);
         read_encap(upstream, now_us);
         end_jobs(upstream, now_us);
@@ -289,6 +315,9 @@
         arg_print_errors(stderr, end, "standin_upstream");
         return 2;
     }
+    signal(SIGUSR1, on_signal);
+    signal(SIGTERM, on_signal);
+    setvbuf(stdout, NULL, _IOLBF, 0);
     upstream.name = name->sval[0];
     upstream.zone = zone->sval[0];
     upstream.service = service->sval[0];
@@ -302,12 +331,7 @@
     address = standin_address(encap->sval[0]);
     upstream.encap = standin_socket(&address, NULL);
     run(&upstream, now_us + (uint64_t)seconds->ival[0] * 1000U * 1000U);
-    printf("upstream name=%s zone=%s requests=%" PRIu64 " foreign=%" PRIu64
-           " unknown=%" PRIu64 " dropped=%" PRIu64
-           " most_waiting=%u last_us=%" PRIu64 "\n",
-           upstream.name, upstream.zone, upstream.requests, upstream.foreign,
-           upstream.unknown, upstream.dropped, upstream.most_waiting,
-           upstream.last_us);
+    print_counts(&upstream);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return 0;
 }
