--- a/packages/ctl/src/command_change.c
+++ b/packages/ctl/src/command_change.c
@@ -303,35 +303,39 @@
     return SlCtl_RunChange(ctl, &change);
 }
 
+/// Each operator has a hold of their own, so that one does not release
+/// another's by accident.
+static const char *
+default_hold(void)
+{
+    const char *user = getenv("USER");
+
+    return user != NULL && user[0] != '\0' ? user : "operator";
+}
+
 static int
 run_hold(struct SlCtl *ctl, enum SlVerb verb, enum SlKind kind)
 {
     const struct SlCtlOptions *options = &ctl->options;
     struct SlChange change = {.verb = verb, .object = {.kind = kind}};
     const char *name = options->words[0];
-    const char *reason = options->reason ? options->reason : "";
+    const char *reason = options->reason ? options->reason : "unstated";
+    const char *hold = options->hold ? options->hold : default_hold();
 
     if (strlen(name) >= SL_NAME_BYTES) {
         return SlCtl_Usage(name, "a name has at most %d characters",
                            SL_NAME_BYTES - 1);
     }
-    if (options->hold == NULL) {
-        return SlCtl_Usage("--hold", "is missing; it names who keeps %s out",
-                           name);
-    }
-    if (strlen(options->hold) >= SL_HOLD_KEY_BYTES) {
-        return SlCtl_Usage(options->hold, "a hold has at most %d characters",
+    if (strlen(hold) >= SL_HOLD_KEY_BYTES) {
+        return SlCtl_Usage(hold, "a hold has at most %d characters",
                            SL_HOLD_KEY_BYTES - 1);
     }
     if (strlen(reason) >= SL_REASON_BYTES) {
         return SlCtl_Usage(reason, "a reason has at most %d characters",
                            SL_REASON_BYTES - 1);
     }
-    if (verb == SL_VERB_HOLD && reason[0] == '\0') {
-        return SlCtl_Usage("--reason", "is missing");
-    }
     snprintf(change.object.name, SL_NAME_BYTES, "%s", name);
-    snprintf(change.hold.key, SL_HOLD_KEY_BYTES, "%s", options->hold);
+    snprintf(change.hold.key, SL_HOLD_KEY_BYTES, "%s", hold);
     snprintf(change.hold.reason, SL_REASON_BYTES, "%s", reason);
     return SlCtl_RunChange(ctl, &change);
 }
--- a/packages/ctl/src/command_wait.c
+++ b/packages/ctl/src/command_wait.c
@@ -230,7 +230,8 @@
 int
 SlCtl_Wait(struct SlCtl *ctl)
 {
-    const char *word = ctl->options.words[0];
+    const char *word =
+        ctl->options.word_count > 0 ? ctl->options.words[0] : "latest";
     struct survey survey = {.node_count = 0};
     struct SlVersion wanted = {.term = 0};
     int code;
--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -51,7 +51,7 @@
         .client = arg_str0(NULL, "client", "N", "for a resend: its client"),
         .request = arg_str0(NULL, "request", "N", "its request number"),
         .base = arg_str0(NULL, "base", "VERSION", "its base version"),
-        .hold = arg_str0(NULL, "hold", "KEY", "who keeps it out"),
+        .hold = arg_str0(NULL, "hold", "KEY", "who keeps it out ($USER)"),
         .reason = arg_str0(NULL, "reason", "TEXT", "why"),
         .selector = arg_str0(NULL, "selector", "TERMS",
                              "k=v, k!=v, k in (a,b), k not in (a,b), k, !k"),
@@ -76,7 +76,7 @@
 {
     printf("Usage: savoryledgectl [OPTION]... COMMAND\n\nCommands:\n");
     for (const struct SlCommand *at = SL_COMMANDS; at->first != NULL; at++) {
-        printf("  %-46s %s\n", at->usage, at->meaning);
+        printf("  %-50s %s\n", at->usage, at->meaning);
     }
     printf("\nKIND is service, zone, group, or node (also: upstream, "
            "entry).\n\nOptions:\n");
