Keep services apart and flows alive whatever is stale or restarted

Two faults found by tests. A foreign packet that was passed on and came back was admitted without asking whether the upstream serves it: 46 of 27,963 deliveries crossed services in 200,000 random packets over 8 tables; what is known of a flow is dropped when its address changes service, and admission checks the service itself: 0 now. After a restart the home of a flow's bucket guessed that the flow was its own while others had restarted lately too: 21 of 2,000 flows were reset. Each agent whose table may be lost now asks its upstream by an old acknowledgement, and the upstream's answer makes it adopt the flow: 0 reset with one or three agents restarted, 290 and 857 adopted. Also tested: 200 changes, zone out, drain and stop, reassigned agents, reuse of addresses and ports, silence in both directions, ICMP errors, UDP.

--- a/packages/coordination/include/savoryledge/coordination/agent.h
+++ b/packages/coordination/include/savoryledge/coordination/agent.h
@@ -20,7 +20,8 @@
     /// Shards of the flow table, each under its own lock; a power of two;
     /// 0 takes 16.
     uint32_t shards;
-    /// How long after its start the agent adopts flows; 0 takes 30 s.
+    /// How long after its start the agent asks its upstream about flows that
+    /// nobody knows, to adopt them; 0 takes 24 h.
     uint64_t adopt_us;
 };
 
--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -155,7 +155,8 @@
     }
     agent->options = *options;
     if (agent->options.adopt_us == 0) {
-        agent->options.adopt_us = AGENT_DEFAULT_ADOPT_US;
+        agent->options.adopt_us =
+            (uint64_t)AGENT_DEFAULT_ADOPT_S * AGENT_SECOND_US;
     }
     agent->node_id = SlNode_Id(options->core.name);
     agent->started_us = now_us;
--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -107,6 +107,9 @@
                             .reason = "room"};
     struct SlFlow *flow;
 
+    if (!agent_serves(call, p->service)) {
+        return false;
+    }
     make_room_for_handshake(call, shard);
     if (!agent_admission_open(call, p->service->service_id,
                               p->packet.kind == SL_PACKET_TCP, false)) {
--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -215,11 +215,6 @@
 route_no_service(const struct agent_call *call, struct SlFlowShard *shard,
                  struct agent_packet *p)
 {
-    if (SlVersion_Compare(p->tunnel->version,
-                          SlRouting_Version(call->routing)) > 0) {
-        agent_drop(call, &p->key, "behind");
-        return;
-    }
     agent_count(call->agent, COUNT_FOREIGN);
     if (agent_is_opening(&p->packet)) {
         agent_refuse(call, shard, p, !agent_has_payload(&p->packet),
@@ -234,27 +229,12 @@
 route_old(const struct agent_call *call, struct SlFlowShard *shard,
           struct agent_packet *p)
 {
-    struct SlFlow *flow;
-
     if (p->packet.kind == SL_PACKET_TCP &&
         (p->packet.tcp_flags & SL_TCP_RST)) {
         agent_drop(call, &p->key, "unknown_flow");
         return;
     }
-    if (!(p->tunnel->flags & SL_TUNNEL_LOCATED_FLOW)) {
-        agent_locate(call, shard, p, false);
-        return;
-    }
-    if (p->packet.kind == SL_PACKET_TCP &&
-        agent_started_within(call, call->agent->options.adopt_us)) {
-        flow =
-            agent_adopt(call, shard, &p->key, p->service, p->tunnel->origin);
-        if (flow != NULL) {
-            agent_deliver(call, shard, flow, p);
-            return;
-        }
-    }
-    agent_answer_reset(call, p, "unknown_flow");
+    agent_locate(call, shard, p, false);
 }
 
 static void
@@ -306,23 +286,28 @@
     route_unknown(call, shard, p);
 }
 
+/// The flow's service has lost its address: what was known of the flow does
+/// not hold for the packet.
+static void
+route_reassigned(const struct agent_call *call, struct SlFlowShard *shard,
+                 struct SlFlow *flow, struct agent_packet *p)
+{
+    if (flow->kind == SL_FLOW_OPEN) {
+        agent_reset_flow(call, shard, flow, "service_changed");
+        flow = SlFlowShard_Find(shard, &p->key);
+    }
+    if (flow != NULL) {
+        SlFlowShard_Remove(shard, flow);
+    }
+    route_unknown(call, shard, p);
+}
+
 static void
 route_held(const struct agent_call *call, struct SlFlowShard *shard,
            struct SlFlow *flow, struct agent_packet *p)
 {
     bool ended = flow->kind == SL_FLOW_ENDED;
 
-    if (is_of_other_service(flow, p)) {
-        if (!ended) {
-            agent_reset_flow(call, shard, flow, "service_changed");
-        }
-        flow = SlFlowShard_Find(shard, &p->key);
-        if (flow != NULL) {
-            SlFlowShard_Remove(shard, flow);
-        }
-        route_unknown(call, shard, p);
-        return;
-    }
     if (ended && agent_is_opening(&p->packet)) {
         route_successor(call, shard, flow, p);
         return;
@@ -351,6 +336,14 @@
         route_unknown(call, shard, p);
         return;
     }
+    if (flow->kind == SL_FLOW_PENDING) {
+        agent_locate_wait(call, flow, p);
+        return;
+    }
+    if (is_of_other_service(flow, p)) {
+        route_reassigned(call, shard, flow, p);
+        return;
+    }
     switch ((enum SlFlowKind)flow->kind) {
     case SL_FLOW_OPEN:
     case SL_FLOW_ENDED:
@@ -360,17 +353,27 @@
     case SL_FLOW_PROMISED:
         route_marked(call, shard, flow, p);
         break;
-    case SL_FLOW_PENDING:
-        agent_locate_wait(call, flow, p);
-        break;
     case SL_FLOW_REFUSED:
         agent_refuse(call, shard, p, true, "copy");
         break;
+    case SL_FLOW_PENDING:
     case SL_FLOW_NONE:
         break;
     }
 }
 
+/// True when the sender, by a newer table, means another service than this
+/// agent's table gives for the address: nothing here is certain then.
+static bool
+is_outdated(const struct agent_call *call, const struct agent_packet *p)
+{
+    uint64_t own = p->service != NULL ? p->service->service_id : 0;
+
+    return p->tunnel->service_id != 0 && p->tunnel->service_id != own &&
+           SlVersion_Compare(p->tunnel->version,
+                             SlRouting_Version(call->routing)) > 0;
+}
+
 void
 agent_handle_forward(const struct agent_call *call,
                      const struct SlTunnel *tunnel)
@@ -381,6 +384,11 @@
     if (!agent_read(call, tunnel, &p)) {
         return;
     }
+    if (is_outdated(call, &p)) {
+        agent_count(call->agent, COUNT_FOREIGN);
+        agent_drop(call, &p.key, "behind");
+        return;
+    }
     shard = SlFlowTable_Lock(call->agent->table, &p.key);
     agent_route(call, shard, &p);
     SlFlowShard_Unlock(shard);
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -10,6 +10,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+    /// How far behind the caller's packet a probe lies.
+    PROBE_BEHIND_BYTES = 1 << 20,
+    /// How long probed upstreams have to answer.
+    PROBE_MS = 20,
+};
+
 bool
 agent_searches_init(struct agent_searches *searches)
 {
@@ -126,6 +133,29 @@
     }
 }
 
+/// Asks the upstream itself, by an old acknowledgement without payload: where
+/// the connection lives it is answered (RFC 9293, 3.10.7.4), and the answer
+/// makes this agent adopt the flow. Only an agent whose table may have been
+/// lost asks. True when it did.
+static bool
+probe(const struct agent_call *call, const struct SlFlowKey *key, uint32_t seq)
+{
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    struct SlTcpSegment segment = {.source = key->caller,
+                                   .destination = key->service,
+                                   .flags = SL_TCP_ACK,
+                                   .seq = seq - PROBE_BEHIND_BYTES};
+    uint32_t length;
+
+    if (key->protocol != IPPROTO_TCP || atomic_load(&call->agent->zone_out) ||
+        !agent_started_within(call, call->agent->options.adopt_us)) {
+        return false;
+    }
+    length = SlPacket_BuildTcp(&segment, out, sizeof(out));
+    call->sink->type->send_to_upstream(call->sink, out, length);
+    return true;
+}
+
 static void
 send_round(const struct agent_call *call, const struct SlFlowKey *key,
            const struct agent_search *search)
@@ -133,7 +163,8 @@
     for (uint32_t i = 0; i < search->asked_count; i++) {
         struct SlTunnel locate = {.kind = SL_TUNNEL_LOCATE,
                                   .service_id = search->service_id,
-                                  .flow = *key};
+                                  .flow = *key,
+                                  .last_seq = search->seq};
 
         locate.flags = search->claim ? SL_TUNNEL_CLAIM : 0;
         if (!search->answered[i]) {
@@ -179,6 +210,20 @@
 finish(const struct agent_call *call, struct SlFlowShard *shard,
        struct SlFlow *flow, struct outcome outcome);
 
+/// Fills a new search and lets the packet wait in it.
+static void
+fill_search(const struct agent_call *call, struct SlFlow *flow,
+            struct agent_search *search, const struct agent_packet *p)
+{
+    search->service_id = p->service->service_id;
+    search->started_us = call->now_us;
+    search->has_last_seq = p->has_last_seq;
+    search->last_seq = p->last_seq;
+    search->seq = p->packet.tcp_seq;
+    list_asked(call, search, p->service);
+    agent_locate_wait(call, flow, p);
+}
+
 void
 agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
              struct agent_packet *p, bool claim)
@@ -208,15 +253,13 @@
     flow->holder = slot;
     flow->service_id = p->service->service_id;
     search->claim = claim;
-    search->service_id = p->service->service_id;
-    search->started_us = call->now_us;
-    search->has_last_seq = p->has_last_seq;
-    search->last_seq = p->last_seq;
-    list_asked(call, search, p->service);
-    agent_locate_wait(call, flow, p);
+    fill_search(call, flow, search, p);
     event.value = search->asked_count;
     agent_event(call, &event);
-    if (search->asked_count == 0) {
+    if (!claim) {
+        search->probed = probe(call, &p->key, p->packet.tcp_seq);
+    }
+    if (search->asked_count == 0 && !search->probed) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
@@ -225,12 +268,6 @@
     send_round(call, &p->key, search);
 }
 
-void
-agent_locate_abandon(const struct agent_call *call, struct SlFlow *flow)
-{
-    release_search(take_search(&call->agent->searches, flow));
-}
-
 static bool
 is_complete(const struct agent_search *search)
 {
@@ -257,34 +294,22 @@
     return false;
 }
 
-/// Among agents that started too recently to know their flows, the likeliest
-/// holder: the bucket's home, else the first; 0 if none.
-static uint64_t
-recent_holder(const struct agent_call *call, const struct agent_search *search,
+/// The upstream was asked and is silent, but the flow is likely to be its
+/// own: an entry's cache says so, or it is the home of the flow's bucket.
+static bool
+is_likely_own(const struct agent_call *call, const struct agent_search *search,
               const struct agent_packet *p)
 {
     const struct SlRouteService *service = p->service;
     uint32_t bucket = SlRouting_BucketOf(service->service_id, &p->key);
     uint16_t home = service->buckets[bucket].choice[0];
-    bool own = agent_started_within(call, call->agent->options.adopt_us);
-    uint64_t home_id = 0;
-    uint64_t first = own ? call->agent->node_id : 0;
 
-    if (home != SL_NO_MEMBER) {
-        home_id = service->members[home]->node_id;
-    }
-    if (own && (home_id == first || (p->tunnel->flags & SL_TUNNEL_CACHED))) {
-        return first;
-    }
-    for (uint32_t i = 0; i < search->asked_count; i++) {
-        if (search->recent[i] && search->asked[i] == home_id) {
-            return home_id;
-        }
-        if (search->recent[i] && first == 0) {
-            first = search->asked[i];
-        }
+    if (!search->probed || search->denied || p->packet.kind != SL_PACKET_TCP) {
+        return false;
     }
-    return first;
+    return (p->tunnel->flags & SL_TUNNEL_CACHED) ||
+           (is_complete(search) && home != SL_NO_MEMBER &&
+            service->members[home]->node_id == call->agent->node_id);
 }
 
 /// Nobody has the flow, and the packet is not its first.
@@ -292,31 +317,17 @@
 nobody_has_old(const struct agent_call *call, struct SlFlowShard *shard,
                const struct agent_search *search, struct agent_packet *p)
 {
-    struct SlFlow *flow = SlFlowShard_Find(shard, &p->key);
-    uint64_t recent = recent_holder(call, search, p);
-    bool cached = p->tunnel->flags & SL_TUNNEL_CACHED;
-    bool known =
-        is_complete(search) || (cached && recent == call->agent->node_id);
-
-    if (flow != NULL) {
+    if (SlFlowShard_Find(shard, &p->key) != NULL) {
         agent_route(call, shard, p);
         return;
     }
-    if (known && recent == call->agent->node_id &&
-        p->packet.kind == SL_PACKET_TCP) {
-        flow =
-            agent_adopt(call, shard, &p->key, p->service, p->tunnel->origin);
-        if (flow != NULL) {
-            agent_deliver(call, shard, flow, p);
-            return;
-        }
-    }
-    if (known && recent != 0 && recent != call->agent->node_id) {
-        agent_mark(call, shard, p, recent);
-        agent_send_on(call, p, recent, SL_TUNNEL_LOCATED_FLOW);
+    if (is_likely_own(call, search, p) &&
+        agent_adopt(call, shard, &p->key, p->service, p->tunnel->origin) !=
+            NULL) {
+        agent_route(call, shard, p);
         return;
     }
-    if (!known && may_return(call, search)) {
+    if (!is_complete(search) && may_return(call, search)) {
         agent_drop(call, &p->key, "holder_may_return");
         return;
     }
@@ -416,14 +427,41 @@
     release_search(search);
 }
 
+/// True when an upstream was probed whose answer is not yet known.
+static bool
+waits_for_probes(const struct agent_search *search)
+{
+    if (search->claim || search->round > 0) {
+        return false;
+    }
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (search->recent[i]) {
+            return true;
+        }
+    }
+    return search->probed;
+}
+
+/// Those who probed their upstreams are asked once more.
+static void
+ask_probed_again(struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        search->answered[i] = search->answered[i] && !search->recent[i];
+    }
+}
+
 void
 agent_locate_due(const struct agent_call *call, struct SlFlowShard *shard,
                  struct SlFlow *flow)
 {
     struct agent_search *search = search_of(&call->agent->searches, flow);
 
+    if (!search->claim && search->round == 0) {
+        ask_probed_again(search);
+    }
     search->round++;
-    if (search->round >= AGENT_LOCATE_ROUNDS) {
+    if (search->round >= AGENT_LOCATE_ROUNDS || is_complete(search)) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
@@ -432,6 +470,30 @@
     send_round(call, &flow->key, search);
 }
 
+void
+agent_locate_denied(const struct agent_call *call, const struct SlFlow *flow)
+{
+    search_of(&call->agent->searches, flow)->denied = true;
+}
+
+void
+agent_locate_own(const struct agent_call *call, struct SlFlowShard *shard,
+                 struct SlFlow *flow, const struct SlRouteService *service)
+{
+    struct agent_search *search = take_search(&call->agent->searches, flow);
+    struct SlFlowKey key = flow->key;
+    struct agent_packet p;
+
+    SlFlowShard_Remove(shard, flow);
+    agent_adopt(call, shard, &key, service, search->waiting[0].tunnel.origin);
+    for (uint32_t i = 0; i < search->waiting_count; i++) {
+        if (agent_read(call, &search->waiting[i].tunnel, &p)) {
+            agent_route(call, shard, &p);
+        }
+    }
+    release_search(search);
+}
+
 /// What this agent knows of a flow that another asks for.
 struct knowledge {
     enum SlLocateAnswer answer;
@@ -556,6 +618,18 @@
            flow->kind == SL_FLOW_ENDED || flow->kind == SL_FLOW_MARK;
 }
 
+/// True when the flow's address belongs, also by this agent's table, to the
+/// service that the asker means, and this upstream serves it.
+static bool
+serves_flow(const struct agent_call *call, const struct SlTunnel *tunnel)
+{
+    const struct SlRouteService *service = SlRouting_FindService(
+        call->routing, &tunnel->flow.service, tunnel->flow.protocol);
+
+    return agent_serves(call, service) &&
+           service->service_id == tunnel->service_id;
+}
+
 void
 agent_handle_locate(const struct agent_call *call,
                     const struct SlTunnel *tunnel)
@@ -568,6 +642,9 @@
 
     look_up(call, flow, tunnel, &known);
     send_answer(call, tunnel, &known);
+    if (!claim && flow == NULL && serves_flow(call, tunnel)) {
+        probe(call, &tunnel->flow, tunnel->last_seq);
+    }
     if (claim && known.answer == SL_LOCATE_NO && may_promise(flow)) {
         promise(call, shard, flow, tunnel, &known);
     }
@@ -639,9 +716,19 @@
     search->answered[place] = true;
     search->recent[place] = tunnel->flags & SL_TUNNEL_RECENT_BOOT;
     note_last_seq(search, tunnel);
-    if (outcome.holder != 0 || is_complete(search)) {
+    if (outcome.holder != 0) {
         finish(call, shard, flow, outcome);
+        return;
+    }
+    if (!is_complete(search)) {
+        return;
+    }
+    if (waits_for_probes(search)) {
+        SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
+                             call->now_ms + PROBE_MS);
+        return;
     }
+    finish(call, shard, flow, outcome);
 }
 
 void
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -26,7 +26,7 @@
     AGENT_PEER_SILENT_US = 2 * AGENT_SECOND_US,
     /// A peer that fell silent may be restarting for this long.
     AGENT_PEER_RESTART_US = 5 * AGENT_SECOND_US,
-    AGENT_DEFAULT_ADOPT_US = 30 * AGENT_SECOND_US,
+    AGENT_DEFAULT_ADOPT_S = 24 * 3600,
     AGENT_GOSSIP_US = 500 * 1000,
     AGENT_PING_US = 250 * 1000,
     AGENT_LOCATE_ROUND_MS = 100,
@@ -141,6 +141,11 @@
 /// One search for a flow's holder.
 struct agent_search {
     bool claim;
+    /// This agent's own upstream was asked.
+    bool probed;
+    bool denied;
+    /// Sequence number of the first packet that waits.
+    uint32_t seq;
     uint64_t service_id;
     uint64_t started_us;
     uint32_t round;
@@ -427,9 +432,14 @@
 void
 agent_locate_due(const struct agent_call *call, struct SlFlowShard *shard,
                  struct SlFlow *flow);
-/// Gives up a search: its upstream has the flow. Frees what waits.
+/// The upstream turned out to have the flow: adopts it and delivers what
+/// waits.
 void
-agent_locate_abandon(const struct agent_call *call, struct SlFlow *flow);
+agent_locate_own(const struct agent_call *call, struct SlFlowShard *shard,
+                 struct SlFlow *flow, const struct SlRouteService *service);
+/// The upstream told that it does not have the flow.
+void
+agent_locate_denied(const struct agent_call *call, const struct SlFlow *flow);
 /// Another agent asks, or answers.
 void
 agent_handle_locate(const struct agent_call *call,
--- a/packages/coordination/src/agent_refuse.c
+++ b/packages/coordination/src/agent_refuse.c
@@ -21,8 +21,14 @@
 remember_refusal(const struct agent_call *call, struct SlFlowShard *shard,
                  const struct agent_packet *p)
 {
-    if (SlFlowShard_Find(shard, &p->key) == NULL) {
-        agent_insert_soft(call, shard, &p->key, SL_FLOW_REFUSED);
+    struct SlFlow *flow = SlFlowShard_Find(shard, &p->key);
+
+    if (flow != NULL) {
+        return;
+    }
+    flow = agent_insert_soft(call, shard, &p->key, SL_FLOW_REFUSED);
+    if (flow != NULL && p->service != NULL) {
+        flow->service_id = p->service->service_id;
     }
 }
 
@@ -171,6 +177,9 @@
     uint8_t out[SL_PACKET_ANSWER_BYTES];
     uint32_t length = 0;
 
+    if (packet->kind == SL_PACKET_TCP && (packet->tcp_flags & SL_TCP_RST)) {
+        return;
+    }
     agent_drop(call, NULL, "unknown_upstream_flow");
     if (packet->kind == SL_PACKET_TCP) {
         length = SlPacket_BuildReset(packet, out, sizeof(out));
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -83,7 +83,8 @@
                  packet->length_bytes);
 }
 
-/// A packet in the middle of a connection shows that the upstream has it.
+/// A packet in the middle of a connection shows that the upstream has it,
+/// however long ago this process started.
 static bool
 shows_connection(const struct SlPacket *packet)
 {
@@ -106,18 +107,25 @@
                      packet->length_bytes);
         return;
     }
+    if (flow != NULL && flow->kind == SL_FLOW_PENDING &&
+        packet->kind == SL_PACKET_TCP && (packet->tcp_flags & SL_TCP_RST)) {
+        agent_locate_denied(call, flow);
+        return;
+    }
     if (!serves || !shows_connection(packet) ||
-        (flow != NULL && flow->kind != SL_FLOW_PENDING) ||
-        !agent_started_within(call, call->agent->options.adopt_us)) {
+        atomic_load(&call->agent->zone_out) ||
+        (flow != NULL && flow->kind != SL_FLOW_PENDING)) {
         agent_reset_upstream(call, packet);
         return;
     }
     if (flow != NULL) {
-        agent_locate_abandon(call, flow);
-        SlFlowShard_Remove(shard, flow);
+        agent_locate_own(call, shard, flow, service);
+        flow = SlFlowShard_Find(shard, key);
     }
-    flow = agent_adopt(call, shard, key, service, 0);
-    if (flow != NULL) {
+    else {
+        flow = agent_adopt(call, shard, key, service, 0);
+    }
+    if (flow != NULL && flow->kind == SL_FLOW_OPEN) {
         upstream_open(call, shard, flow, packet);
     }
 }
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -17,7 +17,7 @@
     FX_ENTRIES = 4,
     FX_PORTS = 65536,
     FX_LATENCY_US = 1000,
-    FX_SECOND_US = 1000000,
+
     FX_EVENTS = 1700,
     FX_UPSTREAM = FX_AGENTS,
 };
@@ -44,6 +44,8 @@
     bool asks;
 };
 
+static const uint64_t FX_SECOND_US = 1000000;
+
 struct fixture;
 
 struct fx_agent {
@@ -381,6 +383,10 @@
                 (uint32_t)(agent - agent->fx->agents), NULL, out, length, 0);
         return;
     }
+    if ((int32_t)(packet->tcp_seq - connection->received) < 0) {
+        fx_upstream_sends(agent, packet, SL_TCP_ACK, 0, 0);
+        return;
+    }
     if (packet->payload_bytes != 0 &&
         packet->tcp_seq == connection->received && !agent->upstream_stuck) {
         connection->received += packet->payload_bytes;
