Measure times of several threads without wrapping below zero

Two threads note times a moment apart; a tick that came a moment earlier saw a flow's last packet in its future and took it for idle since 49 days.

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -71,7 +71,7 @@
 bool
 agent_started_within(const struct agent_call *call, uint64_t bound_us)
 {
-    return call->now_us - call->agent->started_us < bound_us;
+    return agent_elapsed_us(call->now_us, call->agent->started_us) < bound_us;
 }
 
 bool
--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -201,7 +201,7 @@
     uint64_t raised = cold ? flows : (uint64_t)flows * 2;
 
     if (admission->good_answers < needed ||
-        now_us - admission->grown_us < STEP_US) {
+        agent_elapsed_us(now_us, admission->grown_us) < STEP_US) {
         return false;
     }
     admission->good_answers = 0;
@@ -233,7 +233,7 @@
 {
     uint32_t half = admission->limit_exchanges / 2;
 
-    if (now_us - admission->cut_us < CUT_INTERVAL_US) {
+    if (agent_elapsed_us(now_us, admission->cut_us) < CUT_INTERVAL_US) {
         return;
     }
     admission->cut_us = now_us;
@@ -298,7 +298,8 @@
 judge_answer(struct agent_admission *admission, const struct agent_call *call,
              const struct SlFlow *flow)
 {
-    uint64_t took_us = (uint64_t)(call->now_ms - flow->exchange_ms) * 1000;
+    uint64_t took_us =
+        (uint64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
     bool measured = flow->flags & SL_FLOW_ASKED;
 
     admission->exchanges--;
@@ -340,7 +341,8 @@
                          const struct SlFlow *flow)
 {
     struct agent_admission *admission = &call->agent->admission;
-    int64_t took_us = (int64_t)(call->now_ms - flow->exchange_ms) * 1000;
+    int64_t took_us =
+        (int64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
     enum verdict verdict;
 
     pthread_mutex_lock(&admission->lock);
@@ -377,12 +379,14 @@
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms)
 {
     struct agent_admission *admission = &call->agent->admission;
-    uint64_t waited_us = (uint64_t)(call->now_ms - since_ms) * 1000;
+    uint64_t waited_us =
+        (uint64_t)agent_elapsed_ms(call->now_ms, since_ms) * 1000;
     bool silent;
 
     pthread_mutex_lock(&admission->lock);
-    silent = call->now_us - admission->answered_us >= waited_us &&
-             waited_us > admission->usual_us + 4 * admission->spread_us;
+    silent =
+        agent_elapsed_us(call->now_us, admission->answered_us) >= waited_us &&
+        waited_us > admission->usual_us + 4 * admission->spread_us;
     pthread_mutex_unlock(&admission->lock);
     return silent;
 }
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -411,7 +411,7 @@
         .service = service != NULL ? service->name : NULL,
         .node = agent_node_name(call, holder),
         .reason = is_complete(search) ? "nobody" : "unanswered",
-        .value = (int64_t)(call->now_us - search->started_us)};
+        .value = (int64_t)agent_elapsed_us(call->now_us, search->started_us)};
 
     if (holder != 0) {
         event.reason = "found";
--- a/packages/coordination/src/agent_path.c
+++ b/packages/coordination/src/agent_path.c
@@ -77,7 +77,8 @@
 static bool
 is_alive(const struct agent_paths *paths, uint32_t i, uint64_t now_us)
 {
-    return paths->pong_us[i] != 0 && now_us - paths->pong_us[i] < ALIVE_US;
+    return paths->pong_us[i] != 0 &&
+           agent_elapsed_us(now_us, paths->pong_us[i]) < ALIVE_US;
 }
 
 static bool
--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -180,7 +180,7 @@
     pthread_mutex_lock(&peers->lock);
     peer = find_peer(peers, node_id);
     if (peer != NULL && peer->heard_us != 0) {
-        silent_us = call->now_us - peer->heard_us;
+        silent_us = agent_elapsed_us(call->now_us, peer->heard_us);
     }
     pthread_mutex_unlock(&peers->lock);
     return silent_us;
@@ -198,7 +198,8 @@
         const struct agent_holder *holder = &peers->holders[i];
 
         if (holder->service_id == service_id &&
-            call->now_us - holder->heard_us < AGENT_PEER_RESTART_US) {
+            agent_elapsed_us(call->now_us, holder->heard_us) <
+                AGENT_PEER_RESTART_US) {
             nodes[count++] = holder->node_id;
         }
     }
@@ -240,7 +241,8 @@
         choice.capacity = 1;
         return choice;
     }
-    if (now_us - choice.peer->heard_us >= AGENT_PEER_SILENT_US) {
+    if (agent_elapsed_us(now_us, choice.peer->heard_us) >=
+        AGENT_PEER_SILENT_US) {
         return choice;
     }
     choice.rank = choice.peer->room > 0 ? RANK_ROOM : RANK_FULL;
--- a/packages/coordination/src/agent_place.c
+++ b/packages/coordination/src/agent_place.c
@@ -33,8 +33,7 @@
         return false;
     }
     return bucket->moved_us == 0 ||
-           (call->now_us > bucket->moved_us &&
-            call->now_us - bucket->moved_us >= bound_us);
+           agent_elapsed_us(call->now_us, bucket->moved_us) >= bound_us;
 }
 
 static bool
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -232,6 +232,23 @@
     uint32_t last_seq;
 };
 
+/// Time from then_us to now_us; 0 when another thread's input, a moment
+/// later, was noted first.
+static inline uint64_t
+agent_elapsed_us(uint64_t now_us, uint64_t then_us)
+{
+    return now_us > then_us ? now_us - then_us : 0;
+}
+
+/// The same for times cut to 32 bits.
+static inline uint32_t
+agent_elapsed_ms(uint32_t now_ms, uint32_t then_ms)
+{
+    int32_t elapsed_ms = (int32_t)(now_ms - then_ms);
+
+    return elapsed_ms > 0 ? (uint32_t)elapsed_ms : 0;
+}
+
 /* agent.c */
 void
 agent_count(struct SlAgent *agent, enum agent_counter counter);
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -79,7 +79,8 @@
 static bool
 waited(const struct agent_call *call, uint32_t since_ms, uint32_t bound_ms)
 {
-    return since_ms != 0 && call->now_ms - since_ms >= bound_ms;
+    return since_ms != 0 &&
+           agent_elapsed_ms(call->now_ms, since_ms) >= bound_ms;
 }
 
 static bool
@@ -104,12 +105,13 @@
     struct SlFlowKey key = flow->key;
     bool caller = waited(call, flow->caller_wait_ms, silence_ms);
     uint32_t since = caller ? flow->caller_wait_ms : flow->upstream_wait_ms;
-    struct SlEvent event = {.number = SL_EVENT_SILENT,
-                            .flow = &key,
-                            .node = call->agent->options.core.name,
-                            .reason = caller ? "upstream" : "caller",
-                            .value = (int64_t)(call->now_ms - since) * 1000,
-                            .limit = (int64_t)silence_ms * 1000};
+    struct SlEvent event = {
+        .number = SL_EVENT_SILENT,
+        .flow = &key,
+        .node = call->agent->options.core.name,
+        .reason = caller ? "upstream" : "caller",
+        .value = (int64_t)agent_elapsed_ms(call->now_ms, since) * 1000,
+        .limit = (int64_t)silence_ms * 1000};
 
     agent_count(call->agent, COUNT_SILENT);
     agent_event(call, &event);
@@ -120,7 +122,7 @@
 static void
 check_exchange(const struct agent_call *call, struct SlFlow *flow)
 {
-    uint32_t took_ms = call->now_ms - flow->exchange_ms;
+    uint32_t took_ms = agent_elapsed_ms(call->now_ms, flow->exchange_ms);
 
     if (!(flow->flags & SL_FLOW_EXCHANGE)) {
         return;
@@ -152,7 +154,7 @@
         end_silent(call, shard, flow, silence);
         return;
     }
-    if (call->now_ms - flow->last_ms >= idle_ms(call, flow)) {
+    if (agent_elapsed_ms(call->now_ms, flow->last_ms) >= idle_ms(call, flow)) {
         if (flow->key.protocol == IPPROTO_TCP) {
             agent_reset_flow(call, shard, flow, "idle");
         }
--- /dev/null
+++ b/test/agent_thread_test.c
@@ -0,0 +1,226 @@
+/* One agent under several threads: packets of both sides, datagrams of other
+   agents, ticks and new tables at once. Counts must add up at the end. */
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "agent_fixture.h"
+
+enum {
+    WORKERS = 4,
+    ROUNDS = 20000,
+    PORTS_EACH = 500,
+};
+
+struct worker {
+    struct SlSink sink;
+    pthread_t thread;
+    struct SlAgent *agent;
+    struct fixture *fx;
+    uint32_t number;
+    uint64_t random;
+    uint64_t delivered;
+    uint64_t events;
+};
+
+static atomic_uint_fast64_t the_time_us;
+static atomic_bool workers_done;
+
+static void
+count_delivered(struct SlSink *sink, const uint8_t *bytes, uint32_t length)
+{
+    (void)bytes;
+    (void)length;
+    ((struct worker *)sink)->delivered++;
+}
+
+static void
+ignore_tunnel(struct SlSink *sink, uint64_t node_id,
+              const struct SlAddress *to, const struct SlTunnel *tunnel)
+{
+    (void)sink;
+    (void)node_id;
+    (void)to;
+    (void)tunnel;
+}
+
+static void
+count_event(struct SlSink *sink, const struct SlEvent *event)
+{
+    (void)event;
+    ((struct worker *)sink)->events++;
+}
+
+static struct SlSinkType worker_sink;
+
+static uint32_t
+build(struct worker *worker, bool from_upstream, uint8_t *out, uint32_t room)
+{
+    static const uint8_t FLAGS[] = {SL_TCP_SYN, SL_TCP_ACK, SL_TCP_ACK,
+                                    SL_TCP_FIN | SL_TCP_ACK, SL_TCP_RST};
+    struct fixture *fx = worker->fx;
+    uint32_t draw = (uint32_t)(worker->random >> 40);
+    struct SlTcpSegment segment = {.source = fx->caller,
+                                   .destination = fx->service,
+                                   .flags = FLAGS[draw % 5],
+                                   .seq = 1000 + draw % 3,
+                                   .ack = 1000,
+                                   .payload = (const uint8_t *)"order",
+                                   .payload_bytes = draw % 2 * 5};
+
+    segment.source.port = (uint16_t)(2000 + worker->number % 2 * PORTS_EACH +
+                                     (draw >> 8) % PORTS_EACH);
+    if (from_upstream) {
+        struct SlAddress caller = segment.source;
+
+        segment.source = segment.destination;
+        segment.destination = caller;
+        segment.flags |= SL_TCP_ACK;
+    }
+    return SlPacket_BuildTcp(&segment, out, room);
+}
+
+static void
+give_datagram(struct worker *worker, struct SlInput *input,
+              struct SlTunnel *tunnel, uint32_t draw)
+{
+    const struct fixture *fx = worker->fx;
+
+    tunnel->version = (struct SlVersion){.term = 1, .index = 1};
+    tunnel->service_id = SlService_Id("workroom");
+    tunnel->sender = fx->entries[0];
+    tunnel->origin = fx->entries[0];
+    tunnel->kind = SL_TUNNEL_FORWARD;
+    if (draw % 4 == 1) {
+        tunnel->kind = draw % 8 < 4 ? SL_TUNNEL_LOCATE : SL_TUNNEL_LOCATED;
+        tunnel->sender = fx->agents[1 + draw % 6].node_id;
+        tunnel->flags = draw % 16 < 8 ? SL_TUNNEL_CLAIM : 0;
+        tunnel->flow.caller = fx->caller;
+        tunnel->flow.caller.port = (uint16_t)(2000 + draw % PORTS_EACH);
+        tunnel->flow.service = fx->service;
+        tunnel->flow.protocol = IPPROTO_TCP;
+        tunnel->load_capacity = 2000;
+        tunnel->load_flows = draw % 2000;
+        tunnel->load_room = draw % 10;
+    }
+    input->kind = SL_INPUT_TUNNEL;
+    input->tunnel = tunnel;
+}
+
+static void *
+work(void *argument)
+{
+    struct worker *worker = argument;
+    uint8_t bytes[SL_PACKET_ANSWER_BYTES];
+
+    rcu_register_thread();
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        struct SlInput input = {.kind = SL_INPUT_UPSTREAM_PACKET};
+        struct SlTunnel tunnel = {.kind = SL_TUNNEL_NONE};
+        uint32_t draw;
+        uint32_t length;
+
+        worker->random =
+            worker->random * 6364136223846793005u + 1442695040888963407u;
+        draw = (uint32_t)(worker->random >> 33);
+        length = build(worker, draw % 4 == 0, bytes, sizeof(bytes));
+        input.now_us = atomic_load(&the_time_us);
+        if (draw % 4 == 0) {
+            input.packet.bytes = bytes;
+            input.packet.length_bytes = length;
+        }
+        else {
+            tunnel.packet = bytes;
+            tunnel.packet_bytes = length;
+            give_datagram(worker, &input, &tunnel, draw);
+        }
+        SlAgent_Handle(worker->agent, &worker->sink, &input);
+    }
+    rcu_unregister_thread();
+    return NULL;
+}
+
+/// Ticks and changes of the table until the workers are done.
+static void
+control(struct fixture *fx, struct worker *self)
+{
+    struct SlRouting *tables[2] = {SlRouting_Ref(fx->site.routing), NULL};
+    uint32_t i = 0;
+
+    site_hold(&fx->site, SL_VERB_HOLD, SL_KIND_NODE, "workroom-2");
+    tables[1] = SlRouting_Ref(site_build(&fx->site));
+    while (!atomic_load(&workers_done)) {
+        struct SlInput tick = {.kind = SL_INPUT_TICK};
+
+        tick.now_us = atomic_fetch_add(&the_time_us, SL_TICK_US) + SL_TICK_US;
+        SlAgent_Handle(self->agent, &self->sink, &tick);
+        if (++i % 16 == 0) {
+            SlAgent_SetRouting(self->agent, &self->sink, tick.now_us,
+                               tables[i / 16 % 2]);
+        }
+    }
+    SlRouting_Unref(tables[0]);
+    SlRouting_Unref(tables[1]);
+}
+
+static void *
+join_workers(void *argument)
+{
+    struct worker *workers = argument;
+
+    for (uint32_t i = 0; i < WORKERS; i++) {
+        pthread_join(workers[i].thread, NULL);
+    }
+    atomic_store(&workers_done, true);
+    return NULL;
+}
+
+static void
+test_threads_share_an_agent(void)
+{
+    static struct worker workers[WORKERS + 1];
+    struct SlAgentCounters counters;
+    struct fixture fx;
+    pthread_t joiner;
+    uint64_t delivered = 0;
+
+    worker_sink = FX_SINK;
+    worker_sink.send_to_upstream = count_delivered;
+    worker_sink.send_tunnel = ignore_tunnel;
+    worker_sink.event = count_event;
+    fx_open(&fx, "workroom");
+    atomic_store(&the_time_us, fx.now_us);
+    for (uint32_t i = 0; i <= WORKERS; i++) {
+        workers[i] = (struct worker){.sink = {.type = &worker_sink},
+                                     .agent = fx.agents[0].agent,
+                                     .fx = &fx,
+                                     .number = i,
+                                     .random = i + 1};
+    }
+    for (uint32_t i = 0; i < WORKERS; i++) {
+        CU_ASSERT_EQUAL_FATAL(
+            pthread_create(&workers[i].thread, NULL, work, &workers[i]), 0);
+    }
+    pthread_create(&joiner, NULL, join_workers, workers);
+    control(&fx, &workers[WORKERS]);
+    pthread_join(joiner, NULL);
+    SlAgent_Counters(fx.agents[0].agent, &counters);
+    for (uint32_t i = 0; i <= WORKERS; i++) {
+        delivered += workers[i].delivered;
+    }
+    CU_ASSERT(counters.admitted > 0);
+    CU_ASSERT(counters.delivered <= delivered);
+    CU_ASSERT(counters.open_flows <= counters.admitted + counters.adopted);
+    CU_ASSERT(counters.exchanges <= counters.open_flows);
+    fx_close(&fx);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"threads share an agent", test_threads_share_an_agent},
+    };
+
+    return RUN_SUITE("agent threads", CASES);
+}
