--- /dev/null
+++ b/packages/coordination/src/control.c
@@ -0,0 +1,268 @@
+#include "savoryledge/coordination/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_core.h"
+
+enum {
+    DEFAULT_HEARTBEAT_US = 150 * 1000,
+    DEFAULT_ELECTION_US = 900 * 1000,
+    DEFAULT_UNREACHABLE_US = 2000 * 1000,
+    DEFAULT_SNAPSHOT_ENTRIES = 4096,
+};
+
+void
+SlControl_Event(struct SlControl *control, const struct SlEvent *event)
+{
+    struct SlEvent filled = *event;
+
+    filled.now_us = control->now_us;
+    filled.version = SlConfig_Version(control->config);
+    if (control->sink != NULL) {
+        control->sink->type->event(control->sink, &filled);
+    }
+    else if (control->early_count < SL_CONTROL_EARLY_EVENTS &&
+             filled.peer == NULL && filled.node == NULL) {
+        control->early[control->early_count++] = filled;
+    }
+}
+
+static void
+fill_defaults(struct SlControlOptions *options)
+{
+    if (options->heartbeat_us == 0) {
+        options->heartbeat_us = DEFAULT_HEARTBEAT_US;
+    }
+    if (options->election_us == 0) {
+        options->election_us = DEFAULT_ELECTION_US;
+    }
+    if (options->unreachable_us == 0) {
+        options->unreachable_us = DEFAULT_UNREACHABLE_US;
+    }
+    if (options->snapshot_entries == 0) {
+        options->snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES;
+    }
+}
+
+static void
+first_members(const struct SlControlOptions *options,
+              struct SlRaftMembers *members)
+{
+    members->count = options->member_count;
+    for (uint32_t i = 0; i < options->member_count; i++) {
+        const struct SlControlMember *from = &options->members[i];
+        struct SlRaftMember *to = &members->items[i];
+
+        to->node_id = from->node_id;
+        to->link = from->link;
+        to->voter = from->voter;
+        memcpy(to->name, from->name, sizeof(to->name));
+    }
+}
+
+static enum SlStatus
+open_log(struct SlControl *control, uint64_t now_us, struct SlError *error)
+{
+    const struct SlControlOptions *options = &control->options;
+    struct SlRaftOptions raft = {
+        .node_id = control->node_id,
+        .seed = options->core.seed,
+        .heartbeat_us = options->heartbeat_us,
+        .election_us = options->election_us,
+        .snapshot_entries = options->snapshot_entries,
+        .bootstrap = options->bootstrap,
+        .storage = options->storage,
+        .host_type = &SL_CONTROL_HOST,
+        .host = control,
+    };
+
+    first_members(options, &raft.first_members);
+    return SlRaft_Open(&control->raft, &raft, now_us, error);
+}
+
+enum SlStatus
+SlControl_Create(const struct SlControlOptions *options, uint64_t now_us,
+                 struct SlControl **out, struct SlError *error)
+{
+    struct SlControl *control = calloc(1, sizeof(*control));
+    enum SlStatus status;
+
+    *out = NULL;
+    if (control == NULL) {
+        return SlError_Set(error, SL_NO_MEMORY, SL_STEP_RECOVER, NULL,
+                           "no memory");
+    }
+    control->options = *options;
+    fill_defaults(&control->options);
+    control->node_id = SlNode_Id(options->core.name);
+    control->now_us = now_us;
+    control->config = SlConfig_Create();
+    status = SlControl_CreatePublisher(control);
+    if (status == SL_OK && control->config != NULL) {
+        status = open_log(control, now_us, error);
+    }
+    else {
+        status = SlError_Set(error, SL_NO_MEMORY, SL_STEP_RECOVER, NULL,
+                             "no memory");
+    }
+    if (status != SL_OK) {
+        SlControl_Destroy(control);
+        return status;
+    }
+    *out = control;
+    return SL_OK;
+}
+
+void
+SlControl_Destroy(struct SlControl *control)
+{
+    if (control == NULL) {
+        return;
+    }
+    SlRaft_Close(&control->raft);
+    SlControl_ReleasePublisher(control);
+    SlControl_ReleaseLinks(control);
+    SlSeenTable_Release(&control->seen);
+    SlConfig_Destroy(control->config);
+    free(control->waiters);
+    free(control);
+}
+
+static void
+handle_message(struct SlControl *control, const struct SlInput *input)
+{
+    const struct SlMessage *message = input->message;
+    struct SlControlLink *link = SlControl_FindLink(control, input->link);
+
+    if (link == NULL) {
+        return;
+    }
+    link->heard_us = input->now_us;
+    switch (message->kind) {
+    case SL_MESSAGE_ANNOUNCE:
+        SlControl_OnAnnounce(control, input->link, &message->announce);
+        break;
+    case SL_MESSAGE_SUBSCRIBE:
+        SlControl_OnSubscribe(control, input->link, &message->subscribe);
+        break;
+    case SL_MESSAGE_HEARTBEAT:
+        SlControl_OnHeartbeat(control, input->link, &message->heartbeat);
+        break;
+    case SL_MESSAGE_CHANGE:
+        SlControl_OnChange(control, input->link, &message->change);
+        break;
+    case SL_MESSAGE_QUERY:
+        SlControl_OnQuery(control, input->link, &message->query);
+        break;
+    default:
+        if ((link->peer.roles & SL_ROLE_CONTROL) &&
+            link->peer.node_id != control->node_id) {
+            SlRaft_Receive(&control->raft, input->now_us, link->peer.node_id,
+                           message);
+        }
+        break;
+    }
+}
+
+static void
+handle_tick(struct SlControl *control)
+{
+    SlRaft_Tick(&control->raft, control->now_us);
+    SlControl_DialMembers(control);
+    SlControl_ReachTick(control);
+}
+
+static void
+send_early_events(struct SlControl *control)
+{
+    for (uint32_t i = 0; i < control->early_count; i++) {
+        control->sink->type->event(control->sink, &control->early[i]);
+    }
+    control->early_count = 0;
+}
+
+void
+SlControl_Handle(struct SlControl *control, struct SlSink *sink,
+                 const struct SlInput *input)
+{
+    control->sink = sink;
+    control->now_us = input->now_us;
+    control->wall_us = input->wall_us;
+    send_early_events(control);
+    switch (input->kind) {
+    case SL_INPUT_TICK:
+        handle_tick(control);
+        break;
+    case SL_INPUT_LINK_UP:
+        SlControl_LinkUp(control, input);
+        break;
+    case SL_INPUT_LINK_DOWN:
+        SlControl_LinkDown(control, input->link);
+        break;
+    case SL_INPUT_MESSAGE:
+        handle_message(control, input);
+        break;
+    case SL_INPUT_BATCH_END:
+        SlRaft_Flush(&control->raft, control->now_us);
+        SlControl_Publish(control);
+        SlControl_SendHeartbeats(control);
+        break;
+    default:
+        break;
+    }
+    control->sink = NULL;
+}
+
+enum SlControlState
+SlControl_State(const struct SlControl *control)
+{
+    return control->raft.state;
+}
+
+uint64_t
+SlControl_Term(const struct SlControl *control)
+{
+    return control->raft.hard.term;
+}
+
+uint64_t
+SlControl_Leader(const struct SlControl *control)
+{
+    return control->raft.leader;
+}
+
+struct SlVersion
+SlControl_Applied(const struct SlControl *control)
+{
+    return control->raft.applied;
+}
+
+bool
+SlControl_Fresh(const struct SlControl *control, uint64_t now_us)
+{
+    return SlRaft_Fresh(&control->raft, now_us);
+}
+
+const struct SlConfig *
+SlControl_Config(const struct SlControl *control)
+{
+    return control->config;
+}
+
+uint32_t
+SlControl_Members(const struct SlControl *control,
+                  struct SlControlMember *members, uint32_t room)
+{
+    const struct SlRaftMembers *from = &control->raft.members;
+
+    for (uint32_t i = 0; i < from->count && i < room; i++) {
+        members[i] = (struct SlControlMember){
+            .node_id = from->items[i].node_id,
+            .link = from->items[i].link,
+            .voter = from->items[i].voter,
+        };
+        memcpy(members[i].name, from->items[i].name, sizeof(members[i].name));
+    }
+    return from->count;
+}
--- /dev/null
+++ b/packages/coordination/src/control_links.c
@@ -0,0 +1,128 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_core.h"
+
+enum {
+    LINKS_FIRST_ROOM = 16,
+};
+
+struct SlControlLink *
+SlControl_FindLink(struct SlControl *control, uint64_t link)
+{
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        if (control->links[i].link == link) {
+            return &control->links[i];
+        }
+    }
+    return NULL;
+}
+
+struct SlControlLink *
+SlControl_MemberLink(struct SlControl *control, uint64_t node_id)
+{
+    for (uint32_t i = control->link_count; i > 0; i--) {
+        struct SlControlLink *link = &control->links[i - 1];
+
+        if (link->peer.node_id == node_id &&
+            (link->peer.roles & SL_ROLE_CONTROL)) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+void
+SlControl_LinkUp(struct SlControl *control, const struct SlInput *input)
+{
+    struct SlControlLink *link;
+
+    if (control->link_count == control->link_room) {
+        uint32_t room =
+            control->link_room ? control->link_room * 2 : LINKS_FIRST_ROOM;
+        struct SlControlLink *links =
+            realloc(control->links, room * sizeof(*links));
+
+        if (links == NULL) {
+            return;
+        }
+        control->links = links;
+        control->link_room = room;
+    }
+    link = &control->links[control->link_count++];
+    *link = (struct SlControlLink){
+        .link = input->link, .peer = *input->peer, .heard_us = input->now_us};
+    if ((link->peer.roles & SL_ROLE_CONTROL) &&
+        link->peer.node_id != control->node_id) {
+        SlRaft_LinkUp(&control->raft, input->now_us, link->peer.node_id);
+    }
+}
+
+void
+SlControl_LinkDown(struct SlControl *control, uint64_t number)
+{
+    struct SlControlLink *link = SlControl_FindLink(control, number);
+    struct SlControlLink gone;
+
+    if (link == NULL) {
+        return;
+    }
+    gone = *link;
+    control->link_count--;
+    memmove(link, link + 1,
+            (size_t)((uint8_t *)&control->links[control->link_count] -
+                     (uint8_t *)link));
+    SlControl_LinkLost(control, &gone);
+    free(gone.announced);
+}
+
+/// Drops links to instances that are members no more.
+static void
+drop_former(struct SlControl *control, const struct SlRaftMembers *members)
+{
+    for (uint32_t i = 0; i < control->dialled.count; i++) {
+        uint64_t node_id = control->dialled.items[i].node_id;
+        bool kept = false;
+
+        for (uint32_t j = 0; j < members->count; j++) {
+            kept = kept || members->items[j].node_id == node_id;
+        }
+        if (!kept) {
+            control->sink->type->drop(control->sink, node_id);
+        }
+    }
+    control->dialled = *members;
+}
+
+void
+SlControl_DialMembers(struct SlControl *control)
+{
+    const struct SlRaftMembers *members = &control->raft.members;
+
+    if (control->now_us < control->dial_due_us) {
+        return;
+    }
+    control->dial_due_us = control->now_us + SL_CONTROL_DIAL_US;
+    if (members->count == 0) {
+        members = &control->raft.options.first_members;
+    }
+    for (uint32_t i = 0; i < members->count; i++) {
+        const struct SlRaftMember *member = &members->items[i];
+
+        if (member->node_id != control->node_id &&
+            SlControl_MemberLink(control, member->node_id) == NULL) {
+            control->sink->type->dial(control->sink, member->node_id,
+                                      &member->link);
+        }
+    }
+    drop_former(control, members);
+}
+
+void
+SlControl_ReleaseLinks(struct SlControl *control)
+{
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        free(control->links[i].announced);
+    }
+    free(control->links);
+}
--- /dev/null
+++ b/packages/coordination/src/control_request.c
@@ -0,0 +1,234 @@
+/// Operators' changes: checked, proposed by the leader, answered when they
+/// are committed.
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_core.h"
+
+enum {
+    WAITERS_FIRST_ROOM = 32,
+};
+
+static void
+send_result(struct SlControl *control, uint64_t link, uint64_t client,
+            uint64_t request, const struct SlResult *result)
+{
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_RESULT,
+        .result = {.client = client, .request = request, .result = *result}};
+
+    if (control->sink != NULL) {
+        control->sink->type->send_message(control->sink, link, &message);
+    }
+}
+
+static const char *
+leader_name(const struct SlControl *control)
+{
+    const struct SlRaftMember *leader =
+        SlRaft_Member(&control->raft, control->raft.leader);
+
+    return leader != NULL && leader->node_id != control->node_id ? leader->name
+                                                                 : "";
+}
+
+static void
+send_refusal(struct SlControl *control, const struct SlControlWaiter *waiter,
+             enum SlStatus status, const char *text)
+{
+    struct SlResult result = {.status = status};
+    struct SlEvent event = {.number = SL_EVENT_REJECTED,
+                            .reason = SlStatus_Name(status),
+                            .value = (int64_t)waiter->client,
+                            .limit = (int64_t)waiter->request};
+
+    snprintf(result.message, sizeof(result.message), "%s",
+             status == SL_NOT_LEADER ? leader_name(control) : text);
+    SlControl_Event(control, &event);
+    send_result(control, waiter->link, waiter->client, waiter->request,
+                &result);
+}
+
+static struct SlControlWaiter *
+add_waiter(struct SlControl *control)
+{
+    if (control->waiter_count == control->waiter_room) {
+        uint32_t room = control->waiter_room ? control->waiter_room * 2
+                                             : WAITERS_FIRST_ROOM;
+        struct SlControlWaiter *waiters =
+            realloc(control->waiters, room * sizeof(*waiters));
+
+        if (waiters == NULL) {
+            return NULL;
+        }
+        control->waiters = waiters;
+        control->waiter_room = room;
+    }
+    return &control->waiters[control->waiter_count++];
+}
+
+/// True for what operators may ask for; the other verbs are control's own.
+static bool
+is_for_operators(enum SlVerb verb)
+{
+    switch (verb) {
+    case SL_VERB_CREATE:
+    case SL_VERB_LABEL:
+    case SL_VERB_SELECT:
+    case SL_VERB_DELETE:
+    case SL_VERB_HOLD:
+    case SL_VERB_RELEASE:
+    case SL_VERB_MEMBER_ADD:
+    case SL_VERB_MEMBER_REMOVE:
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool
+is_member_change(enum SlVerb verb)
+{
+    return verb == SL_VERB_MEMBER_ADD || verb == SL_VERB_MEMBER_REMOVE;
+}
+
+/// Checks a change; text tells what is wrong with it.
+static enum SlStatus
+check_change(struct SlControl *control, const struct SlChange *change,
+             struct SlError *error)
+{
+    const char *reason;
+    enum SlStatus status;
+
+    if (change->client == 0 || !is_for_operators(change->verb)) {
+        return SlError_Set(error, SL_INVALID, SL_STEP_PROPOSE, NULL,
+                           "not a change for operators");
+    }
+    if (!SlRaft_AllBound(&control->raft)) {
+        return SlError_Set(error, SL_NO_QUORUM, SL_STEP_PROPOSE, NULL,
+                           "a first member is missing; not run");
+    }
+    status = SlChange_Check(change, error);
+    if (status != SL_OK || !is_member_change(change->verb)) {
+        return status;
+    }
+    status = SlRaft_CheckMemberChange(&control->raft, control->now_us, change,
+                                      &reason);
+    return SlError_Set(error, status, SL_STEP_PROPOSE, NULL, "%s", reason);
+}
+
+/// Proposes and notes who waits. text is for a refusal.
+static enum SlStatus
+propose(struct SlControl *control, struct SlChange *change,
+        const struct SlControlWaiter *asker, struct SlError *error)
+{
+    struct SlControlWaiter *waiter;
+    uint64_t index;
+    enum SlStatus status = check_change(control, change, error);
+
+    if (status != SL_OK) {
+        return status;
+    }
+    if (control->waiter_count >= SL_CONTROL_WAITERS_MAX) {
+        return SlError_Set(error, SL_FULL, SL_STEP_PROPOSE, NULL,
+                           "too many changes wait; not run");
+    }
+    waiter = add_waiter(control);
+    if (waiter == NULL) {
+        return SlError_Set(error, SL_NO_MEMORY, SL_STEP_PROPOSE, NULL,
+                           "no memory; not run");
+    }
+    status = SlRaft_Propose(&control->raft, change, control->wall_us, &index);
+    if (status != SL_OK) {
+        control->waiter_count--;
+        return SlError_Set(error, status, SL_STEP_PROPOSE, NULL, "not run");
+    }
+    *waiter = *asker;
+    waiter->index = index;
+    waiter->term = control->raft.hard.term;
+    return SL_OK;
+}
+
+void
+SlControl_OnChange(struct SlControl *control, uint64_t link,
+                   const struct SlChange *asked)
+{
+    struct SlControlWaiter asker = {
+        .link = link, .client = asked->client, .request = asked->request};
+    struct SlError error = {.status = SL_OK};
+    struct SlChange change = *asked;
+    const struct SlResult *first;
+    enum SlStatus status = SL_NOT_LEADER;
+
+    if (asked->client != 0) {
+        first = SlConfig_FindResult(control->config, asked->client,
+                                    asked->request);
+        if (first != NULL) {
+            send_result(control, link, asked->client, asked->request, first);
+            return;
+        }
+    }
+    if (control->raft.state == SL_CONTROL_LEADER) {
+        if (is_member_change(change.verb)) {
+            change.object.node.node_id = SlNode_Id(change.object.name);
+        }
+        status = propose(control, &change, &asker, &error);
+    }
+    if (status != SL_OK) {
+        send_refusal(control, &asker, status, error.message);
+    }
+}
+
+/// Takes the first count waiters off the list.
+static void
+drop_waiters(struct SlControl *control, uint32_t count)
+{
+    control->waiter_count -= count;
+    memmove(control->waiters, control->waiters + count,
+            control->waiter_count * sizeof(*control->waiters));
+}
+
+void
+SlControl_Answer(struct SlControl *control, struct SlVersion version,
+                 const struct SlResult *result)
+{
+    uint32_t done = 0;
+
+    while (done < control->waiter_count &&
+           control->waiters[done].index <= version.index) {
+        const struct SlControlWaiter *waiter = &control->waiters[done++];
+
+        if (waiter->index == version.index && waiter->term == version.term) {
+            send_result(control, waiter->link, waiter->client, waiter->request,
+                        result);
+        }
+        else {
+            send_refusal(control, waiter, SL_NOT_LEADER, "");
+        }
+    }
+    if (done > 0) {
+        drop_waiters(control, done);
+    }
+}
+
+void
+SlControl_Refuse(struct SlControl *control, uint64_t from_index,
+                 enum SlStatus status)
+{
+    const char *text = status == SL_DISK_FULL
+                           ? "the disk is full; not run"
+                           : "the outcome is unknown; send it again";
+
+    while (control->waiter_count > 0) {
+        struct SlControlWaiter waiter =
+            control->waiters[control->waiter_count - 1];
+
+        if (waiter.index < from_index) {
+            break;
+        }
+        control->waiter_count--;
+        send_refusal(control, &waiter, status, text);
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/raft_follower.c
@@ -0,0 +1,211 @@
+#include <string.h>
+
+#include "raft.h"
+
+static void
+answer_now(struct SlRaft *raft, uint64_t to)
+{
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_APPENDED,
+        .appended = {.term = raft->hard.term,
+                     .index = raft->synced,
+                     .incarnation = raft->hard.incarnation}};
+
+    raft->options.host_type->send(raft->options.host, to, &message);
+}
+
+bool
+SlRaft_AcceptLeader(struct SlRaft *raft, uint64_t from, uint64_t term)
+{
+    if (term < raft->hard.term) {
+        answer_now(raft, from);
+        return false;
+    }
+    if (raft->broken ||
+        (raft->state == SL_CONTROL_LEADER && term == raft->hard.term)) {
+        return false;
+    }
+    if (term > raft->hard.term || raft->leader != from ||
+        raft->state == SL_CONTROL_CANDIDATE) {
+        SlRaft_BecomeFollower(raft, term, from, "newer_leader");
+    }
+    raft->leader_heard_us = raft->now_us;
+    SlRaft_ResetElection(raft);
+    return true;
+}
+
+/// True when this log agrees with the leader's up to previous; else hint
+/// tells where to go back to.
+static bool
+agrees(const struct SlRaft *raft, struct SlVersion previous, uint64_t *hint)
+{
+    uint64_t last = SlRaft_LastIndex(raft);
+
+    if (previous.index <= raft->commit) {
+        return true;
+    }
+    if (previous.index > last) {
+        *hint = last;
+        return false;
+    }
+    *hint = raft->commit;
+    return SlRaft_TermAt(raft, previous.index) == previous.term;
+}
+
+/// Drops records that another leader never committed.
+static enum SlStatus
+drop_from(struct SlRaft *raft, uint64_t index)
+{
+    struct SlStorage *storage = raft->options.storage;
+    enum SlStatus status = storage->type->truncate(storage, index);
+
+    if (raft->synced >= index) {
+        raft->synced = index - 1;
+    }
+    if (raft->members_index >= index) {
+        SlRaft_RebuildMembers(raft);
+    }
+    if (status != SL_OK) {
+        /* Whether the old records are gone for good is not known. */
+        SlRaft_StorageFailed(raft, SL_IO);
+    }
+    return status;
+}
+
+static enum SlStatus
+take_entry(struct SlRaft *raft, const struct SlLogEntry *entry)
+{
+    struct SlLogRecord record = {.term = entry->term,
+                                 .index = entry->index,
+                                 .data = entry->data,
+                                 .data_bytes = entry->data_bytes};
+    struct SlChange change;
+    enum SlStatus status;
+
+    if (entry->index <= raft->commit) {
+        return SL_OK;
+    }
+    if (entry->index <= SlRaft_LastIndex(raft)) {
+        if (SlRaft_TermAt(raft, entry->index) == entry->term) {
+            return SL_OK;
+        }
+        status = drop_from(raft, entry->index);
+        if (status != SL_OK) {
+            return status;
+        }
+    }
+    status = SlChange_Decode(entry->data, entry->data_bytes, &change);
+    return status == SL_OK ? SlRaft_Append(raft, &record, &change) : status;
+}
+
+/// Takes entries in order; returns the last index that now matches.
+static uint64_t
+take_entries(struct SlRaft *raft, const struct SlAppend *append)
+{
+    uint64_t matched = append->previous.index;
+
+    for (uint32_t i = 0; i < append->entry_count; i++) {
+        const struct SlLogEntry *entry = &append->entries[i];
+        enum SlStatus status = SL_MALFORMED;
+
+        if (entry->index == matched + 1 && entry->term <= append->term) {
+            status = take_entry(raft, entry);
+        }
+        if (status != SL_OK) {
+            raft->options.host_type->event(raft->options.host, SL_EVENT_FAILED,
+                                           NULL, SlStatus_Name(status),
+                                           (int64_t)entry->index, 0);
+            break;
+        }
+        matched = entry->index;
+    }
+    return matched;
+}
+
+void
+SlRaft_OnAppend(struct SlRaft *raft, uint64_t from,
+                const struct SlAppend *append)
+{
+    uint64_t hint = 0;
+    uint64_t commit;
+
+    if (!SlRaft_AcceptLeader(raft, from, append->term)) {
+        return;
+    }
+    raft->ack_due = true;
+    raft->ack.term = append->term;
+    raft->ack.round = append->round;
+    raft->ack.incarnation = raft->hard.incarnation;
+    raft->ack.success = agrees(raft, append->previous, &hint);
+    raft->ack.index = hint;
+    if (!raft->ack.success) {
+        return;
+    }
+    raft->ack.index = take_entries(raft, append);
+    commit =
+        append->commit < raft->ack.index ? append->commit : raft->ack.index;
+    if (commit > raft->known_commit) {
+        raft->known_commit = commit;
+    }
+    raft->leader_commit = append->commit;
+    if (append->fresh) {
+        raft->fresh_commit = append->commit;
+        raft->fresh_heard_us = raft->now_us;
+    }
+}
+
+static void
+commit_known(struct SlRaft *raft)
+{
+    uint64_t commit =
+        raft->known_commit < raft->synced ? raft->known_commit : raft->synced;
+
+    if (commit > raft->commit) {
+        raft->commit = commit;
+    }
+    SlRaft_ApplyCommitted(raft);
+    if (raft->applied.index >= raft->fresh_commit) {
+        raft->fresh_us = raft->fresh_heard_us;
+    }
+}
+
+/// Notes once that all that the leader had committed is in this folder.
+static void
+note_caught_up(struct SlRaft *raft)
+{
+    if (!raft->hard.caught_up && raft->ack.success &&
+        raft->synced >= raft->leader_commit && raft->leader_commit > 0) {
+        raft->hard.caught_up = true;
+        SlRaft_SaveHardState(raft);
+    }
+}
+
+void
+SlRaft_FollowerFlush(struct SlRaft *raft)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_APPENDED};
+
+    if (!raft->ack_due) {
+        return;
+    }
+    raft->ack_due = false;
+    if (raft->state_unsaved && SlRaft_SaveHardState(raft) != SL_OK) {
+        return;
+    }
+    if (raft->ack.term != raft->hard.term || raft->broken) {
+        return;
+    }
+    SlRaft_Sync(raft);
+    if (raft->broken || raft->state_unsaved) {
+        return;
+    }
+    if (raft->ack.success && raft->ack.index > raft->synced &&
+        raft->ack.index > raft->commit) {
+        raft->ack.index =
+            raft->synced > raft->commit ? raft->synced : raft->commit;
+    }
+    note_caught_up(raft);
+    message.appended = raft->ack;
+    raft->options.host_type->send(raft->options.host, raft->leader, &message);
+    commit_known(raft);
+}
--- /dev/null
+++ b/packages/coordination/src/raft_log.c
@@ -0,0 +1,155 @@
+#include <string.h>
+
+#include "raft.h"
+
+uint64_t
+SlRaft_LastIndex(const struct SlRaft *raft)
+{
+    uint64_t first;
+    uint64_t last;
+
+    raft->options.storage->type->range(raft->options.storage, &first, &last);
+    return last;
+}
+
+uint64_t
+SlRaft_FirstIndex(const struct SlRaft *raft)
+{
+    uint64_t first;
+    uint64_t last;
+
+    raft->options.storage->type->range(raft->options.storage, &first, &last);
+    return first;
+}
+
+uint64_t
+SlRaft_TermAt(const struct SlRaft *raft, uint64_t index)
+{
+    struct SlStorage *storage = raft->options.storage;
+    struct SlLogRecord record;
+
+    if (index == raft->snapshot_last.index) {
+        return raft->snapshot_last.term;
+    }
+    if (storage->type->read(storage, index, &record) != SL_OK) {
+        return 0;
+    }
+    return record.term;
+}
+
+struct SlVersion
+SlRaft_Last(const struct SlRaft *raft)
+{
+    uint64_t last = SlRaft_LastIndex(raft);
+
+    return (struct SlVersion){.term = SlRaft_TermAt(raft, last),
+                              .index = last};
+}
+
+void
+SlRaft_StorageFailed(struct SlRaft *raft, enum SlStatus status)
+{
+    raft->options.host_type->event(raft->options.host, SL_EVENT_DISK, NULL,
+                                   SlStatus_Name(status), 0, 0);
+    if (status == SL_DISK_FULL || status == SL_NO_MEMORY) {
+        return;
+    }
+    raft->broken = true;
+    if (raft->state != SL_CONTROL_LEARNER) {
+        SlRaft_BecomeFollower(raft, raft->hard.term, 0, "storage_failed");
+    }
+}
+
+enum SlStatus
+SlRaft_SaveHardState(struct SlRaft *raft)
+{
+    struct SlStorage *storage = raft->options.storage;
+    enum SlStatus status =
+        storage->type->save_hard_state(storage, &raft->hard);
+
+    raft->state_unsaved = status != SL_OK;
+    if (status != SL_OK) {
+        SlRaft_StorageFailed(raft, status);
+    }
+    return status;
+}
+
+enum SlStatus
+SlRaft_Sync(struct SlRaft *raft)
+{
+    struct SlStorage *storage = raft->options.storage;
+    enum SlStatus status;
+
+    if (SlRaft_LastIndex(raft) == raft->synced) {
+        return SL_OK;
+    }
+    status = storage->type->sync(storage);
+    if (status == SL_OK) {
+        raft->synced = SlRaft_LastIndex(raft);
+        return SL_OK;
+    }
+    if (raft->members_index > SlRaft_LastIndex(raft)) {
+        SlRaft_RebuildMembers(raft);
+    }
+    SlRaft_StorageFailed(raft, status);
+    return status;
+}
+
+enum SlStatus
+SlRaft_Append(struct SlRaft *raft, const struct SlLogRecord *record,
+              const struct SlChange *change)
+{
+    struct SlStorage *storage = raft->options.storage;
+    enum SlStatus status = storage->type->append(storage, record, 1);
+
+    if (status != SL_OK) {
+        return status;
+    }
+    if (change->time_us > raft->last_time_us) {
+        raft->last_time_us = change->time_us;
+    }
+    if (SlRaftMembers_Apply(&raft->members, change)) {
+        raft->members_index = record->index;
+        SlRaft_MembersChanged(raft);
+    }
+    return SL_OK;
+}
+
+static enum SlStatus
+apply_one(struct SlRaft *raft, uint64_t index)
+{
+    struct SlStorage *storage = raft->options.storage;
+    struct SlLogRecord record;
+    struct SlChange change;
+    struct SlVersion version;
+    enum SlStatus status = storage->type->read(storage, index, &record);
+
+    if (status == SL_OK) {
+        status = SlChange_Decode(record.data, record.data_bytes, &change);
+    }
+    if (status != SL_OK) {
+        return status;
+    }
+    version = (struct SlVersion){.term = record.term, .index = index};
+    raft->applied = version;
+    SlRaftMembers_Apply(&raft->applied_members, &change);
+    raft->options.host_type->apply(raft->options.host, version, &change);
+    return SL_OK;
+}
+
+void
+SlRaft_ApplyCommitted(struct SlRaft *raft)
+{
+    while (raft->applied.index < raft->commit && !raft->broken) {
+        enum SlStatus status = apply_one(raft, raft->applied.index + 1);
+
+        if (status != SL_OK) {
+            SlRaft_StorageFailed(raft, SL_DAMAGED);
+            return;
+        }
+    }
+    if (raft->applied.index - raft->snapshot_last.index >=
+        raft->options.snapshot_entries) {
+        SlRaft_TakeSnapshot(raft);
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/raft_member.c
@@ -0,0 +1,328 @@
+#include <string.h>
+
+#include "raft.h"
+
+static struct SlRaftMember *
+find_member(struct SlRaftMembers *members, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (members->items[i].node_id == node_id) {
+            return &members->items[i];
+        }
+    }
+    return NULL;
+}
+
+const struct SlRaftMember *
+SlRaft_Member(const struct SlRaft *raft, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        if (raft->members.items[i].node_id == node_id) {
+            return &raft->members.items[i];
+        }
+    }
+    return NULL;
+}
+
+struct SlRaftProgress *
+SlRaft_Progress(struct SlRaft *raft, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        if (raft->members.items[i].node_id == node_id) {
+            return &raft->progress[i];
+        }
+    }
+    return NULL;
+}
+
+uint32_t
+SlRaft_VoterCount(const struct SlRaft *raft)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        count += raft->members.items[i].voter;
+    }
+    return count;
+}
+
+bool
+SlRaft_IncarnationCounts(const struct SlRaftMember *member,
+                         uint64_t incarnation)
+{
+    return member->incarnation == 0 || member->incarnation == incarnation;
+}
+
+bool
+SlRaft_MayLead(const struct SlRaft *raft)
+{
+    const struct SlRaftMember *self =
+        SlRaft_Member(raft, raft->options.node_id);
+
+    return !raft->broken && raft->hard.caught_up && self != NULL &&
+           self->voter &&
+           SlRaft_IncarnationCounts(self, raft->hard.incarnation);
+}
+
+bool
+SlRaft_AllBound(const struct SlRaft *raft)
+{
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        if (raft->members.items[i].voter &&
+            raft->members.items[i].incarnation == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// A member that is added, or one that becomes a learner again.
+static bool
+add_member(struct SlRaftMembers *members, const struct SlObject *object)
+{
+    struct SlRaftMember *member = find_member(members, object->node.node_id);
+
+    if (member == NULL) {
+        if (members->count == SL_MEMBERS_CONTROL_MAX) {
+            return false;
+        }
+        member = &members->items[members->count++];
+    }
+    *member = (struct SlRaftMember){.node_id = object->node.node_id,
+                                    .link = object->node.link};
+    memcpy(member->name, object->name, sizeof(member->name));
+    return true;
+}
+
+static bool
+remove_member(struct SlRaftMembers *members, uint64_t node_id)
+{
+    struct SlRaftMember *member = find_member(members, node_id);
+
+    if (member == NULL) {
+        return false;
+    }
+    members->count--;
+    memmove(member, member + 1,
+            (size_t)((uint8_t *)&members->items[members->count] -
+                     (uint8_t *)member));
+    return true;
+}
+
+bool
+SlRaftMembers_Apply(struct SlRaftMembers *members,
+                    const struct SlChange *change)
+{
+    const struct SlNodeSpec *node = &change->object.node;
+    struct SlRaftMember *member;
+
+    switch (change->verb) {
+    case SL_VERB_MEMBER_ADD:
+        return add_member(members, &change->object);
+    case SL_VERB_MEMBER_PROMOTE:
+        member = find_member(members, node->node_id);
+        if (member == NULL) {
+            return false;
+        }
+        member->voter = true;
+        member->incarnation = node->boot;
+        return true;
+    case SL_VERB_MEMBER_REMOVE:
+        return remove_member(members, node->node_id);
+    default:
+        return false;
+    }
+}
+
+/// A slot for a member that had none: it starts at the log's end.
+static struct SlRaftProgress
+new_progress(const struct SlRaft *raft, uint64_t node_id)
+{
+    return (struct SlRaftProgress){.node_id = node_id,
+                                   .next = SlRaft_LastIndex(raft) + 1,
+                                   .heard_us = raft->now_us,
+                                   .send_due = true};
+}
+
+void
+SlRaft_MembersChanged(struct SlRaft *raft)
+{
+    struct SlRaftProgress slots[SL_MEMBERS_CONTROL_MAX];
+
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        uint64_t node_id = raft->members.items[i].node_id;
+
+        slots[i] = new_progress(raft, node_id);
+        for (uint32_t j = 0; j < SL_MEMBERS_CONTROL_MAX; j++) {
+            if (raft->progress[j].node_id == node_id) {
+                slots[i] = raft->progress[j];
+            }
+        }
+    }
+    memset(raft->progress, 0, sizeof(raft->progress));
+    memcpy(raft->progress, slots, raft->members.count * sizeof(slots[0]));
+    raft->options.host_type->event(raft->options.host, SL_EVENT_MEMBER, NULL,
+                                   "membership", raft->members.count,
+                                   SlRaft_VoterCount(raft));
+}
+
+/// Applies the membership changes of records after the snapshot.
+static enum SlStatus
+replay_members(struct SlRaft *raft)
+{
+    struct SlStorage *storage = raft->options.storage;
+    uint64_t last = SlRaft_LastIndex(raft);
+    struct SlLogRecord record;
+    struct SlChange change;
+
+    for (uint64_t i = raft->snapshot_last.index + 1; i <= last; i++) {
+        if (storage->type->read(storage, i, &record) != SL_OK ||
+            SlChange_Decode(record.data, record.data_bytes, &change) !=
+                SL_OK) {
+            return SL_DAMAGED;
+        }
+        if (change.time_us > raft->last_time_us) {
+            raft->last_time_us = change.time_us;
+        }
+        if (SlRaftMembers_Apply(&raft->members, &change)) {
+            raft->members_index = i;
+        }
+    }
+    return SL_OK;
+}
+
+enum SlStatus
+SlRaft_RebuildMembers(struct SlRaft *raft)
+{
+    enum SlStatus status;
+
+    raft->members = raft->base_members;
+    raft->members_index = 0;
+    status = replay_members(raft);
+    SlRaft_MembersChanged(raft);
+    return status;
+}
+
+/// Proposes a membership change of the leader's own.
+static void
+propose_member(struct SlRaft *raft, enum SlVerb verb,
+               const struct SlRaftMember *member, uint64_t incarnation)
+{
+    struct SlChange change = {
+        .verb = verb,
+        .object = {.kind = SL_KIND_NODE,
+                   .node = {.node_id = member->node_id,
+                            .link = member->link,
+                            .boot = incarnation}},
+    };
+    uint64_t index;
+
+    memcpy(change.object.name, member->name, sizeof(change.object.name));
+    SlRaft_Propose(raft, &change, 0, &index);
+}
+
+/// Voters that acknowledged lately, without the one left out.
+static uint32_t
+live_voters(const struct SlRaft *raft, uint64_t now_us, uint64_t without)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        const struct SlRaftMember *member = &raft->members.items[i];
+        bool self = member->node_id == raft->options.node_id;
+        bool live =
+            now_us - raft->progress[i].acked_us <= raft->options.election_us &&
+            raft->progress[i].acked_us != 0;
+
+        if (member->voter && member->node_id != without && (self || live)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static bool
+would_keep_majority(const struct SlRaft *raft, uint64_t now_us,
+                    const struct SlRaftMember *member)
+{
+    uint32_t voters = SlRaft_VoterCount(raft) - member->voter;
+
+    return voters > 0 &&
+           live_voters(raft, now_us, member->node_id) >= voters / 2 + 1;
+}
+
+/// The repair that one member needs now, if any.
+static bool
+repair_member(struct SlRaft *raft, uint32_t at)
+{
+    const struct SlRaftMember member = raft->members.items[at];
+    const struct SlRaftProgress *progress = &raft->progress[at];
+    bool self = member.node_id == raft->options.node_id;
+    uint64_t seen = self ? raft->hard.incarnation : progress->incarnation;
+
+    if (seen == 0) {
+        return false;
+    }
+    if (member.voter && member.incarnation == 0) {
+        propose_member(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
+        return true;
+    }
+    if (member.voter && member.incarnation != seen &&
+        would_keep_majority(raft, raft->now_us, &member)) {
+        propose_member(raft, SL_VERB_MEMBER_ADD, &member, 0);
+        return true;
+    }
+    if (!member.voter && !progress->installing && progress->acked_us != 0 &&
+        raft->now_us - progress->acked_us <= raft->options.election_us &&
+        progress->match >= raft->commit) {
+        propose_member(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
+        return true;
+    }
+    return false;
+}
+
+void
+SlRaft_RepairMembers(struct SlRaft *raft)
+{
+    if (raft->members_index > raft->commit || !SlRaft_Ready(raft)) {
+        return;
+    }
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        if (repair_member(raft, i)) {
+            return;
+        }
+    }
+}
+
+enum SlStatus
+SlRaft_CheckMemberChange(const struct SlRaft *raft, uint64_t now_us,
+                         const struct SlChange *change, const char **reason)
+{
+    const struct SlRaftMember *member =
+        SlRaft_Member(raft, change->object.node.node_id);
+
+    *reason = "an earlier membership change is not committed yet";
+    if (raft->members_index > raft->commit || !SlRaft_Ready(raft)) {
+        return SL_AGAIN;
+    }
+    if (change->object.node.node_id != SlNode_Id(change->object.name)) {
+        *reason = "the node id does not follow from the name";
+        return SL_INVALID;
+    }
+    if (change->verb == SL_VERB_MEMBER_ADD) {
+        *reason = member ? "it is a member" : "too many members";
+        return member || raft->members.count == SL_MEMBERS_CONTROL_MAX
+                   ? SL_INVALID
+                   : SL_OK;
+    }
+    if (change->verb == SL_VERB_MEMBER_PROMOTE) {
+        *reason = "learners are promoted by control once they caught up";
+        return SL_INVALID;
+    }
+    *reason = "it is no member";
+    if (member == NULL) {
+        return SL_NOT_FOUND;
+    }
+    *reason = "too few of the members left are up";
+    return would_keep_majority(raft, now_us, member) ? SL_OK : SL_NO_QUORUM;
+}
--- /dev/null
+++ b/packages/coordination/src/raft_snapshot.c
@@ -0,0 +1,369 @@
+/// Snapshots: the members, the largest time, then the owner's state.
+
+#include <endian.h>
+#include <string.h>
+
+#include "raft.h"
+
+enum {
+    INSTALL_RETRY_US = 1000 * 1000,
+};
+
+static const struct SlVersion FIRST_VERSION = {.term = 1, .index = 1};
+
+/// A part being read from the front of bytes.
+struct reader {
+    const uint8_t *bytes;
+    size_t length_bytes;
+};
+
+static enum SlStatus
+write_u32(struct SlBuffer *buffer, uint32_t value)
+{
+    uint32_t little = htole32(value);
+
+    return SlBuffer_Append(buffer, &little, sizeof(little));
+}
+
+static bool
+read_bytes(struct reader *reader, void *out, size_t length_bytes)
+{
+    if (reader->length_bytes < length_bytes) {
+        return false;
+    }
+    memcpy(out, reader->bytes, length_bytes);
+    reader->bytes += length_bytes;
+    reader->length_bytes -= length_bytes;
+    return true;
+}
+
+static bool
+read_u32(struct reader *reader, uint32_t *value)
+{
+    uint32_t little;
+
+    if (!read_bytes(reader, &little, sizeof(little))) {
+        return false;
+    }
+    *value = le32toh(little);
+    return true;
+}
+
+static enum SlStatus
+write_change(struct SlBuffer *buffer, const struct SlChange *change)
+{
+    size_t start = buffer->length_bytes;
+    enum SlStatus status = write_u32(buffer, 0);
+    uint32_t little;
+
+    if (status == SL_OK) {
+        status = SlChange_Encode(change, buffer);
+    }
+    if (status == SL_OK) {
+        little = htole32(
+            (uint32_t)(buffer->length_bytes - start - sizeof(uint32_t)));
+        memcpy(buffer->bytes + start, &little, sizeof(little));
+    }
+    return status;
+}
+
+/// A member as the changes that make it.
+static enum SlStatus
+write_member(struct SlBuffer *buffer, const struct SlRaftMember *member)
+{
+    struct SlChange change = {
+        .verb = SL_VERB_MEMBER_ADD,
+        .object = {.kind = SL_KIND_NODE,
+                   .node = {.node_id = member->node_id,
+                            .link = member->link,
+                            .boot = member->incarnation}},
+    };
+    enum SlStatus status;
+
+    memcpy(change.object.name, member->name, sizeof(change.object.name));
+    status = write_change(buffer, &change);
+    if (status == SL_OK && member->voter) {
+        change.verb = SL_VERB_MEMBER_PROMOTE;
+        status = write_change(buffer, &change);
+    }
+    return status;
+}
+
+static enum SlStatus
+write_header(const struct SlRaft *raft, const struct SlRaftMembers *members,
+             struct SlBuffer *buffer)
+{
+    uint64_t time_us = htole64(raft->last_time_us);
+    uint32_t changes = 0;
+    enum SlStatus status = SlBuffer_Append(buffer, &time_us, sizeof(time_us));
+
+    for (uint32_t i = 0; i < members->count; i++) {
+        changes += members->items[i].voter ? 2 : 1;
+    }
+    if (status == SL_OK) {
+        status = write_u32(buffer, changes);
+    }
+    for (uint32_t i = 0; status == SL_OK && i < members->count; i++) {
+        status = write_member(buffer, &members->items[i]);
+    }
+    return status;
+}
+
+static bool
+read_members(struct reader *reader, struct SlRaftMembers *members)
+{
+    uint32_t changes;
+    uint32_t length_bytes;
+    struct SlChange change;
+
+    *members = (struct SlRaftMembers){.count = 0};
+    if (!read_u32(reader, &changes)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < changes; i++) {
+        if (!read_u32(reader, &length_bytes) ||
+            reader->length_bytes < length_bytes ||
+            SlChange_Decode(reader->bytes, length_bytes, &change) != SL_OK ||
+            !SlRaftMembers_Apply(members, &change)) {
+            return false;
+        }
+        reader->bytes += length_bytes;
+        reader->length_bytes -= length_bytes;
+    }
+    return true;
+}
+
+enum SlStatus
+SlRaft_LoadSnapshot(struct SlRaft *raft, struct SlVersion last,
+                    const uint8_t *bytes, size_t length_bytes)
+{
+    struct reader reader = {.bytes = bytes, .length_bytes = length_bytes};
+    struct SlRaftMembers members;
+    uint64_t time_us;
+    enum SlStatus status;
+
+    if (!read_bytes(&reader, &time_us, sizeof(time_us)) ||
+        !read_members(&reader, &members)) {
+        return SL_DAMAGED;
+    }
+    status = raft->options.host_type->restore(
+        raft->options.host, last, reader.bytes, reader.length_bytes);
+    if (status != SL_OK) {
+        return status;
+    }
+    if (le64toh(time_us) > raft->last_time_us) {
+        raft->last_time_us = le64toh(time_us);
+    }
+    raft->base_members = members;
+    raft->applied_members = members;
+    raft->snapshot_last = last;
+    raft->applied = last;
+    if (raft->commit < last.index) {
+        raft->commit = last.index;
+    }
+    return SL_OK;
+}
+
+/// Saves the state at version with these members.
+static enum SlStatus
+save(struct SlRaft *raft, struct SlVersion version,
+     const struct SlRaftMembers *members, uint64_t keep_from)
+{
+    struct SlStorage *storage = raft->options.storage;
+    struct SlBuffer buffer = {.bytes = NULL};
+    enum SlStatus status = write_header(raft, members, &buffer);
+
+    if (status == SL_OK) {
+        status = raft->options.host_type->save(raft->options.host, &buffer);
+    }
+    if (status == SL_OK) {
+        status = storage->type->save_snapshot(storage, version, buffer.bytes,
+                                              buffer.length_bytes, keep_from);
+    }
+    if (status == SL_OK) {
+        raft->snapshot_last = version;
+        raft->base_members = *members;
+        raft->synced = SlRaft_LastIndex(raft);
+        raft->options.host_type->event(raft->options.host, SL_EVENT_SNAPSHOT,
+                                       NULL, "written", (int64_t)version.index,
+                                       (int64_t)buffer.length_bytes);
+    }
+    SlBuffer_Release(&buffer);
+    return status;
+}
+
+enum SlStatus
+SlRaft_Bootstrap(struct SlRaft *raft)
+{
+    enum SlStatus status;
+
+    raft->applied = FIRST_VERSION;
+    raft->applied_members = raft->options.first_members;
+    status = save(raft, FIRST_VERSION, &raft->options.first_members,
+                  FIRST_VERSION.index + 1);
+    if (status != SL_OK) {
+        return status;
+    }
+    raft->commit = FIRST_VERSION.index;
+    raft->hard.term = FIRST_VERSION.term;
+    raft->hard.caught_up = true;
+    return SlRaft_SaveHardState(raft);
+}
+
+void
+SlRaft_TakeSnapshot(struct SlRaft *raft)
+{
+    uint64_t first = SlRaft_FirstIndex(raft);
+    uint64_t keep_from = raft->applied.index + 1;
+    struct SlRaftMembers members = raft->applied_members;
+    enum SlStatus status;
+
+    keep_from = keep_from > first + SL_RAFT_KEEP_RECORDS
+                    ? keep_from - SL_RAFT_KEEP_RECORDS
+                    : first;
+    status = save(raft, raft->applied, &members, keep_from);
+    if (status != SL_OK) {
+        SlRaft_StorageFailed(raft, status);
+    }
+}
+
+static void
+send_part(struct SlRaft *raft, struct SlRaftProgress *progress)
+{
+    struct SlStorage *storage = raft->options.storage;
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_INSTALL,
+        .install = {.term = raft->hard.term,
+                    .incarnation = raft->hard.incarnation}};
+    struct SlInstall *install = &message.install;
+    const uint8_t *bytes;
+    size_t length_bytes;
+
+    storage->type->snapshot(storage, &install->last, &bytes, &length_bytes);
+    if (SlVersion_Compare(install->last, progress->install_last) != 0 ||
+        progress->install_offset > length_bytes) {
+        progress->install_last = install->last;
+        progress->install_offset = 0;
+    }
+    install->offset = progress->install_offset;
+    install->data = bytes + install->offset;
+    length_bytes -= install->offset;
+    install->done = length_bytes <= SL_BLOB_CHUNK_BYTES;
+    install->data_bytes =
+        install->done ? (uint32_t)length_bytes : SL_BLOB_CHUNK_BYTES;
+    progress->install_sent_us = raft->now_us;
+    raft->options.host_type->send(raft->options.host, progress->node_id,
+                                  &message);
+}
+
+void
+SlRaft_StartInstall(struct SlRaft *raft, struct SlRaftProgress *progress)
+{
+    progress->installing = true;
+    progress->install_last = (struct SlVersion){.term = 0};
+    progress->install_offset = 0;
+    send_part(raft, progress);
+}
+
+void
+SlRaft_InstallTick(struct SlRaft *raft, struct SlRaftProgress *progress)
+{
+    if (raft->now_us - progress->install_sent_us >= INSTALL_RETRY_US) {
+        send_part(raft, progress);
+    }
+}
+
+/// Puts the gathered snapshot in storage and in force.
+static enum SlStatus
+take_snapshot(struct SlRaft *raft)
+{
+    struct SlStorage *storage = raft->options.storage;
+    struct SlVersion last = raft->incoming_last;
+    enum SlStatus status = storage->type->save_snapshot(
+        storage, last, raft->incoming.bytes, raft->incoming.length_bytes,
+        last.index + 1);
+
+    if (status == SL_OK) {
+        status = SlRaft_LoadSnapshot(raft, last, raft->incoming.bytes,
+                                     raft->incoming.length_bytes);
+        raft->synced = SlRaft_LastIndex(raft);
+    }
+    if (status == SL_OK) {
+        status = SlRaft_RebuildMembers(raft);
+    }
+    if (status != SL_OK) {
+        SlRaft_StorageFailed(raft, status);
+        return status;
+    }
+    raft->options.host_type->event(raft->options.host, SL_EVENT_SNAPSHOT, NULL,
+                                   "installed", (int64_t)last.index,
+                                   (int64_t)raft->incoming.length_bytes);
+    return SL_OK;
+}
+
+static void
+gather_part(struct SlRaft *raft, const struct SlInstall *install)
+{
+    if (SlVersion_Compare(raft->incoming_last, install->last) != 0 ||
+        install->offset == 0) {
+        SlBuffer_Clear(&raft->incoming);
+        raft->incoming_last = install->last;
+    }
+    if (install->offset == raft->incoming.length_bytes) {
+        SlBuffer_Append(&raft->incoming, install->data, install->data_bytes);
+    }
+}
+
+void
+SlRaft_OnInstall(struct SlRaft *raft, uint64_t from,
+                 const struct SlInstall *install)
+{
+    struct SlMessage answer = {.kind = SL_MESSAGE_INSTALLED};
+    struct SlInstalled *installed = &answer.installed;
+    uint64_t end = install->offset + install->data_bytes;
+
+    if (!SlRaft_AcceptLeader(raft, from, install->term)) {
+        return;
+    }
+    installed->incarnation = raft->hard.incarnation;
+    installed->term = raft->hard.term;
+    if (install->last.index <= raft->commit) {
+        installed->done = true;
+    }
+    else {
+        gather_part(raft, install);
+        installed->offset = raft->incoming.length_bytes;
+        if (install->done && installed->offset == end) {
+            installed->done = take_snapshot(raft) == SL_OK;
+            SlBuffer_Release(&raft->incoming);
+        }
+    }
+    raft->options.host_type->send(raft->options.host, from, &answer);
+}
+
+void
+SlRaft_OnInstalled(struct SlRaft *raft, uint64_t from,
+                   const struct SlInstalled *installed)
+{
+    struct SlRaftProgress *progress = SlRaft_Progress(raft, from);
+
+    if (installed->term > raft->hard.term) {
+        SlRaft_BecomeFollower(raft, installed->term, 0, "newer_term");
+        return;
+    }
+    if (raft->state != SL_CONTROL_LEADER || progress == NULL ||
+        !progress->installing || installed->term != raft->hard.term ||
+        installed->incarnation != progress->incarnation) {
+        return;
+    }
+    if (installed->done) {
+        progress->installing = false;
+        progress->next = progress->install_last.index + 1;
+        progress->send_due = true;
+        return;
+    }
+    if (installed->offset > progress->install_offset) {
+        progress->install_offset = installed->offset;
+        send_part(raft, progress);
+    }
+}
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -152,6 +152,8 @@
     /// Number of this heartbeat round, echoed; grants the leader's lease.
     uint64_t round;
     uint64_t incarnation;
+    /// The leader holds its lease: commit is current.
+    bool fresh;
     uint32_t entry_count;
     struct SlLogEntry *entries;
 };
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -201,6 +201,7 @@
     U64(SlAppend, commit),
     U64(SlAppend, round),
     U64(SlAppend, incarnation),
+    BOOL(SlAppend, fresh),
     SL_FIELD_POINTER(SlAppend, entries, entry_count, APPEND_ENTRIES_MAX,
                      LOG_ENTRY),
 };
--- a/packages/state/include/savoryledge/state/storage.h
+++ b/packages/state/include/savoryledge/state/storage.h
@@ -10,6 +10,7 @@
 
 #include "savoryledge/common/status.h"
 #include "savoryledge/common/version.h"
+#include "savoryledge/state/files.h"
 
 struct SlStorage;
 
@@ -42,14 +43,19 @@
     /// Appends records whose indices follow the last; not yet durable.
     enum SlStatus (*append)(struct SlStorage *storage,
                             const struct SlLogRecord *records, uint32_t count);
-    /// Makes everything appended durable.
+    /// Makes everything appended durable. On failure the records appended
+    /// since the last sync are dropped (range tells). After SL_DISK_FULL
+    /// storage stays usable and nothing of them is on disk; after SL_IO they
+    /// may be, and storage refuses every write until it is opened again.
     enum SlStatus (*sync)(struct SlStorage *storage);
-    /// Drops records from index on, durably.
+    /// Drops records from index on, durably. Errors as for sync.
     enum SlStatus (*truncate)(struct SlStorage *storage, uint64_t index);
-    /// Replaces the snapshot durably, then drops records up to last.index.
+    /// Replaces the snapshot durably, then drops records before keep_from
+    /// (at most last.index + 1), or all when the record at last.index is not
+    /// of last.term.
     enum SlStatus (*save_snapshot)(struct SlStorage *storage,
                                    struct SlVersion last, const uint8_t *bytes,
-                                   size_t length_bytes);
+                                   size_t length_bytes, uint64_t keep_from);
     /// What was found when opened.
     void (*hard_state)(const struct SlStorage *storage,
                        struct SlHardState *state);
@@ -59,8 +65,8 @@
     /// First and last index held; first > last when empty.
     void (*range)(const struct SlStorage *storage, uint64_t *first,
                   uint64_t *last);
-    /// The record at index. Errors: SL_NOT_FOUND, SL_IO. Borrowed until the
-    /// next call on storage.
+    /// The record at index. Errors: SL_NOT_FOUND. Its data is borrowed until
+    /// the next truncate, save_snapshot or failed sync.
     enum SlStatus (*read)(struct SlStorage *storage, uint64_t index,
                           struct SlLogRecord *record);
     /// The last failure.
@@ -82,6 +88,12 @@
                      uint64_t incarnation, struct SlStorage **storage,
                      struct SlError *error);
 
+/// The same with other file calls; files outlives the storage.
+enum SlStatus
+SlStorage_OpenFolderWith(struct SlFiles *files, const char *folder,
+                         uint64_t node_id, uint64_t incarnation,
+                         struct SlStorage **storage, struct SlError *error);
+
 /// State in memory; NULL without memory.
 struct SlStorage *
 SlStorage_CreateMemory(uint64_t node_id, uint64_t incarnation);
--- /dev/null
+++ b/packages/state/src/files.c
@@ -0,0 +1,93 @@
+#include "savoryledge/state/files.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+static int
+files_open_system(struct SlFiles *files, int folder, const char *name,
+                  int flags)
+{
+    (void)files;
+    return openat(folder, name, flags | O_CLOEXEC, 0600);
+}
+
+static int
+files_lock_system(struct SlFiles *files, int fd)
+{
+    (void)files;
+    return flock(fd, LOCK_EX | LOCK_NB);
+}
+
+static ssize_t
+files_read_system(struct SlFiles *files, int fd, void *bytes,
+                  size_t length_bytes)
+{
+    (void)files;
+    return read(fd, bytes, length_bytes);
+}
+
+static ssize_t
+files_write_system(struct SlFiles *files, int fd, const void *bytes,
+                   size_t length_bytes)
+{
+    (void)files;
+    return write(fd, bytes, length_bytes);
+}
+
+static int
+files_sync_system(struct SlFiles *files, int fd)
+{
+    (void)files;
+    return fsync(fd);
+}
+
+static int
+files_truncate_system(struct SlFiles *files, int fd, off_t length_bytes)
+{
+    (void)files;
+    return ftruncate(fd, length_bytes);
+}
+
+static int
+files_rename_system(struct SlFiles *files, int folder, const char *from,
+                    const char *to)
+{
+    (void)files;
+    return renameat(folder, from, folder, to);
+}
+
+static int
+files_unlink_system(struct SlFiles *files, int folder, const char *name)
+{
+    (void)files;
+    return unlinkat(folder, name, 0);
+}
+
+static int
+files_close_system(struct SlFiles *files, int fd)
+{
+    (void)files;
+    return close(fd);
+}
+
+static const struct SlFilesType FILES_SYSTEM = {
+    .open = files_open_system,
+    .lock = files_lock_system,
+    .read = files_read_system,
+    .write = files_write_system,
+    .sync = files_sync_system,
+    .truncate = files_truncate_system,
+    .rename = files_rename_system,
+    .unlink = files_unlink_system,
+    .close = files_close_system,
+};
+
+struct SlFiles *
+SlFiles_System(void)
+{
+    static struct SlFiles files = {.type = &FILES_SYSTEM};
+
+    return &files;
+}
--- /dev/null
+++ b/packages/state/src/records.c
@@ -0,0 +1,119 @@
+#include "records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    RECORDS_FIRST_ROOM = 64,
+};
+
+static bool
+grow(struct SlRecords *records)
+{
+    uint32_t room =
+        records->room == 0 ? RECORDS_FIRST_ROOM : records->room * 2;
+    struct SlLogRecord *items;
+
+    if (records->count < records->room) {
+        return true;
+    }
+    items = realloc(records->items, room * sizeof(*items));
+    if (items == NULL) {
+        return false;
+    }
+    records->items = items;
+    records->room = room;
+    return true;
+}
+
+enum SlStatus
+SlRecords_Append(struct SlRecords *records, const struct SlLogRecord *record)
+{
+    uint8_t *data;
+
+    if (records->count == 0 && records->first == 0) {
+        records->first = record->index;
+    }
+    if (record->index != records->first + records->count) {
+        return SL_INVALID;
+    }
+    data = malloc(record->data_bytes + 1);
+    if (data == NULL || !grow(records)) {
+        free(data);
+        return SL_NO_MEMORY;
+    }
+    if (record->data_bytes > 0) {
+        memcpy(data, record->data, record->data_bytes);
+    }
+    records->items[records->count] = *record;
+    records->items[records->count].data = data;
+    records->count++;
+    return SL_OK;
+}
+
+uint64_t
+SlRecords_Last(const struct SlRecords *records)
+{
+    return records->first + records->count - 1;
+}
+
+const struct SlLogRecord *
+SlRecords_Find(const struct SlRecords *records, uint64_t index)
+{
+    if (index < records->first || index - records->first >= records->count) {
+        return NULL;
+    }
+    return &records->items[index - records->first];
+}
+
+void
+SlRecords_DropFrom(struct SlRecords *records, uint64_t index)
+{
+    while (records->count > 0 && SlRecords_Last(records) >= index) {
+        records->count--;
+        free((void *)records->items[records->count].data);
+    }
+}
+
+static void
+drop_before(struct SlRecords *records, uint64_t index)
+{
+    uint32_t dropped = 0;
+
+    while (dropped < records->count && records->items[dropped].index < index) {
+        free((void *)records->items[dropped].data);
+        dropped++;
+    }
+    if (dropped > 0) {
+        records->count -= dropped;
+        memmove(records->items, records->items + dropped,
+                records->count * sizeof(*records->items));
+        records->first += dropped;
+    }
+}
+
+void
+SlRecords_Compact(struct SlRecords *records, struct SlVersion last,
+                  uint64_t keep_from)
+{
+    const struct SlLogRecord *record = SlRecords_Find(records, last.index);
+
+    if (record == NULL || record->term != last.term) {
+        bool follows = records->count > 0 && records->first == last.index + 1;
+
+        if (!follows) {
+            SlRecords_DropFrom(records, 0);
+            records->first = last.index + 1;
+        }
+        return;
+    }
+    drop_before(records, keep_from);
+}
+
+void
+SlRecords_Release(struct SlRecords *records)
+{
+    SlRecords_DropFrom(records, 0);
+    free(records->items);
+    *records = (struct SlRecords){.first = 0};
+}
--- /dev/null
+++ b/test/control_world.h
@@ -0,0 +1,496 @@
+#ifndef SAVORYLEDGE_TEST_CONTROL_WORLD_H
+#define SAVORYLEDGE_TEST_CONTROL_WORLD_H
+
+/// Control cores in one process: links with delays, crashes, silent cuts.
+/// Messages pass through the codec. Time moves only by world_step.
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fault_storage.h"
+#include "savoryledge/coordination/control.h"
+
+enum {
+    WORLD_NODES_MAX = 7,
+    WORLD_STEP_US = 30 * 1000,
+    WORLD_HEARTBEAT_US = 60 * 1000,
+    WORLD_ELECTION_US = 300 * 1000,
+};
+
+struct world;
+
+struct world_node {
+    struct SlSink sink;
+    struct world *world;
+    uint32_t at;
+    char name[SL_NAME_BYTES];
+    uint64_t node_id;
+    struct SlControl *control;
+    struct fault_storage *storage;
+    bool bootstrap;
+    /// Nothing passes to or from it, and no link reports so.
+    bool cut;
+    uint64_t wall_offset_us;
+};
+
+/// A message on its way.
+struct world_message {
+    struct world_message *next;
+    uint64_t due_us;
+    uint32_t to;
+    uint64_t link;
+    struct SlBuffer bytes;
+};
+
+struct world {
+    uint32_t count;
+    struct world_node nodes[WORLD_NODES_MAX];
+    uint64_t now_us;
+    uint64_t random;
+    uint64_t next_link;
+    uint32_t snapshot_entries;
+    uint64_t unreachable_us;
+    /// Link numbers between nodes; 0 is none.
+    uint64_t links[WORLD_NODES_MAX][WORLD_NODES_MAX];
+    uint64_t link_due_us[WORLD_NODES_MAX][WORLD_NODES_MAX];
+    struct world_message *first;
+    struct world_message *last;
+    /// Messages to links of others than nodes.
+    void (*outside)(struct world *world, uint32_t from, uint64_t link,
+                    const struct SlMessage *message);
+    void *context;
+    uint32_t events[2000];
+    /// Where the log last promoted each node.
+    struct SlVersion promoted[WORLD_NODES_MAX];
+};
+
+static inline uint64_t
+world_random(struct world *world, uint64_t below)
+{
+    world->random ^= world->random << 13;
+    world->random ^= world->random >> 7;
+    world->random ^= world->random << 17;
+    return below ? (world->random >> 11) % below : 0;
+}
+
+static inline bool
+world_alive(const struct world_node *node)
+{
+    return node->control != NULL && !node->storage->dead;
+}
+
+/// Gives one input to a node.
+static inline void
+world_input(struct world *world, uint32_t at, struct SlInput input)
+{
+    struct world_node *node = &world->nodes[at];
+
+    if (!world_alive(node)) {
+        return;
+    }
+    input.now_us = world->now_us;
+    input.wall_us = world->now_us + node->wall_offset_us;
+    SlControl_Handle(node->control, &node->sink, &input);
+}
+
+static inline void
+world_flush(struct world *world, uint32_t at)
+{
+    world_input(world, at, (struct SlInput){.kind = SL_INPUT_BATCH_END});
+}
+
+/// Gives a message from an outside link, without ending the batch.
+static inline void
+world_give(struct world *world, uint32_t at, uint64_t link,
+           const struct SlMessage *message)
+{
+    world_input(world, at,
+                (struct SlInput){.kind = SL_INPUT_MESSAGE,
+                                 .link = link,
+                                 .message = message});
+}
+
+/// Opens a link from an outside process; returns its number.
+static inline uint64_t
+world_connect(struct world *world, uint32_t at, const char *name,
+              uint32_t roles)
+{
+    struct SlPeer peer = {.node_id = SlNode_Id(name), .roles = roles};
+    uint64_t link = ++world->next_link;
+
+    snprintf(peer.name, sizeof(peer.name), "%s", name);
+    world_input(world, at,
+                (struct SlInput){
+                    .kind = SL_INPUT_LINK_UP, .link = link, .peer = &peer});
+    return link;
+}
+
+static inline void
+world_disconnect(struct world *world, uint32_t at, uint64_t link)
+{
+    world_input(world, at,
+                (struct SlInput){.kind = SL_INPUT_LINK_DOWN, .link = link});
+}
+
+static inline void
+world_append(struct world_message **first, struct world_message **last,
+             struct world_message *message)
+{
+    message->next = NULL;
+    if (*last != NULL) {
+        (*last)->next = message;
+    }
+    else {
+        *first = message;
+    }
+    *last = message;
+}
+
+static inline void
+world_queue(struct world *world, uint32_t from, uint32_t to, uint64_t link,
+            const struct SlMessage *message)
+{
+    struct world_message *queued = calloc(1, sizeof(*queued));
+    uint64_t due_us =
+        world->now_us + world_random(world, 2 * WORLD_STEP_US) + 1000;
+
+    if (due_us < world->link_due_us[from][to]) {
+        due_us = world->link_due_us[from][to];
+    }
+    world->link_due_us[from][to] = due_us;
+    queued->due_us = due_us;
+    queued->to = to;
+    queued->link = link;
+    SlMessage_Encode(message, &queued->bytes);
+    world_append(&world->first, &world->last, queued);
+}
+
+static void
+send_message_world(struct SlSink *sink, uint64_t link,
+                   const struct SlMessage *message)
+{
+    struct world_node *node = (struct world_node *)sink;
+    struct world *world = node->world;
+
+    if (node->storage->dead || node->cut) {
+        return;
+    }
+    for (uint32_t to = 0; to < world->count; to++) {
+        if (world->links[node->at][to] == link) {
+            world_queue(world, node->at, to, link, message);
+            return;
+        }
+    }
+    if (world->outside != NULL) {
+        world->outside(world, node->at, link, message);
+    }
+}
+
+static inline void
+world_announce_link(struct world *world, uint32_t at, uint32_t other,
+                    uint64_t link)
+{
+    struct SlPeer peer = {.node_id = world->nodes[other].node_id,
+                          .roles = SL_ROLE_CONTROL};
+
+    memcpy(peer.name, world->nodes[other].name, sizeof(peer.name));
+    world_input(world, at,
+                (struct SlInput){
+                    .kind = SL_INPUT_LINK_UP, .link = link, .peer = &peer});
+}
+
+/// Opens a link between two nodes, if both are there.
+static inline void
+world_link(struct world *world, uint32_t a, uint32_t b)
+{
+    uint64_t link;
+
+    if (a == b || world->links[a][b] != 0 || !world_alive(&world->nodes[a]) ||
+        !world_alive(&world->nodes[b]) || world->nodes[a].cut ||
+        world->nodes[b].cut) {
+        return;
+    }
+    link = ++world->next_link;
+    world->links[a][b] = link;
+    world->links[b][a] = link;
+    world_announce_link(world, a, b, link);
+    world_announce_link(world, b, a, link);
+}
+
+static inline void
+world_unlink(struct world *world, uint32_t a, uint32_t b)
+{
+    uint64_t link = world->links[a][b];
+
+    if (link == 0) {
+        return;
+    }
+    world->links[a][b] = 0;
+    world->links[b][a] = 0;
+    world_disconnect(world, a, link);
+    world_disconnect(world, b, link);
+}
+
+static inline void
+note_promotion(struct world *world, const struct SlEvent *event)
+{
+    if (event->number != SL_EVENT_COMMITTED ||
+        strcmp(event->reason, "member_promote") != 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < world->count; i++) {
+        if (strcmp(event->node, world->nodes[i].name) == 0 &&
+            SlVersion_Compare(event->version, world->promoted[i]) > 0) {
+            world->promoted[i] = event->version;
+        }
+    }
+}
+
+static void
+event_world(struct SlSink *sink, const struct SlEvent *event)
+{
+    struct world_node *node = (struct world_node *)sink;
+    char text[SL_EVENT_TEXT_BYTES];
+
+    node->world->events[event->number]++;
+    note_promotion(node->world, event);
+    if (getenv("WORLD_EVENTS") != NULL) {
+        fprintf(stderr, "%s %s\n", node->name, SlEvent_Format(event, text));
+    }
+}
+
+static void
+dial_world(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
+{
+    (void)sink;
+    (void)node_id;
+    (void)to;
+}
+
+static void
+drop_world(struct SlSink *sink, uint64_t node_id)
+{
+    (void)sink;
+    (void)node_id;
+}
+
+/// Starts a node's process on the storage that it has.
+static inline enum SlStatus
+world_start(struct world *world, uint32_t at)
+{
+    struct world_node *node = &world->nodes[at];
+    struct SlControlOptions options = {
+        .core = {.roles = SL_ROLE_CONTROL, .seed = world->random},
+        .bootstrap = node->bootstrap,
+        .storage = &node->storage->storage,
+        .heartbeat_us = WORLD_HEARTBEAT_US,
+        .election_us = WORLD_ELECTION_US,
+        .snapshot_entries = world->snapshot_entries,
+        .unreachable_us = world->unreachable_us,
+    };
+    struct SlError error;
+
+    memcpy(options.core.name, node->name, sizeof(node->name));
+    for (uint32_t i = 0; i < world->count; i++) {
+        struct SlControlMember *member = &options.members[i];
+
+        if (!world->nodes[i].bootstrap && i >= 1 && !node->bootstrap) {
+            continue;
+        }
+        options.member_count = i + 1;
+        member->node_id = world->nodes[i].node_id;
+        member->voter = true;
+        memcpy(member->name, world->nodes[i].name, sizeof(member->name));
+    }
+    return SlControl_Create(&options, world->now_us, &node->control, &error);
+}
+
+/// Ends a node's process as a loss of power would.
+static inline void
+world_crash(struct world *world, uint32_t at)
+{
+    struct world_node *node = &world->nodes[at];
+
+    if (node->control == NULL) {
+        return;
+    }
+    node->storage->dead = true;
+    for (uint32_t i = 0; i < world->count; i++) {
+        world_unlink(world, at, i);
+    }
+    SlControl_Destroy(node->control);
+    node->control = NULL;
+    fault_storage_lose_power(node->storage);
+}
+
+/// Replaces the folder of a node that is down by an empty one.
+static inline void
+world_wipe(struct world *world, uint32_t at)
+{
+    struct world_node *node = &world->nodes[at];
+
+    SlStorage_Destroy(&node->storage->storage);
+    node->storage =
+        fault_storage_create(node->node_id, 1 + world_random(world, 1u << 30));
+}
+
+static inline void
+world_create(struct world *world, uint32_t count, uint64_t seed)
+{
+    static const struct SlSinkType SINK = {
+        .send_message = send_message_world,
+        .dial = dial_world,
+        .drop = drop_world,
+        .event = event_world,
+    };
+
+    *world = (struct world){.count = count,
+                            .now_us = 1000 * 1000,
+                            .random = seed * 2654435761u + 88172645463325252u,
+                            .snapshot_entries = 40};
+    for (uint32_t i = 0; i < count; i++) {
+        struct world_node *node = &world->nodes[i];
+
+        node->sink.type = &SINK;
+        node->world = world;
+        node->at = i;
+        node->bootstrap = true;
+        snprintf(node->name, sizeof(node->name), "control-%u", i + 1);
+        node->node_id = SlNode_Id(node->name);
+        node->storage = fault_storage_create(
+            node->node_id, 1 + world_random(world, 1u << 30));
+    }
+}
+
+static inline void
+world_start_all(struct world *world)
+{
+    for (uint32_t i = 0; i < world->count; i++) {
+        world_start(world, i);
+    }
+}
+
+static inline void
+world_drop_message(struct world_message *message)
+{
+    SlBuffer_Release(&message->bytes);
+    free(message);
+}
+
+static inline void
+world_destroy(struct world *world)
+{
+    while (world->first != NULL) {
+        struct world_message *message = world->first;
+
+        world->first = message->next;
+        world_drop_message(message);
+    }
+    for (uint32_t i = 0; i < world->count; i++) {
+        SlControl_Destroy(world->nodes[i].control);
+        SlStorage_Destroy(&world->nodes[i].storage->storage);
+    }
+}
+
+static inline void
+world_deliver(struct world *world, const struct world_message *queued)
+{
+    struct world_node *node = &world->nodes[queued->to];
+    struct SlMessage message;
+
+    if (node->cut || !world_alive(node) ||
+        SlMessage_Decode(queued->bytes.bytes, queued->bytes.length_bytes,
+                         &message) != SL_OK) {
+        return;
+    }
+    world_give(world, queued->to, queued->link, &message);
+    SlMessage_Release(&message);
+}
+
+static inline void
+world_deliver_due(struct world *world)
+{
+    struct world_message *waiting = world->first;
+    struct world_message *kept_first = NULL;
+    struct world_message *kept_last = NULL;
+
+    world->first = NULL;
+    world->last = NULL;
+    while (waiting != NULL) {
+        struct world_message *queued = waiting;
+
+        waiting = queued->next;
+        if (queued->due_us > world->now_us) {
+            world_append(&kept_first, &kept_last, queued);
+            continue;
+        }
+        world_deliver(world, queued);
+        world_drop_message(queued);
+    }
+    if (kept_last != NULL) {
+        kept_last->next = world->first;
+        world->first = kept_first;
+        world->last = world->last != NULL ? world->last : kept_last;
+    }
+}
+
+/// Goes on by one step of time: deliveries, ticks, ends of batches. Nodes
+/// whose storage died are crashed.
+static inline void
+world_step(struct world *world)
+{
+    world->now_us += WORLD_STEP_US;
+    for (uint32_t a = 0; a < world->count; a++) {
+        for (uint32_t b = a + 1; b < world->count; b++) {
+            world_link(world, a, b);
+        }
+    }
+    world_deliver_due(world);
+    for (uint32_t i = 0; i < world->count; i++) {
+        world_input(world, i, (struct SlInput){.kind = SL_INPUT_TICK});
+        world_flush(world, i);
+        if (world->nodes[i].control != NULL && world->nodes[i].storage->dead) {
+            world_crash(world, i);
+        }
+    }
+}
+
+static inline void
+world_run(struct world *world, uint32_t steps)
+{
+    for (uint32_t i = 0; i < steps; i++) {
+        world_step(world);
+    }
+}
+
+/// The node that leads with a fresh lease; count when none.
+static inline uint32_t
+world_leader(const struct world *world)
+{
+    for (uint32_t i = 0; i < world->count; i++) {
+        const struct world_node *node = &world->nodes[i];
+
+        if (world_alive(node) &&
+            SlControl_State(node->control) == SL_CONTROL_LEADER &&
+            SlControl_Fresh(node->control, world->now_us)) {
+            return i;
+        }
+    }
+    return world->count;
+}
+
+/// Runs until there is a fresh leader; returns it, or count after limit.
+static inline uint32_t
+world_await_leader(struct world *world, uint32_t limit_steps)
+{
+    for (uint32_t i = 0; i < limit_steps; i++) {
+        if (world_leader(world) < world->count) {
+            return world_leader(world);
+        }
+        world_step(world);
+    }
+    return world->count;
+}
+
+#endif
