--- a/packages/coordination/src/recording_replay.c
+++ b/packages/coordination/src/recording_replay.c
@@ -207,11 +207,12 @@
     case SL_RECORD_HARD_STATE:
         return take_hard_state(replay, &record->hard_state);
     case SL_RECORD_SNAPSHOT:
-        return storage == NULL ? SL_MALFORMED
-                               : storage->type->save_snapshot(
-                                     storage, record->snapshot.last,
-                                     record->snapshot.bytes,
-                                     record->snapshot.length_bytes);
+        return storage == NULL
+                   ? SL_MALFORMED
+                   : storage->type->save_snapshot(
+                         storage, record->snapshot.last,
+                         record->snapshot.bytes, record->snapshot.length_bytes,
+                         record->snapshot.last.index + 1);
     case SL_RECORD_LOG:
         return storage == NULL
                    ? SL_MALFORMED
--- a/packages/state/src/records.c
+++ b/packages/state/src/records.c
@@ -31,7 +31,8 @@
 {
     uint8_t *data;
 
-    if (records->count == 0 && records->first == 0) {
+    if (records->count == 0 &&
+        (records->first == 0 || record->index < records->first)) {
         records->first = record->index;
     }
     if (record->index != records->first + records->count) {
--- a/packages/state/src/records.h
+++ b/packages/state/src/records.h
@@ -16,8 +16,9 @@
     struct SlLogRecord *items;
 };
 
-/// Copies a record behind the last. Errors: SL_INVALID (its index does not
-/// follow), SL_NO_MEMORY.
+/// Copies a record behind the last; an empty run may begin earlier than a
+/// snapshot's end, with records kept from before it. Errors: SL_INVALID (its
+/// index does not follow), SL_NO_MEMORY.
 enum SlStatus
 SlRecords_Append(struct SlRecords *records, const struct SlLogRecord *record);
 
