Run the daemon, and tell every subscriber's version

Each control instance knows what its own subscribers hold, so savoryledgectl wait joins the names and versions of all instances instead of counts, which would take a process twice that moved between two of them.

--- a/packages/coordination/src/control_query.c
+++ b/packages/coordination/src/control_query.c
@@ -148,6 +148,8 @@
     SlBuffer_Release(&buffer);
 }
 
+/// Each subscriber with the version it holds: who asks joins the answers of
+/// all control instances, as each has subscribers of its own.
 static void
 answer_in_force(struct SlControl *control, uint64_t link,
                 struct SlVersion version)
@@ -166,11 +168,9 @@
         if (SlVersion_Compare(subscriber->holds, version) >= 0) {
             in_force++;
         }
-        else {
-            add_line(&buffer, "behind.%s=%" PRIu64 ".%" PRIu64 "\n",
-                     subscriber->peer.name, subscriber->holds.term,
-                     subscriber->holds.index);
-        }
+        add_line(&buffer, "holds.%s=%" PRIu64 ".%" PRIu64 "\n",
+                 subscriber->peer.name, subscriber->holds.term,
+                 subscriber->holds.index);
     }
     add_line(&buffer, "subscribers=%u\nin_force=%u\n", subscribers, in_force);
     send_text(control, link, SL_OK, (const char *)buffer.bytes,
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -1,8 +1,164 @@
+#include <argtable2.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "settings.h"
+#include "shell.h"
+
+enum exit_code {
+    EXIT_GOOD = 0,
+    EXIT_FAILED = 1,
+    /// The command line or the settings are wrong; nothing was started.
+    EXIT_USAGE = 2,
+};
+
+enum {
+    FAULT_LINE_BYTES = 768,
+};
+
+struct arguments {
+    struct arg_file *settings;
+    struct arg_file *check;
+    struct arg_file *record;
+    struct arg_lit *help;
+    struct arg_lit *version;
+    struct arg_file *file;
+    struct arg_end *end;
+};
+
+static void
+print_help(void **table)
+{
+    printf("Usage: savoryledged");
+    arg_print_syntax(stdout, table, "\n");
+    printf("One process of savoryledge: entry, agent or control, as the\n"
+           "settings say. SIGHUP reads log level and keys again; SIGTERM\n"
+           "is a planned stop.\n\n");
+    arg_print_glossary(stdout, table, "  %-20s %s\n");
+    printf("\nExit codes: 0 planned stop, or settings without fault;\n"
+           "  1 could not start or serve; 2 wrong arguments or settings.\n");
+}
+
+/// Returns false, with every fault told on standard error, when there is one.
+static bool
+load_settings(const char *path, struct SlSettings *settings)
+{
+    struct SlFaults faults;
+    char line[FAULT_LINE_BYTES];
+
+    SlSettings_Load(path, settings, &faults);
+    for (uint32_t i = 0; i < faults.count; i++) {
+        fprintf(stderr, "%s\n",
+                SlFault_Format(path, &faults.items[i], line, sizeof(line)));
+    }
+    return faults.count == 0;
+}
+
+static int
+serve(const char *path, const struct SlSettings *settings)
+{
+    struct SlLog *log = SlLog_Create(STDERR_FILENO, settings->node.log_level);
+    struct SlShellOptions options = {
+        .settings = settings, .settings_path = path, .log = log};
+    struct SlShell *shell = NULL;
+    struct SlError error;
+    int code = EXIT_FAILED;
+
+    if (log == NULL) {
+        fprintf(stderr, "savoryledged: no memory for the log\n");
+        return EXIT_FAILED;
+    }
+    if (SlShell_Create(&options, &shell, &error) == SL_OK) {
+        code = SlShell_Run(shell);
+    }
+    else {
+        fprintf(stderr, "savoryledged: %s: %s: %s\n", SlStep_Name(error.step),
+                SlStatus_Name(error.status), error.message);
+    }
+    SlShell_Destroy(shell);
+    SlLog_Destroy(log);
+    return code;
+}
+
+/// NULL when no file was given.
+static const char *
+settings_path(const struct arguments *arguments)
+{
+    if (arguments->settings->count > 0) {
+        return arguments->settings->filename[0];
+    }
+    return arguments->file->count > 0 ? arguments->file->filename[0] : NULL;
+}
+
+static int
+run(const struct arguments *arguments)
+{
+    const char *path = settings_path(arguments);
+    struct SlSettings settings;
+
+    if (arguments->check->count > 0) {
+        path = arguments->check->filename[0];
+        if (!load_settings(path, &settings)) {
+            return EXIT_USAGE;
+        }
+        printf("%s: no fault\n", path);
+        return EXIT_GOOD;
+    }
+    if (path == NULL) {
+        fprintf(stderr, "savoryledged: --settings FILE is missing\n");
+        return EXIT_USAGE;
+    }
+    if (!load_settings(path, &settings)) {
+        return EXIT_USAGE;
+    }
+    if (arguments->record->count > 0) {
+        snprintf(settings.record.file, sizeof(settings.record.file), "%s",
+                 arguments->record->filename[0]);
+    }
+    return serve(path, &settings);
+}
 
 int
-main(void)
+main(int argc, char **argv)
 {
-    fputs("savoryledged: not built yet\n", stderr);
-    return 1;
+    struct arguments arguments = {
+        .settings = arg_file0("s", "settings", "FILE", "serve by this file"),
+        .check = arg_file0("c", "check", "FILE",
+                           "check this file, tell all faults, and end"),
+        .record = arg_file0("r", "record", "FILE",
+                            "record inputs and decisions to this file"),
+        .help = arg_lit0("h", "help", "print this text"),
+        .version = arg_lit0(NULL, "version", "print the version"),
+        .file = arg_file0(NULL, NULL, "FILE", "the same as --settings FILE"),
+        .end = arg_end(8),
+    };
+    void *table[] = {arguments.settings, arguments.check,   arguments.record,
+                     arguments.help,     arguments.version, arguments.file,
+                     arguments.end};
+    int code = EXIT_GOOD;
+    int faults;
+
+    if (arg_nullcheck(table) != 0) {
+        fprintf(stderr, "savoryledged: no memory\n");
+        return EXIT_FAILED;
+    }
+    faults = arg_parse(argc, argv, table);
+    if (arguments.help->count > 0) {
+        print_help(table);
+    }
+    else if (arguments.version->count > 0) {
+        printf("savoryledged %s\n", SAVORYLEDGE_VERSION);
+    }
+    else if (faults > 0) {
+        arg_print_errors(stderr, arguments.end, "savoryledged");
+        fprintf(stderr, "savoryledged --help tells what is allowed\n");
+        code = EXIT_USAGE;
+    }
+    else {
+        code = run(&arguments);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return code;
 }
