--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -376,6 +376,9 @@
 /// answered anybody since since_ms.
 void
 agent_admission_failed(const struct agent_call *call, const char *reason);
+/// Raises the limits when it is time.
+void
+agent_admission_tick(const struct agent_call *call);
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms);
 /// New flows that would be admitted now.
@@ -434,11 +437,6 @@
 void
 agent_handle_located(const struct agent_call *call,
                      const struct SlTunnel *tunnel);
-/// A claim by a lower node: this agent's own search ends in its favour.
-void
-agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
-                   struct SlFlow *flow, uint64_t node_id);
-
 /* agent_refuse.c */
 /// Refuses a new flow. not_run: nothing was delivered anywhere.
 void
