Keep flows whose marks along a chain of agents have expired

Cause: packets that followed a mark carried the flag of a finished search, and a search ended at the first word that the flow had been passed on. Where the mark at the next agent was gone, a live flow was reset there. Change: only a new flow's packet ends the search by a mark; in a search for an established flow the word of an agent that passed it on counts after the holder's own.

--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -128,7 +128,9 @@
 {
     bool opening = agent_is_opening(&p->packet);
     uint32_t settled = p->tunnel->flags & SL_TUNNEL_LOCATED_FLOW;
-    uint32_t flags = flow->kind == SL_FLOW_MARK ? SL_TUNNEL_LOCATED_FLOW : 0;
+    /* A mark may be old: only for a new flow does it end the search. */
+    uint32_t flags =
+        flow->kind == SL_FLOW_MARK && opening ? SL_TUNNEL_LOCATED_FLOW : 0;
 
     if (flow->flags & SL_FLOW_HAS_LAST_SEQ) {
         p->has_last_seq = true;
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -365,7 +365,20 @@
     nobody_has_old(call, shard, search, &p);
 }
 
-/// Ends a search; holder 0: nobody is known to have the flow.
+/// The agent that a flow was passed on to, unless it has answered itself that
+/// it does not have it; 0 if none.
+static uint64_t
+passed_holder(const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (search->asked[i] == search->passed && search->answered[i]) {
+            return 0;
+        }
+    }
+    return search->passed;
+}
+
+/// Ends a search; holder 0: nobody has said that it has the flow.
 static void
 finish(const struct agent_call *call, struct SlFlowShard *shard,
        struct SlFlow *flow, uint64_t holder)
@@ -382,6 +395,10 @@
         .reason = is_complete(search) ? "nobody" : "unanswered",
         .value = (int64_t)(call->now_us - search->started_us)};
 
+    if (holder == 0) {
+        holder = passed_holder(search);
+        event.node = agent_node_name(call, holder);
+    }
     if (holder != 0) {
         event.reason = "found";
     }
@@ -623,6 +640,11 @@
     search->answered[place] = true;
     search->recent[place] = tunnel->flags & SL_TUNNEL_RECENT_BOOT;
     note_last_seq(search, tunnel);
+    if (tunnel->answer == SL_LOCATE_PASSED && !search->claim) {
+        /* An old mark: the holder's own word goes before it. */
+        search->passed = holder;
+        holder = 0;
+    }
     if (holder != 0 || is_complete(search)) {
         finish(call, shard, flow, holder);
     }
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -148,6 +148,8 @@
     uint64_t asked[AGENT_SEARCH_ASKED_MAX];
     bool answered[AGENT_SEARCH_ASKED_MAX];
     bool recent[AGENT_SEARCH_ASKED_MAX];
+    /// Where an agent passed the flow on to, by its word; 0 if none.
+    uint64_t passed;
     bool has_last_seq;
     uint32_t last_seq;
     uint32_t waiting_count;
