--- a/packages/coordination/src/control_query.c
+++ b/packages/coordination/src/control_query.c
@@ -1,4 +1,5 @@
-/// Operators' questions.
+/// Operators' questions that control answers: objects, and the versions that
+/// its subscribers hold.
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -11,13 +12,6 @@
     LINE_BYTES = 256,
 };
 
-static const char *const STATE_NAMES[] = {
-    [SL_CONTROL_LEARNER] = "learner",
-    [SL_CONTROL_FOLLOWER] = "follower",
-    [SL_CONTROL_CANDIDATE] = "candidate",
-    [SL_CONTROL_LEADER] = "leader",
-};
-
 static void
 send_text(struct SlControl *control, uint64_t link, enum SlStatus status,
           const char *text, size_t length_bytes)
@@ -95,59 +89,6 @@
     }
 }
 
-static void
-add_members(struct SlControl *control, struct SlBuffer *buffer)
-{
-    const struct SlRaft *raft = &control->raft;
-
-    for (uint32_t i = 0; i < raft->members.count; i++) {
-        const struct SlRaftMember *member = &raft->members.items[i];
-        const struct SlRaftProgress *progress = &raft->progress[i];
-
-        add_line(buffer,
-                 "member.%s=%s incarnation=%016" PRIx64 " match=%" PRIu64
-                 " silent_ms=%" PRIu64 "\n",
-                 member->name, member->voter ? "voter" : "learner",
-                 member->incarnation, progress->match,
-                 (control->now_us - progress->heard_us) / 1000);
-    }
-}
-
-static uint32_t
-count_unreachable(const struct SlConfig *config)
-{
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < SlConfig_Count(config, SL_KIND_NODE); i++) {
-        count += SlConfig_At(config, SL_KIND_NODE, i)->node.unreachable;
-    }
-    return count;
-}
-
-static void
-answer_status(struct SlControl *control, uint64_t link)
-{
-    const struct SlRaft *raft = &control->raft;
-    const struct SlRaftMember *leader = SlRaft_Member(raft, raft->leader);
-    struct SlVersion version = SlConfig_Version(control->config);
-    struct SlBuffer buffer = {.bytes = NULL};
-
-    add_line(&buffer, "control=%s\nterm=%" PRIu64 "\nleader=%s\n",
-             STATE_NAMES[raft->state], raft->hard.term,
-             leader ? leader->name : "");
-    add_line(&buffer, "version=%" PRIu64 ".%" PRIu64 "\ncommit=%" PRIu64 "\n",
-             version.term, version.index, raft->commit);
-    add_line(&buffer, "fresh=%d\nstorage_failed=%d\n",
-             SlRaft_Fresh(raft, control->now_us), raft->broken);
-    add_line(&buffer, "nodes=%u\nunreachable=%u\nloss_held=%d\n",
-             SlConfig_Count(control->config, SL_KIND_NODE),
-             count_unreachable(control->config), control->loss_held);
-    add_members(control, &buffer);
-    send_text(control, link, SL_OK, (const char *)buffer.bytes,
-              buffer.length_bytes);
-    SlBuffer_Release(&buffer);
-}
-
 static void
 answer_in_force(struct SlControl *control, uint64_t link,
                 struct SlVersion version)
@@ -163,14 +104,10 @@
             continue;
         }
         subscribers++;
-        if (SlVersion_Compare(subscriber->holds, version) >= 0) {
-            in_force++;
-        }
-        else {
-            add_line(&buffer, "behind.%s=%" PRIu64 ".%" PRIu64 "\n",
-                     subscriber->peer.name, subscriber->holds.term,
-                     subscriber->holds.index);
-        }
+        in_force += SlVersion_Compare(subscriber->holds, version) >= 0;
+        add_line(&buffer, "holds.%s=%" PRIu64 ".%" PRIu64 "\n",
+                 subscriber->peer.name, subscriber->holds.term,
+                 subscriber->holds.index);
     }
     add_line(&buffer, "subscribers=%u\nin_force=%u\n", subscribers, in_force);
     send_text(control, link, SL_OK, (const char *)buffer.bytes,
@@ -186,9 +123,6 @@
     case SL_QUERY_OBJECTS:
         answer_objects(control, link, query);
         break;
-    case SL_QUERY_STATUS:
-        answer_status(control, link);
-        break;
     case SL_QUERY_IN_FORCE:
         answer_in_force(control, link, query->version);
         break;
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -303,7 +303,7 @@
 
     *reason = "an earlier membership change is not committed yet";
     if (raft->members_index > raft->commit || !SlRaft_Ready(raft)) {
-        return SL_AGAIN;
+        return SL_NO_QUORUM;
     }
     if (change->object.node.node_id != SlNode_Id(change->object.name)) {
         *reason = "the node id does not follow from the name";
--- a/packages/state/src/storage_folder.c
+++ b/packages/state/src/storage_folder.c
@@ -518,12 +518,15 @@
     }
     self->log_bytes = scan.good_bytes;
     self->batch = scan.batch;
-    self->synced = SlRecords_Last(&self->records);
     status = reopen_log(self);
     if (status == SL_OK) {
         status = cut_tail(self, file.length_bytes);
     }
-    return status == SL_OK ? match_snapshot(self) : status;
+    if (status == SL_OK) {
+        status = match_snapshot(self);
+    }
+    self->synced = SlRecords_Last(&self->records);
+    return status;
 }
 
 /// True when no more than an unfinished first start has left anything.
