--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -385,11 +385,24 @@
     nobody_has_old(call, shard, search, &p);
 }
 
+/// The agent that a flow was passed on to, unless it has answered itself that
+/// it does not have it; 0 if none.
+static uint64_t
+passed_holder(const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (search->asked[i] == search->passed && search->answered[i]) {
+            return 0;
+        }
+    }
+    return search->passed;
+}
+
+/// Ends a search; holder 0: nobody has said that it has the flow.
 static void
 finish(const struct agent_call *call, struct SlFlowShard *shard,
        struct SlFlow *flow, struct outcome outcome)
 {
-    uint64_t holder = outcome.holder;
     struct agent_search *search = take_search(&call->agent->searches, flow);
     struct SlFlowKey key = flow->key;
     const struct SlRouteService *service =
@@ -398,15 +411,18 @@
         .number = SL_EVENT_LOCATED,
         .flow = &key,
         .service = service != NULL ? service->name : NULL,
-        .node = agent_node_name(call, holder),
         .reason = is_complete(search) ? "nobody" : "unanswered",
         .value = (int64_t)(call->now_us - search->started_us)};
 
-    if (holder != 0) {
+    if (outcome.holder == 0) {
+        outcome.holder = passed_holder(search);
+    }
+    if (outcome.holder != 0) {
+        event.node = agent_node_name(call, outcome.holder);
         event.reason = "found";
     }
     agent_count(call->agent,
-                holder != 0 ? COUNT_LOCATED : COUNT_LOCATE_FAILED);
+                outcome.holder != 0 ? COUNT_LOCATED : COUNT_LOCATE_FAILED);
     agent_event(call, &event);
     SlFlowShard_Remove(shard, flow);
     for (uint32_t i = 0; i < search->waiting_count; i++) {
@@ -639,6 +655,11 @@
     search->answered[place] = true;
     search->recent[place] = tunnel->flags & SL_TUNNEL_RECENT_BOOT;
     note_last_seq(search, tunnel);
+    if (tunnel->answer == SL_LOCATE_PASSED && !search->claim) {
+        /* An old mark: the holder's own word goes before it. */
+        search->passed = outcome.holder;
+        outcome.holder = 0;
+    }
     if (outcome.holder != 0 || is_complete(search)) {
         finish(call, shard, flow, outcome);
     }
