Keep the thread test's time in step with its workers

On a busy machine the control thread hardly ran, so no search ever timed out and nothing was admitted: the check for an admission failed. Workers now wait for the ticks; ten runs on one core pass.

--- a/test/agent_thread_test.c
+++ b/test/agent_thread_test.c
@@ -2,6 +2,7 @@
    agents, ticks and new tables at once. Counts must add up at the end. */
 
 #include <pthread.h>
+#include <sched.h>
 #include <stdatomic.h>
 
 #include "agent_fixture.h"
@@ -10,6 +11,7 @@
     WORKERS = 4,
     ROUNDS = 20000,
     PORTS_EACH = 500,
+    ROUNDS_PER_TICK = 100,
 };
 
 struct worker {
@@ -24,6 +26,7 @@
 };
 
 static atomic_uint_fast64_t the_time_us;
+static atomic_uint ticks;
 static atomic_bool workers_done;
 
 static void
@@ -120,6 +123,10 @@
         uint32_t draw;
         uint32_t length;
 
+        /* Time goes on however the threads are scheduled. */
+        while (atomic_load(&ticks) < i / ROUNDS_PER_TICK) {
+            sched_yield();
+        }
         worker->random =
             worker->random * 6364136223846793005u + 1442695040888963407u;
         draw = (uint32_t)(worker->random >> 33);
@@ -154,6 +161,7 @@
 
         tick.now_us = atomic_fetch_add(&the_time_us, SL_TICK_US) + SL_TICK_US;
         SlAgent_Handle(self->agent, &self->sink, &tick);
+        atomic_fetch_add(&ticks, 1);
         if (++i % 16 == 0) {
             SlAgent_SetRouting(self->agent, &self->sink, tick.now_us,
                                tables[i / 16 % 2]);
