--- a/packages/protocol/src/layout.c
+++ b/packages/protocol/src/layout.c
@@ -189,8 +189,8 @@
         value->via.str.size >= field->limit) {
         return SL_MALFORMED;
     }
-    /* The pointer of an empty string is NULL, and the target is zeroed. */
     if (value->via.str.size == 0) {
+        /* An empty text may come without an address. */
         return SL_OK;
     }
     if (memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL) {
