--- /dev/null
+++ b/bench/in_force_bench.c
@@ -0,0 +1,454 @@
+/// One control instance and many subscribers over real links on loopback:
+/// the time until a change is in force at each of them, what they cost while
+/// nothing changes, and what one change costs them.
+///
+/// All of them share one thread, so that the times hold the work of every
+/// subscriber too.
+
+#include <sodium.h>
+
+#include "bench.h"
+#include "savoryledge/coordination/control.h"
+#include "savoryledge/coordination/replica.h"
+#include "savoryledge/transport/link.h"
+
+enum {
+    SUBSCRIBERS_MAX = 400,
+    CHANGES = 50,
+    TURN_US = 1000,
+    TICK_US = 20 * 1000,
+    SETTLE_US = 1500 * 1000,
+    IDLE_US = 3000 * 1000,
+    LIMIT_US = 60 * 1000 * 1000,
+    /// A link number of the operator's, below those of the transport.
+    OPERATOR_LINK = 1 << 30,
+};
+
+struct site;
+
+/// One end with its links: the control instance, or a subscriber.
+struct end {
+    struct SlLinksOwner owner;
+    struct SlSink sink;
+    struct site *site;
+    struct SlLinks *links;
+    struct SlReplica *replica;
+    struct SlControl *control;
+    char name[SL_NAME_BYTES];
+    uint32_t roles;
+    uint64_t reached_us;
+};
+
+struct site {
+    struct SlLoop *loop;
+    struct SlAddress address;
+    struct SlStorage *storage;
+    struct end control;
+    struct end *subscribers;
+    uint32_t count;
+    uint64_t results;
+};
+
+static void
+send_message(struct SlSink *sink, uint64_t link,
+             const struct SlMessage *message)
+{
+    struct end *end =
+        (struct end *)((char *)sink - offsetof(struct end, sink));
+    struct SlBuffer buffer = {.bytes = NULL};
+
+    if (link == OPERATOR_LINK) {
+        end->site->results += message->kind == SL_MESSAGE_RESULT &&
+                              message->result.result.status == SL_OK;
+        return;
+    }
+    if (SlMessage_Encode(message, &buffer) == SL_OK) {
+        (void)SlLinks_Send(end->links, link, buffer.bytes,
+                           (uint32_t)buffer.length_bytes);
+    }
+    SlBuffer_Release(&buffer);
+}
+
+static void
+dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
+{
+    struct end *end =
+        (struct end *)((char *)sink - offsetof(struct end, sink));
+
+    (void)SlLinks_Dial(end->links, node_id, to);
+}
+
+static void
+drop(struct SlSink *sink, uint64_t node_id)
+{
+    struct end *end =
+        (struct end *)((char *)sink - offsetof(struct end, sink));
+
+    SlLinks_Drop(end->links, node_id);
+}
+
+static const struct SlSinkType END_SINK = {
+    .send_to_caller = bench_no_packet,
+    .send_to_upstream = bench_no_packet,
+    .send_tunnel = bench_no_tunnel,
+    .send_message = send_message,
+    .dial = dial,
+    .drop = drop,
+    .event = bench_no_event,
+};
+
+static void
+give(struct end *end, struct SlInput input)
+{
+    input.now_us = SlClock_Monotonic();
+    input.wall_us = SlClock_Wall();
+    if (end->control != NULL) {
+        SlControl_Handle(end->control, &end->sink, &input);
+    }
+    else {
+        SlReplica_Handle(end->replica, &end->sink, &input);
+    }
+}
+
+static void
+links_up(struct SlLinksOwner *owner, uint64_t link, uint64_t dialled,
+         const struct SlAddress *remote)
+{
+    struct end *end = (struct end *)owner;
+    struct SlMessage message = {.kind = SL_MESSAGE_HELLO,
+                                .hello = {.roles = end->roles}};
+
+    (void)dialled;
+    (void)remote;
+    memcpy(message.hello.name, end->name, sizeof(end->name));
+    send_message(&end->sink, link, &message);
+}
+
+static void
+take_hello(struct end *end, uint64_t link, const struct SlHello *hello)
+{
+    struct SlPeer peer = {.node_id = SlNode_Id(hello->name),
+                          .roles = hello->roles};
+
+    memcpy(peer.name, hello->name, sizeof(peer.name));
+    give(end, (struct SlInput){
+                  .kind = SL_INPUT_LINK_UP, .link = link, .peer = &peer});
+}
+
+static void
+links_message(struct SlLinksOwner *owner, uint64_t link, const uint8_t *bytes,
+              uint32_t length_bytes)
+{
+    struct end *end = (struct end *)owner;
+    struct SlMessage message;
+
+    if (SlMessage_Decode(bytes, length_bytes, &message) != SL_OK) {
+        return;
+    }
+    if (message.kind == SL_MESSAGE_HELLO) {
+        take_hello(end, link, &message.hello);
+    }
+    else {
+        give(end, (struct SlInput){.kind = SL_INPUT_MESSAGE,
+                                   .link = link,
+                                   .message = &message});
+    }
+    SlMessage_Release(&message);
+}
+
+static void
+links_down(struct SlLinksOwner *owner, uint64_t link, enum SlStatus reason)
+{
+    struct SlPeer peer = {.node_id = 0};
+
+    (void)reason;
+    give((struct end *)owner, (struct SlInput){.kind = SL_INPUT_LINK_DOWN,
+                                               .link = link,
+                                               .peer = &peer});
+}
+
+static void
+links_refused(struct SlLinksOwner *owner, const struct SlAddress *remote,
+              enum SlStatus reason)
+{
+    (void)owner;
+    (void)remote;
+    (void)reason;
+}
+
+static const struct SlLinksOwnerType END_LINKS = {
+    .up = links_up,
+    .message = links_message,
+    .down = links_down,
+    .refused = links_refused,
+};
+
+static void
+open_end(struct site *site, struct end *end, const struct SlKeyring *keyring)
+{
+    struct SlLinksOptions options = {
+        .loop = site->loop, .owner = &end->owner, .keyring = *keyring};
+
+    end->owner.type = &END_LINKS;
+    end->sink.type = &END_SINK;
+    end->site = site;
+    end->links = SlLinks_Create(&options);
+    assert(end->links != NULL);
+}
+
+static void
+open_control(struct site *site, const struct SlKeyring *keyring)
+{
+    struct SlControlOptions options = {
+        .core = {.name = "c1", .roles = SL_ROLE_CONTROL, .seed = 5},
+        .member_count = 1,
+        .bootstrap = true,
+        .storage = SlStorage_CreateMemory(SlNode_Id("c1"), 1)};
+    struct SlAddress any = bench_address("127.0.0.1:0");
+    enum SlStatus status;
+
+    snprintf(site->control.name, SL_NAME_BYTES, "c1");
+    site->control.roles = SL_ROLE_CONTROL;
+    open_end(site, &site->control, keyring);
+    status = SlLinks_Listen(site->control.links, &any, &site->address, NULL);
+    assert(status == SL_OK);
+    options.members[0] = (struct SlControlMember){
+        .node_id = SlNode_Id("c1"), .link = site->address, .voter = true};
+    snprintf(options.members[0].name, SL_NAME_BYTES, "c1");
+    site->storage = options.storage;
+    status = SlControl_Create(&options, SlClock_Monotonic(),
+                              &site->control.control, NULL);
+    assert(status == SL_OK);
+    (void)status;
+}
+
+static void
+open_subscriber(struct site *site, struct end *end, uint32_t number,
+                const struct SlKeyring *keyring)
+{
+    struct SlReplicaOptions options = {
+        .core = {.roles = SL_ROLE_ENTRY, .seed = number},
+        .control_count = 1,
+        .control_id = {SlNode_Id("c1")},
+        .control = {site->address},
+        .announce = {.kind = SL_KIND_NODE,
+                     .node = {.roles = SL_ROLE_ENTRY, .zone = "a"}}};
+
+    snprintf(end->name, SL_NAME_BYTES, "entry-%u", number);
+    memcpy(options.core.name, end->name, SL_NAME_BYTES);
+    memcpy(options.announce.name, end->name, SL_NAME_BYTES);
+    options.announce.node.node_id = SlNode_Id(end->name);
+    options.announce.node.boot = number + 1;
+    options.announce.node.link = site->address;
+    options.announce.node.tunnel = site->address;
+    end->roles = SL_ROLE_ENTRY;
+    open_end(site, end, keyring);
+    end->replica = SlReplica_Create(&options, SlClock_Monotonic());
+    assert(end->replica != NULL);
+}
+
+static void
+tick(struct end *end)
+{
+    give(end, (struct SlInput){.kind = SL_INPUT_TICK});
+    SlLinks_Tick(end->links, SlClock_Monotonic());
+}
+
+/// Runs everything for a while, or until all hold the version.
+static bool
+run(struct site *site, uint64_t for_us, struct SlVersion until)
+{
+    uint64_t start_us = SlClock_Monotonic();
+    uint64_t tick_us = 0;
+
+    while (SlClock_Monotonic() - start_us < for_us) {
+        uint64_t now_us = SlClock_Monotonic();
+        bool due = now_us - tick_us >= TICK_US;
+        uint32_t reached = 0;
+
+        SlLoop_Turn(site->loop, TURN_US);
+        if (due) {
+            tick_us = now_us;
+            tick(&site->control);
+        }
+        give(&site->control, (struct SlInput){.kind = SL_INPUT_BATCH_END});
+        SlLinks_Flush(site->control.links);
+        for (uint32_t i = 0; i < site->count; i++) {
+            struct end *end = &site->subscribers[i];
+            struct SlVersion held =
+                SlConfig_Version(SlReplica_Config(end->replica));
+
+            if (due) {
+                tick(end);
+            }
+            SlLinks_Flush(end->links);
+            if (until.index != 0 && SlVersion_Compare(held, until) >= 0) {
+                reached++;
+                end->reached_us =
+                    end->reached_us ? end->reached_us : SlClock_Monotonic();
+            }
+        }
+        if (until.index != 0 && reached == site->count) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+connect_operator(struct site *site)
+{
+    struct SlPeer peer = {.node_id = SlNode_Id("operator"),
+                          .name = "operator"};
+
+    give(&site->control, (struct SlInput){.kind = SL_INPUT_LINK_UP,
+                                          .link = OPERATOR_LINK,
+                                          .peer = &peer});
+}
+
+/// Proposes one change and returns its version once it is applied.
+static struct SlVersion
+change(struct site *site, uint32_t number)
+{
+    uint64_t done = site->results;
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_CHANGE,
+        .change = {
+            .client = 77,
+            .request = number + 1,
+            .base = SlControl_Applied(site->control.control),
+            .verb = SL_VERB_CREATE,
+            .object = {.kind = SL_KIND_GROUP, .selector = "app=workroom"}}};
+
+    snprintf(message.change.object.name, SL_NAME_BYTES, "group-%u", number);
+    give(&site->control, (struct SlInput){.kind = SL_INPUT_MESSAGE,
+                                          .link = OPERATOR_LINK,
+                                          .message = &message});
+    give(&site->control, (struct SlInput){.kind = SL_INPUT_BATCH_END});
+    if (site->results != done + 1) {
+        printf("in_force_rejected_%u 1 changes\n", site->count);
+        exit(1);
+    }
+    return SlControl_Applied(site->control.control);
+}
+
+/// Bytes that all subscribers sent and received.
+static uint64_t
+traffic_bytes(const struct site *site)
+{
+    uint64_t sum = 0;
+
+    for (uint32_t i = 0; i < site->count; i++) {
+        struct SlLinksCounters counters;
+
+        SlLinks_Counters(site->subscribers[i].links, &counters);
+        sum += counters.received_bytes + counters.sent_bytes;
+    }
+    return sum;
+}
+
+static void
+measure_changes(struct site *site)
+{
+    static double times_ms[CHANGES * SUBSCRIBERS_MAX];
+    size_t count = 0;
+    uint64_t before = traffic_bytes(site);
+    uint64_t started_us = SlClock_Monotonic();
+
+    for (uint32_t i = 0; i < CHANGES; i++) {
+        uint64_t start_us = SlClock_Monotonic();
+        struct SlVersion version = change(site, i);
+
+        for (uint32_t j = 0; j < site->count; j++) {
+            site->subscribers[j].reached_us = 0;
+        }
+        if (!run(site, LIMIT_US, version)) {
+            printf("in_force_failed_%u 1 runs\n", site->count);
+            return;
+        }
+        for (uint32_t j = 0; j < site->count; j++) {
+            times_ms[count++] =
+                (double)(site->subscribers[j].reached_us - start_us) / 1000;
+        }
+    }
+    qsort(times_ms, count, sizeof(times_ms[0]), bench_compare);
+    printf("in_force_p50_ms_%u %.3f ms\n", site->count, times_ms[count / 2]);
+    printf("in_force_p99_ms_%u %.3f ms\n", site->count,
+           times_ms[count - 1 - count / 100]);
+    printf("in_force_change_bytes_%u %.0f bytes\n", site->count,
+           (double)(traffic_bytes(site) - before) / CHANGES / site->count);
+    printf("in_force_run_ms_%u %.0f ms\n", site->count,
+           (double)(SlClock_Monotonic() - started_us) / 1000);
+}
+
+static void
+measure_idle(struct site *site)
+{
+    uint64_t before = traffic_bytes(site);
+    uint64_t start_us = SlClock_Monotonic();
+    uint64_t cpu_ns = bench_cpu_ns();
+    double seconds;
+
+    (void)run(site, IDLE_US, (struct SlVersion){.index = 0});
+    seconds = (double)(SlClock_Monotonic() - start_us) / 1e6;
+    printf("control_idle_bytes_per_s_%u %.0f bytes/s\n", site->count,
+           (double)(traffic_bytes(site) - before) / seconds / site->count);
+    printf("control_idle_cpu_us_per_s_%u %.1f us/s\n", site->count,
+           (double)(bench_cpu_ns() - cpu_ns) / 1000 / seconds / site->count);
+}
+
+static void
+measure(uint32_t count, const struct SlKeyring *keyring)
+{
+    struct site *site = calloc(1, sizeof(*site));
+    struct SlVersion joined;
+
+    assert(site != NULL);
+    site->loop = SlLoop_Create();
+    site->subscribers = calloc(count, sizeof(*site->subscribers));
+    open_control(site, keyring);
+    for (uint32_t i = 0; i < count; i++) {
+        open_subscriber(site, &site->subscribers[i], i, keyring);
+    }
+    site->count = count;
+    connect_operator(site);
+    (void)run(site, SETTLE_US, (struct SlVersion){.index = 0});
+    joined = SlControl_Applied(site->control.control);
+    if (!run(site, LIMIT_US, joined) ||
+        SlConfig_Count(SlControl_Config(site->control.control), SL_KIND_NODE) <
+            count) {
+        printf("in_force_joined_%u %u nodes\n", count,
+               SlConfig_Count(SlControl_Config(site->control.control),
+                              SL_KIND_NODE));
+    }
+    measure_changes(site);
+    measure_idle(site);
+    for (uint32_t i = 0; i < count; i++) {
+        SlLinks_Destroy(site->subscribers[i].links);
+        SlReplica_Destroy(site->subscribers[i].replica);
+    }
+    SlLinks_Destroy(site->control.links);
+    SlControl_Destroy(site->control.control);
+    SlStorage_Destroy(site->storage);
+    SlLoop_Destroy(site->loop);
+    free(site->subscribers);
+    free(site);
+}
+
+int
+main(void)
+{
+    static const uint32_t COUNTS[] = {50, 100, 200, 400};
+    uint8_t secret[SL_KEY_BYTES] = {1};
+    struct SlKeyring keyring = {.count = 1};
+
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    SlKey_FromSecret(secret, &keyring.items[0]);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    for (size_t i = 0; i < sizeof(COUNTS) / sizeof(COUNTS[0]); i++) {
+        measure(COUNTS[i], &keyring);
+    }
+    return 0;
+}
