--- a/example/standin_callers.c
+++ b/example/standin_callers.c
@@ -228,7 +228,8 @@
 /// The flow that a packet or a quoted packet belongs to; NULL when it has
 /// ended already.
 static struct flow *
-find_flow(struct callers *callers, const struct SlAddress *own)
+find_flow(struct callers *callers, const struct SlAddress *own,
+          const struct SlAddress *service)
 {
     for (uint32_t i = 0; i < callers->flow_count; i++) {
         struct flow *flow = &callers->flows[i];
@@ -239,7 +240,8 @@
             getsockname(flow->fd, (struct sockaddr *)&sock, &length) == 0) {
             SlAddress_FromSockaddr((struct sockaddr *)&sock, &flow->own);
         }
-        if (flow->state != FLOW_IDLE && SlAddress_Equal(&flow->own, own)) {
+        if (flow->state != FLOW_IDLE && SlAddress_Equal(&flow->own, own) &&
+            SlAddress_Equal(&flow->service->address, service)) {
             return flow;
         }
     }
@@ -252,7 +254,10 @@
 {
     struct standin_answer answer;
 
-    if (packet->tcp_flags & SL_TCP_RST) {
+    if (packet->tcp_flags & SL_TCP_RST && flow->state == FLOW_CLOSING) {
+        end_flow(flow, now_us, BACK_OFF_US);
+    }
+    else if (packet->tcp_flags & SL_TCP_RST) {
         fail_flow(callers, flow, now_us, "reset");
     }
     else if (flow->state == FLOW_OPENING) {
@@ -303,13 +308,14 @@
             continue;
         }
         if (packet.kind == SL_PACKET_TCP) {
-            flow = find_flow(callers, &packet.destination);
+            flow = find_flow(callers, &packet.destination, &packet.source);
             if (flow != NULL && flow->service->tcp) {
                 take_segment(callers, flow, &packet, now_us);
             }
         }
         else if (packet.kind == SL_PACKET_ICMP_ERROR) {
-            flow = find_flow(callers, &packet.quoted_source);
+            flow = find_flow(callers, &packet.quoted_source,
+                             &packet.quoted_destination);
             if (flow != NULL) {
                 fail_flow(callers, flow, now_us, "icmp");
             }
@@ -359,15 +365,36 @@
     }
 }
 
+static void
+print_open(const struct callers *callers, const char *when)
+{
+    for (int u = 0; u < callers->upstream_count; u++) {
+        uint32_t open = 0;
+
+        for (uint32_t i = 0; i < callers->flow_count; i++) {
+            open += callers->flows[i].upstream == u;
+        }
+        printf("callers open service=%s upstream=%s zone=%s flows=%u "
+               "when=%s\n",
+               callers->upstreams[u].service, callers->upstreams[u].name,
+               callers->upstreams[u].zone, open, when);
+    }
+}
+
 static void
 run(struct callers *callers, uint64_t end_us)
 {
     struct epoll_event events[BATCH];
+    bool was_out = false;
     uint64_t now_us;
 
     while ((now_us = standin_now_us()) < end_us) {
         int count = epoll_wait(callers->poll_fd, events, BATCH, 2);
 
+        if (zone_is_out && !was_out) {
+            print_open(callers, "before");
+        }
+        was_out = zone_is_out;
         for (int i = 0; i < count; i++) {
             if (events[i].data.ptr == NULL) {
                 read_encap(callers, now_us);
@@ -409,16 +436,7 @@
     const struct counts *counts = &callers->counts;
     uint64_t last = (now_us - callers->start_us) / WINDOW_US;
 
-    for (int u = 0; u < callers->upstream_count; u++) {
-        uint32_t open = 0;
-
-        for (uint32_t i = 0; i < callers->flow_count; i++) {
-            open += callers->flows[i].upstream == u;
-        }
-        printf("callers open service=%s upstream=%s zone=%s flows=%u\n",
-               callers->upstreams[u].service, callers->upstreams[u].name,
-               callers->upstreams[u].zone, open);
-    }
+    print_open(callers, "end");
     printf("callers flows=%" PRIu64 " broken=%" PRIu64 " given_up=%" PRIu64
            " refused=%" PRIu64 " moved=%" PRIu64 " silent=%" PRIu64
            " foreign=%" PRIu64 " answers=%" PRIu64 " resends=%" PRIu64 "\n",
--- a/example/standin_upstream.c
+++ b/example/standin_upstream.c
@@ -206,14 +206,19 @@
                     .window = WINDOW},
     };
 
+    bool again = flow->answered_seq == packet->tcp_seq;
+
     send_segment(upstream, packet, SL_TCP_ACK, packet->tcp_ack,
                  packet->tcp_seq + packet->payload_bytes);
-    if (flow->answered_seq == packet->tcp_seq) {
+    flow->answered_seq = packet->tcp_seq;
+    if (!standin_read_request(packet->bytes + packet->payload_offset,
+                              packet->payload_bytes, &job.request)) {
         return;
     }
-    flow->answered_seq = packet->tcp_seq;
-    if (standin_read_request(packet->bytes + packet->payload_offset,
-                             packet->payload_bytes, &job.request)) {
+    if (again) {
+        answer(upstream, &job);
+    }
+    else {
         add_job(upstream, &job);
     }
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -201,14 +201,16 @@
 refused=$(value "$callers" refused)
 foreign=$(cat "$callers" "$run"/up-*.out | grep -o 'foreign=[0-9]*' |
     awk -F= '{ sum += $2 } END { print sum + 0 }')
-imbalance=$(awk '/^callers open/ {
-        split($3, s, "="); split($6, f, "=")
-        sum[s[2]] += f[2]; count[s[2]]++
-        if (f[2] > most[s[2]]) most[s[2]] = f[2]
-    }
-    END { for (s in sum) { i = most[s] * count[s] / sum[s]
-              if (i > worst) worst = i }
-          printf "%.2f", worst }' "$callers")
+imbalance() { # before, or end
+    awk -v when="when=$1" '/^callers open/ && $7 == when {
+            split($3, service, "="); split($6, flows, "=")
+            sum[service[2]] += flows[2]; count[service[2]]++
+            if (flows[2] > most[service[2]]) most[service[2]] = flows[2]
+        }
+        END { for (k in sum) { i = most[k] * count[k] / sum[k]
+                  if (i > worst) worst = i }
+              printf "%.2f", worst }' "$callers"
+}
 silent_s=$(awk -v us="$silent_us" 'BEGIN { printf "%.2f", us / 1e6 }')
 answers=$(value "$callers" answers)
 echo
@@ -218,7 +220,8 @@
 echo "flows given up with the zone            $(value "$callers" given_up)"
 echo "refusals                                ${refused:-none}"
 echo "packets of another service              $foreign"
-echo "imbalance, greatest over mean           $imbalance"
+echo "imbalance before the zone left          $(imbalance before)"
+echo "imbalance at the end, zone just back    $(imbalance end)"
 echo "seconds until the zone fell silent      $silent_s"
 verdict=0
 [ "${broken:-1}" = 0 ] || verdict=1
