--- a/packages/daemon/src/shell_threads.c
+++ b/packages/daemon/src/shell_threads.c
@@ -256,25 +256,18 @@
 }
 
 void
-threads_stop(struct SlShell *shell)
+threads_close(struct SlShell *shell)
 {
-    atomic_store(&shell->ending, true);
-    for (uint32_t i = 0; i < shell->settings.node.threads; i++) {
-        struct packet_thread *thread = &shell->threads[i];
+    uint32_t count = shell->settings.node.threads;
 
-        if (thread->started) {
-            SlLoop_Wake(thread->loop);
-            pthread_join(thread->thread, NULL);
-            thread->started = false;
+    atomic_store(&shell->ending, true);
+    for (uint32_t i = 0; i < count; i++) {
+        if (shell->threads[i].started) {
+            SlLoop_Wake(shell->threads[i].loop);
+            pthread_join(shell->threads[i].thread, NULL);
         }
     }
-}
-
-void
-threads_close(struct SlShell *shell)
-{
-    threads_stop(shell);
-    for (uint32_t i = 0; i < shell->settings.node.threads; i++) {
+    for (uint32_t i = 0; i < count; i++) {
         close_thread(&shell->threads[i]);
     }
 }
