--- /dev/null
+++ b/fuzz/change_fuzz.c
@@ -0,0 +1,47 @@
+/// Changes of the log: whatever is accepted is encoded to the same bytes
+/// again, can be checked, and can be applied to a configuration.
+
+#include <string.h>
+
+#include "fuzz.h"
+#include "savoryledge/protocol/message.h"
+#include "savoryledge/state/config.h"
+
+static void
+apply(const struct SlChange *change)
+{
+    struct SlConfig *config = SlConfig_Create();
+    struct SlVersion version = {.term = 1, .index = 1};
+    struct SlResult result;
+
+    must(config != NULL);
+    SlConfig_Apply(config, version, change, &result);
+    version.index++;
+    SlConfig_Apply(config, version, change, &result);
+    SlConfig_Destroy(config);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length_bytes)
+{
+    struct SlBuffer first = {.bytes = NULL};
+    struct SlBuffer second = {.bytes = NULL};
+    struct SlChange change;
+    struct SlChange copy;
+    struct SlError error;
+
+    if (SlChange_Decode(bytes, length_bytes, &change) != SL_OK) {
+        return 0;
+    }
+    must(SlChange_Encode(&change, &first) == SL_OK);
+    must(SlChange_Decode(first.bytes, first.length_bytes, &copy) == SL_OK);
+    must(SlChange_Encode(&copy, &second) == SL_OK);
+    must(first.length_bytes == second.length_bytes &&
+         memcmp(first.bytes, second.bytes, first.length_bytes) == 0);
+    if (SlChange_Check(&change, &error) == SL_OK) {
+        apply(&change);
+    }
+    SlBuffer_Release(&first);
+    SlBuffer_Release(&second);
+    return 0;
+}
--- /dev/null
+++ b/fuzz/message_fuzz.c
@@ -0,0 +1,23 @@
+/// Messages of links: whatever is accepted can be encoded and decoded again.
+
+#include "fuzz.h"
+#include "savoryledge/protocol/message.h"
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length_bytes)
+{
+    struct SlBuffer buffer = {.bytes = NULL};
+    struct SlMessage message;
+    struct SlMessage copy;
+
+    if (SlMessage_Decode(bytes, length_bytes, &message) != SL_OK) {
+        return 0;
+    }
+    must(SlMessage_Encode(&message, &buffer) == SL_OK);
+    must(SlMessage_Decode(buffer.bytes, buffer.length_bytes, &copy) == SL_OK);
+    must(copy.kind == message.kind);
+    SlMessage_Release(&copy);
+    SlMessage_Release(&message);
+    SlBuffer_Release(&buffer);
+    return 0;
+}
--- /dev/null
+++ b/fuzz/selector_fuzz.c
@@ -0,0 +1,29 @@
+/// Selectors: any text is checked safely, and what passes can be matched.
+
+#include <string.h>
+
+#include "fuzz.h"
+#include "savoryledge/state/object.h"
+
+static const char *
+lookup(const void *context, const char *key)
+{
+    must(strlen(key) < SL_LABEL_KEY_BYTES);
+    return strcmp(key, "a") == 0 ? context : NULL;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t length_bytes)
+{
+    char *selector = malloc(length_bytes + 1);
+    struct SlError error;
+
+    must(selector != NULL);
+    memcpy(selector, bytes, length_bytes);
+    selector[length_bytes] = '\0';
+    if (SlSelector_Check(selector, &error) == SL_OK) {
+        SlSelector_Matches(selector, lookup, "b");
+    }
+    free(selector);
+    return 0;
+}
--- a/packages/ctl/src/command_change.c
+++ b/packages/ctl/src/command_change.c
@@ -63,9 +63,9 @@
 static enum SlStatus
 fill_request(struct SlCtl *ctl, struct SlChange *change)
 {
-    struct SlMessage query = {.kind = SL_MESSAGE_QUERY,
-                              .query = {.query = SL_QUERY_STATUS}};
+    struct SlMessage message = {.kind = SL_MESSAGE_QUERY};
 
+    message.query.query = SL_QUERY_STATUS;
     change->client = ctl->options.client;
     change->request = ctl->options.request ? ctl->options.request : 1;
     change->expected = ctl->options.expect;
@@ -76,7 +76,7 @@
         change->base = ctl->options.base;
         return SL_OK;
     }
-    return SlCtl_Ask(ctl, &query, take_base, &change->base);
+    return SlCtl_Ask(ctl, &message, take_base, &change->base);
 }
 
 static int
--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -15,6 +15,7 @@
     RING_LINES = 8192,
     /// The writer looks at the ring at least this often.
     WRITE_PAUSE_NS = 10 * 1000 * 1000,
+    NS_PER_SECOND = 1000 * 1000 * 1000,
     CHUNK_BYTES = 64 * 1024,
     /// What a pipe that polls as writable takes without waiting.
     WRITE_BYTES = 4096,
@@ -122,8 +123,8 @@
 
     clock_gettime(CLOCK_REALTIME, &until);
     until.tv_nsec += WRITE_PAUSE_NS;
-    if (until.tv_nsec >= 1000 * 1000 * 1000) {
-        until.tv_nsec -= 1000 * 1000 * 1000;
+    if (until.tv_nsec >= NS_PER_SECOND) {
+        until.tv_nsec -= NS_PER_SECOND;
         until.tv_sec++;
     }
     pthread_cond_timedwait(&log->filled, &log->lock, &until);
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -21,8 +21,8 @@
 struct key {
     const char *section;
     const char *name;
-    enum SlValueType type;
     size_t offset;
+    enum SlValueType type;
     uint32_t min;
     uint32_t max;
     /// Roles for which it must be given; any: always.
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -430,7 +430,7 @@
         end_batch(shell);
     }
     idle = SlNode_Idle(shell->node);
-    threads_close(shell);
+    threads_stop(shell);
     log_event(shell, (struct SlEvent){.number = SL_EVENT_STOPPED,
                                       .reason = idle ? "idle" : "time_is_up"});
     return 0;
--- a/packages/daemon/src/shell_internal.h
+++ b/packages/daemon/src/shell_internal.h
@@ -149,6 +149,9 @@
 threads_open(struct SlShell *shell, struct SlError *error);
 enum SlStatus
 threads_start(struct SlShell *shell, struct SlError *error);
+/// Ends the threads; a second call does nothing.
+void
+threads_stop(struct SlShell *shell);
 /// Ends the threads and closes their sockets and ports.
 void
 threads_close(struct SlShell *shell);
--- a/packages/daemon/src/shell_threads.c
+++ b/packages/daemon/src/shell_threads.c
@@ -256,18 +256,25 @@
 }
 
 void
-threads_close(struct SlShell *shell)
+threads_stop(struct SlShell *shell)
 {
-    uint32_t count = shell->settings.node.threads;
-
     atomic_store(&shell->ending, true);
-    for (uint32_t i = 0; i < count; i++) {
-        if (shell->threads[i].started) {
-            SlLoop_Wake(shell->threads[i].loop);
-            pthread_join(shell->threads[i].thread, NULL);
+    for (uint32_t i = 0; i < shell->settings.node.threads; i++) {
+        struct packet_thread *thread = &shell->threads[i];
+
+        if (thread->started) {
+            SlLoop_Wake(thread->loop);
+            pthread_join(thread->thread, NULL);
+            thread->started = false;
         }
     }
-    for (uint32_t i = 0; i < count; i++) {
+}
+
+void
+threads_close(struct SlShell *shell)
+{
+    threads_stop(shell);
+    for (uint32_t i = 0; i < shell->settings.node.threads; i++) {
         close_thread(&shell->threads[i]);
     }
 }
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "layout.h"
+#include "shape.h"
 
 #define U8(owner, member) SL_FIELD_PLAIN(SL_FIELD_U8, owner, member)
 #define U16(owner, member) SL_FIELD_PLAIN(SL_FIELD_U16, owner, member)
@@ -310,7 +311,8 @@
 
     memset(base, 0, layout->bytes);
     msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
+    if (shape_is_sound(bytes, length_bytes) &&
+        msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
         status = SlLayout_Read(layout, &unpacked.data, base);
@@ -373,7 +375,8 @@
 
     memset(message, 0, sizeof(*message));
     msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
+    if (shape_is_sound(bytes, length_bytes) &&
+        msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
         row = envelope_row(&unpacked.data);
--- a/packages/protocol/src/tunnel.c
+++ b/packages/protocol/src/tunnel.c
@@ -4,6 +4,8 @@
 
 #include <msgpack.h>
 
+#include "shape.h"
+
 enum {
     COMMON_FIELDS = 6,
     LOAD_FIELDS = 4,
@@ -311,6 +313,9 @@
     bool good;
 
     memset(tunnel, 0, sizeof(*tunnel));
+    if (!shape_is_sound(bytes, length_bytes)) {
+        return SL_MALFORMED;
+    }
     if (!msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE)) {
         return SL_NO_MEMORY;
     }
--- a/packages/state/src/selector.c
+++ b/packages/state/src/selector.c
@@ -86,8 +86,11 @@
         cursor++;
     }
     values->bytes = (size_t)(cursor - values->start);
+    if (*cursor != ')') {
+        return false;
+    }
     *at = skip_spaces(cursor + 1);
-    return *cursor == ')';
+    return true;
 }
 
 /// Reads what follows a key.
--- /dev/null
+++ b/scripts/check.d/corpora.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Replays the kept corpora through their fuzz targets, without new inputs.
+set -eu
+cd "$(dirname "$0")/../.."
+scripts/build-fuzz.sh
+for source in fuzz/*_fuzz.c; do
+    name=$(basename -s _fuzz.c "$source")
+    "build-fuzz/fuzz/${name}_fuzz" -runs=0 "fuzz/corpus/$name"
+done
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Runs each fuzz target for a bounded number of inputs from its kept corpus,
+# with a fixed seed. FUZZ_RUNS and FUZZ_SEED change both. New inputs go to
+# out/fuzz, not to the kept corpora; an input that fails is kept there too.
+set -eu
+cd "$(dirname "$0")/.."
+runs=${FUZZ_RUNS:-200000}
+seed=${FUZZ_SEED:-1}
+scripts/build-fuzz.sh >/dev/null
+failed=0
+for source in fuzz/*_fuzz.c; do
+    name=$(basename -s _fuzz.c "$source")
+    mkdir -p "out/fuzz/$name"
+    if "build-fuzz/fuzz/${name}_fuzz" -runs="$runs" -seed="$seed" \
+        -max_len=2048 -artifact_prefix="out/fuzz/$name-" \
+        "out/fuzz/$name" "fuzz/corpus/$name" >"out/fuzz/$name.log" 2>&1; then
+        echo "ok      $name $runs runs, seed $seed"
+    else
+        failed=1
+        echo "FAILED  $name, seed $seed"
+        tail -30 "out/fuzz/$name.log"
+    fi
+done
+exit "$failed"
--- /dev/null
+++ b/test/shell_thread_test.c
@@ -0,0 +1,324 @@
+#include <netinet/in.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "client.h"
+#include "savoryledge/transport/loop.h"
+#include "shell.h"
+#include "test.h"
+
+/// One process with all three roles and two packet threads on 127.0.0.1,
+/// used from outside as an operator, a caller and an upstream use it.
+
+enum {
+    TRIES = 400,
+    PAUSE_US = 25 * 1000,
+    PATIENCE_US = 20 * 1000 * 1000,
+    TEXT_BYTES = 64,
+};
+
+struct process {
+    char folder[64];
+    struct SlSettings settings;
+    struct SlAddress service;
+    struct SlLog *log;
+    pthread_t thread;
+    bool created;
+    int exit_code;
+    int upstream;
+    int caller;
+};
+
+static int
+open_socket(const char *text, struct SlAddress *address)
+{
+    int descriptor = -1;
+
+    SlAddress_Parse(text, address);
+    CU_ASSERT_EQUAL_FATAL(SlUdpSocket_Open(address, false, &descriptor, NULL),
+                          SL_OK);
+    SlUdpSocket_Address(descriptor, address);
+    return descriptor;
+}
+
+static struct SlAddress
+free_address(const char *text)
+{
+    struct SlAddress address;
+
+    close(open_socket(text, &address));
+    return address;
+}
+
+static void
+fill_settings(struct process *process)
+{
+    struct SlSettings *settings = &process->settings;
+    uint8_t secret[SL_KEY_BYTES] = {9};
+
+    *settings = (struct SlSettings){
+        .node = {.name = "all-1",
+                 .zone = "a",
+                 .roles = SL_ROLE_ENTRY | SL_ROLE_AGENT | SL_ROLE_CONTROL,
+                 .threads = 2,
+                 .log_level = SL_LEVEL_DEBUG,
+                 .stop_timeout_ms = 30000},
+        .control = {.bootstrap = true, .members = {.count = 1}},
+        .entry = {.port = {.kind = SL_PORT_UDP}, .tunnel_mtu_bytes = 9000},
+        .agent = {.port = {.kind = SL_PORT_UDP},
+                  .slots = 3,
+                  .capacity_flows = 100},
+        .keyring = {.count = 1},
+    };
+    settings->node.tunnel = free_address("127.0.0.1:0");
+    settings->node.link = free_address("127.0.0.1:0");
+    process->service = free_address("127.0.0.1:0");
+    process->upstream =
+        open_socket("127.0.0.1:0", &settings->agent.port.upstream);
+    snprintf(settings->control.data_folder, SETTINGS_PATH_BYTES, "%s",
+             process->folder);
+    snprintf(settings->control.members.items[0].name, SL_NAME_BYTES, "all-1");
+    settings->control.members.items[0].link = settings->node.link;
+    SlLabels_Set(&settings->agent.labels, "app", "orders");
+    SlKey_FromSecret(secret, &settings->keyring.items[0]);
+}
+
+static void *
+run_process(void *context)
+{
+    struct process *process = context;
+    struct SlShellOptions options = {.settings = &process->settings,
+                                     .log = process->log};
+    struct SlShell *shell = NULL;
+    struct SlError error = {.status = SL_OK};
+
+    process->exit_code = -1;
+    if (SlShell_Create(&options, &shell, &error) == SL_OK) {
+        process->exit_code = SlShell_Run(shell);
+    }
+    else {
+        printf("not started: %s\n", error.message);
+    }
+    SlShell_Destroy(shell);
+    return NULL;
+}
+
+static void
+send_change(struct SlClient *client, const struct SlChange *change)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_CHANGE, .change = *change};
+    struct SlMessage answer;
+    enum SlStatus status = SL_NOT_LEADER;
+
+    for (int i = 0; i < TRIES && status == SL_NOT_LEADER; i++) {
+        CU_ASSERT_EQUAL_FATAL(SlClient_Send(client, &message), SL_OK);
+        CU_ASSERT_EQUAL_FATAL(
+            SlClient_Receive(client, SlClock_Monotonic() + PATIENCE_US,
+                             &answer),
+            SL_OK);
+        status = answer.result.result.status;
+        SlMessage_Release(&answer);
+        if (status == SL_NOT_LEADER) {
+            usleep(PAUSE_US);
+        }
+    }
+    CU_ASSERT_EQUAL_FATAL(status, SL_OK);
+}
+
+static struct SlClient *
+connect_client(const struct process *process, const struct SlKeyring *keyring)
+{
+    struct SlClient *client = SlClient_Create(keyring);
+    enum SlStatus status = SL_CLOSED;
+
+    for (int i = 0; i < TRIES && status != SL_OK; i++) {
+        status = SlClient_Connect(client, &process->settings.node.link,
+                                  SlClock_Monotonic() + PATIENCE_US);
+        if (status == SL_IO) {
+            usleep(PAUSE_US);
+        }
+        else if (status != SL_OK) {
+            break;
+        }
+    }
+    if (status == SL_OK) {
+        return client;
+    }
+    SlClient_Destroy(client);
+    return NULL;
+}
+
+static void
+create_objects(const struct process *process)
+{
+    struct SlClient *client =
+        connect_client(process, &process->settings.keyring);
+    struct SlChange group = {.client = 1,
+                             .request = 1,
+                             .verb = SL_VERB_CREATE,
+                             .object = {.kind = SL_KIND_GROUP,
+                                        .name = "orders",
+                                        .selector = "app=orders"}};
+    struct SlChange service = {.client = 1,
+                               .request = 2,
+                               .verb = SL_VERB_CREATE,
+                               .object = {.kind = SL_KIND_SERVICE,
+                                          .name = "orders",
+                                          .selector = "name=orders"}};
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(client);
+    service.object.service.address = process->service;
+    service.object.service.protocol = IPPROTO_UDP;
+    send_change(client, &group);
+    send_change(client, &service);
+    SlClient_Destroy(client);
+}
+
+static bool
+receive_text(int descriptor, const char *text, struct SlAddress *from)
+{
+    struct sockaddr_storage name;
+    socklen_t length = sizeof(name);
+    char bytes[TEXT_BYTES];
+    ssize_t got = recvfrom(descriptor, bytes, sizeof(bytes), MSG_DONTWAIT,
+                           (struct sockaddr *)&name, &length);
+
+    if (got != (ssize_t)strlen(text) ||
+        memcmp(bytes, text, (size_t)got) != 0) {
+        return false;
+    }
+    SlAddress_FromSockaddr((struct sockaddr *)&name, from);
+    return true;
+}
+
+static void
+send_text(int descriptor, const char *text, const struct SlAddress *to)
+{
+    struct sockaddr_storage name;
+    socklen_t length = SlAddress_ToSockaddr(to, &name);
+
+    (void)sendto(descriptor, text, strlen(text), 0, (struct sockaddr *)&name,
+                 length);
+}
+
+/// Sends until the upstream has the request; tells where it came from.
+static void
+ask_until_delivered(struct process *process, const char *request,
+                    struct SlAddress *from)
+{
+    bool delivered = false;
+
+    for (int i = 0; i < TRIES && !delivered; i++) {
+        send_text(process->caller, request, &process->service);
+        usleep(PAUSE_US);
+        delivered = receive_text(process->upstream, request, from);
+    }
+    CU_ASSERT_FATAL(delivered);
+}
+
+static void
+expect_answer(struct process *process, const char *answer)
+{
+    struct SlAddress from;
+    bool answered = false;
+
+    for (int i = 0; i < TRIES && !answered; i++) {
+        answered = receive_text(process->caller, answer, &from);
+        usleep(PAUSE_US);
+    }
+    CU_ASSERT_FATAL(answered);
+    CU_ASSERT_TRUE(SlAddress_Equal(&from, &process->service));
+}
+
+static void
+start_process(struct process *process)
+{
+    struct SlAddress caller;
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    snprintf(process->folder, sizeof(process->folder),
+             "/tmp/shell_test.XXXXXX");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(mkdtemp(process->folder));
+    fill_settings(process);
+    process->caller = open_socket("127.0.0.1:0", &caller);
+    process->log = SlLog_Create(STDOUT_FILENO, SL_LEVEL_WARNING);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(process->log);
+    pthread_create(&process->thread, NULL, run_process, process);
+}
+
+static void
+remove_folder(const char *folder)
+{
+    char command[128];
+
+    snprintf(command, sizeof(command), "rm -rf '%s'", folder);
+    CU_ASSERT_EQUAL(system(command), 0);
+}
+
+static void
+end_process(struct process *process)
+{
+    pthread_join(process->thread, NULL);
+    SlLog_Destroy(process->log);
+    close(process->upstream);
+    close(process->caller);
+    remove_folder(process->folder);
+}
+
+static void
+test_requests_pass_and_a_stop_cuts_none(void)
+{
+    static struct process process;
+    struct SlAddress flow;
+
+    start_process(&process);
+    create_objects(&process);
+    ask_until_delivered(&process, "first", &flow);
+    send_text(process.upstream, "first answer", &flow);
+    expect_answer(&process, "first answer");
+    ask_until_delivered(&process, "second", &flow);
+    kill(getpid(), SIGTERM);
+    usleep(PAUSE_US);
+    send_text(process.upstream, "second answer", &flow);
+    expect_answer(&process, "second answer");
+    end_process(&process);
+    CU_ASSERT_EQUAL(process.exit_code, 0);
+}
+
+static void
+test_client_with_another_key_is_refused(void)
+{
+    static struct process process;
+    struct SlKeyring other = {.count = 1};
+    uint8_t secret[SL_KEY_BYTES] = {10};
+    struct SlClient *client;
+
+    SlKey_FromSecret(secret, &other.items[0]);
+    start_process(&process);
+    client = connect_client(&process, &process.settings.keyring);
+    CU_ASSERT_PTR_NOT_NULL(client);
+    SlClient_Destroy(client);
+    CU_ASSERT_PTR_NULL(connect_client(&process, &other));
+    kill(getpid(), SIGTERM);
+    end_process(&process);
+    CU_ASSERT_EQUAL(process.exit_code, 0);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"requests pass, and a planned stop cuts none",
+         test_requests_pass_and_a_stop_cuts_none},
+        {"a client with another key is refused",
+         test_client_with_another_key_is_refused},
+    };
+
+    return RUN_SUITE("shell", CASES);
+}
