Race operators, lose answers and cut control off in tests

Cause: control's promises to operators and processes had no test. Two faults found: losses seen through followers reached the leader later than its own, so that a mass loss was marked before it was recognised (processes now count as suspect after half the bound); an empty msgpack string was read through a null pointer.

--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -20,6 +20,14 @@
     LOSS_HELD_PERCENT = 30,
 };
 
+/// Silence after which a process may be lost: a follower reports it then,
+/// and the leader counts it when it judges how many fell silent at once.
+static uint64_t
+suspect_us(const struct SlControl *control)
+{
+    return control->options.unreachable_us / 2;
+}
+
 static bool
 is_leader(const struct SlControl *control)
 {
@@ -68,7 +76,7 @@
 
     if (seen != NULL && seen->heard && seen->via == via) {
         seen->heard = false;
-        seen->at_us = control->now_us;
+        seen->at_us = control->now_us - suspect_us(control);
     }
 }
 
@@ -170,11 +178,9 @@
 static void
 report_changes(struct SlControl *control)
 {
-    uint64_t limit_us = control->options.unreachable_us / 2;
-
     for (uint32_t i = 0; i < control->link_count; i++) {
         struct SlControlLink *link = &control->links[i];
-        bool lost = control->now_us - link->heard_us > limit_us;
+        bool lost = control->now_us - link->heard_us > suspect_us(control);
 
         if (link->announced != NULL &&
             (link->reported_term != control->raft.hard.term ||
@@ -306,10 +312,9 @@
 
 static bool
 is_silent(struct SlControl *control, const struct SlObject *node,
-          const struct SlSeen *seen)
+          const struct SlSeen *seen, uint64_t limit_us)
 {
-    return !node->node.unreachable &&
-           silent_us(control, seen) > control->options.unreachable_us;
+    return !node->node.unreachable && silent_us(control, seen) > limit_us;
 }
 
 /// The entry of a process of the configuration; one that this leader has not
@@ -347,7 +352,7 @@
         lately = node->node.unreachable && seen->marked_us != 0 &&
                  control->now_us - seen->marked_us < LOSS_WINDOW_US;
         count.known += !node->node.unreachable || lately;
-        count.silent += is_silent(control, node, seen);
+        count.silent += is_silent(control, node, seen, suspect_us(control));
         count.marked_lately += lately;
     }
     return count;
@@ -386,7 +391,8 @@
         silent <= control->options.unreachable_us) {
         propose_reach(control, seen, false, silent);
     }
-    else if (is_silent(control, node, seen) && (!held || node->node.leaving)) {
+    else if (is_silent(control, node, seen, control->options.unreachable_us) &&
+             (!held || node->node.leaving)) {
         propose_reach(control, seen, true, silent);
     }
 }
--- a/packages/protocol/src/layout.c
+++ b/packages/protocol/src/layout.c
@@ -186,8 +186,13 @@
           uint8_t *at)
 {
     if (value->type != MSGPACK_OBJECT_STR ||
-        value->via.str.size >= field->limit ||
-        memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL) {
+        value->via.str.size >= field->limit) {
+        return SL_MALFORMED;
+    }
+    if (value->via.str.size == 0) {
+        return SL_OK;
+    }
+    if (memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL) {
         return SL_MALFORMED;
     }
     memcpy(at, value->via.str.ptr, value->via.str.size);
--- /dev/null
+++ b/test/control_test.c
@@ -0,0 +1,791 @@
+/* Control as operators and processes see it: races, resends, announcements,
+ * reachability, distribution, membership. */
+
+#include "control_world.h"
+#include "test.h"
+
+enum {
+    CLIENTS_MAX = 8,
+    AGENTS_MAX = 20,
+    RACES = 1000,
+    UNREACHABLE_US = 600 * 1000,
+    /// Steps after which a silent process is certainly judged.
+    JUDGED_STEPS = 4 * UNREACHABLE_US / WORLD_STEP_US,
+};
+
+/// An agent's process, linked to one control instance.
+struct agent {
+    char name[SL_NAME_BYTES];
+    uint32_t at;
+    uint64_t link;
+    bool silent;
+};
+
+/// What came back to the outside.
+struct lab {
+    struct world world;
+    uint64_t operator_link[WORLD_NODES_MAX];
+    /// Per client: the last result, the request that it answers, and how
+    /// many came.
+    struct SlResult results[CLIENTS_MAX];
+    uint64_t result_request[CLIENTS_MAX];
+    uint32_t result_count[CLIENTS_MAX];
+    uint32_t agent_count;
+    struct agent agents[AGENTS_MAX];
+    /// Messages to agents and subscribers.
+    uint32_t fresh_beats;
+    uint32_t stale_beats;
+    uint32_t config_parts;
+    uint32_t whole_parts;
+    uint32_t config_objects;
+    uint32_t removed_objects;
+    struct SlVersion config_version;
+    bool version_went_back;
+    uint32_t objects;
+    enum SlStatus text_status;
+};
+
+static void
+note_config(struct lab *lab, const struct SlConfigPart *part)
+{
+    lab->config_parts++;
+    lab->whole_parts += part->whole;
+    lab->config_objects += part->object_count;
+    lab->removed_objects += part->removed_count;
+    lab->version_went_back =
+        lab->version_went_back ||
+        SlVersion_Compare(part->to, lab->config_version) < 0;
+    lab->config_version = part->to;
+}
+
+static void
+on_outside(struct world *world, uint32_t from, uint64_t link,
+           const struct SlMessage *message)
+{
+    struct lab *lab = world->context;
+
+    (void)from;
+    (void)link;
+    switch (message->kind) {
+    case SL_MESSAGE_RESULT:
+        lab->results[message->result.client] = message->result.result;
+        lab->result_request[message->result.client] = message->result.request;
+        lab->result_count[message->result.client]++;
+        break;
+    case SL_MESSAGE_HEARTBEAT:
+        lab->fresh_beats += message->heartbeat.fresh;
+        lab->stale_beats += !message->heartbeat.fresh;
+        break;
+    case SL_MESSAGE_CONFIG:
+        note_config(lab, &message->config);
+        break;
+    case SL_MESSAGE_OBJECT:
+        lab->objects += !message->object.end;
+        break;
+    case SL_MESSAGE_TEXT:
+        lab->text_status = message->text.status;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+start_node(struct lab *lab, uint32_t at)
+{
+    CU_ASSERT_EQUAL_FATAL(world_start(&lab->world, at), SL_OK);
+    lab->operator_link[at] = world_connect(&lab->world, at, "operator", 0);
+}
+
+static struct lab *
+create_lab(uint32_t nodes, uint64_t seed)
+{
+    struct lab *lab = calloc(1, sizeof(*lab));
+
+    world_create(&lab->world, nodes, seed);
+    lab->world.outside = on_outside;
+    lab->world.context = lab;
+    lab->world.unreachable_us = UNREACHABLE_US;
+    for (uint32_t i = 0; i < nodes; i++) {
+        start_node(lab, i);
+    }
+    CU_ASSERT_NOT_EQUAL_FATAL(world_await_leader(&lab->world, 200), nodes);
+    world_run(&lab->world, 30);
+    return lab;
+}
+
+static void
+destroy_lab(struct lab *lab)
+{
+    world_destroy(&lab->world);
+    free(lab);
+}
+
+/// One step, with a heartbeat from every agent that is not silent.
+static void
+lab_step(struct lab *lab)
+{
+    for (uint32_t i = 0; i < lab->agent_count; i++) {
+        struct SlMessage beat = {.kind = SL_MESSAGE_HEARTBEAT};
+
+        if (!lab->agents[i].silent &&
+            !lab->world.nodes[lab->agents[i].at].cut) {
+            world_give(&lab->world, lab->agents[i].at, lab->agents[i].link,
+                       &beat);
+        }
+    }
+    world_step(&lab->world);
+}
+
+static void
+lab_run(struct lab *lab, uint32_t steps)
+{
+    for (uint32_t i = 0; i < steps; i++) {
+        lab_step(lab);
+    }
+}
+
+static uint32_t
+leader_of(struct lab *lab)
+{
+    uint32_t leader = world_await_leader(&lab->world, 300);
+
+    CU_ASSERT_NOT_EQUAL_FATAL(leader, lab->world.count);
+    return leader;
+}
+
+static const struct SlConfig *
+config_of(const struct lab *lab, uint32_t at)
+{
+    return SlControl_Config(lab->world.nodes[at].control);
+}
+
+static void
+send_change(struct lab *lab, uint32_t at, const struct SlChange *change)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_CHANGE, .change = *change};
+
+    world_give(&lab->world, at, lab->operator_link[at], &message);
+}
+
+/// True when an answer to the change came after the first before ones.
+static bool
+is_answered(const struct lab *lab, const struct SlChange *change,
+            uint32_t before)
+{
+    return lab->result_count[change->client] != before &&
+           lab->result_request[change->client] == change->request;
+}
+
+/// Asks until there is an answer other than "not the leader".
+static const struct SlResult *
+ask(struct lab *lab, const struct SlChange *change)
+{
+    struct SlResult *result = &lab->results[change->client];
+
+    for (uint32_t i = 0; i < 100; i++) {
+        uint32_t before = lab->result_count[change->client];
+
+        send_change(lab, leader_of(lab), change);
+        for (uint32_t j = 0; j < 40 && !is_answered(lab, change, before);
+             j++) {
+            lab_step(lab);
+        }
+        if (is_answered(lab, change, before) &&
+            result->status != SL_NOT_LEADER) {
+            break;
+        }
+    }
+    return result;
+}
+
+static struct SlChange
+change_of(uint64_t client, uint64_t request, enum SlVerb verb,
+          const char *zone)
+{
+    struct SlChange change = {.client = client,
+                              .request = request,
+                              .base = {.term = 1, .index = 1},
+                              .verb = verb,
+                              .object = {.kind = SL_KIND_ZONE}};
+
+    snprintf(change.object.name, sizeof(change.object.name), "%s", zone);
+    return change;
+}
+
+static void
+connect_agent(struct lab *lab, uint32_t i)
+{
+    struct agent *agent = &lab->agents[i];
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_ANNOUNCE,
+        .announce = {.kind = SL_KIND_NODE,
+                     .node = {.node_id = SlNode_Id(agent->name),
+                              .roles = SL_ROLE_AGENT,
+                              .zone = "ulaan-a",
+                              .boot = 3,
+                              .slots = 3,
+                              .capacity_flows = 2000}}};
+
+    memcpy(message.announce.name, agent->name, sizeof(agent->name));
+    agent->link =
+        world_connect(&lab->world, agent->at, agent->name, SL_ROLE_AGENT);
+    world_give(&lab->world, agent->at, agent->link, &message);
+}
+
+/// Agents spread over all control instances.
+static void
+connect_agents(struct lab *lab, uint32_t count)
+{
+    lab->agent_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        snprintf(lab->agents[i].name, SL_NAME_BYTES, "workroom-%u", i);
+        lab->agents[i].at = i % lab->world.count;
+        connect_agent(lab, i);
+    }
+    lab_run(lab, 30);
+}
+
+static uint32_t
+count_reachable(struct lab *lab)
+{
+    const struct SlConfig *config = config_of(lab, leader_of(lab));
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < SlConfig_Count(config, SL_KIND_NODE); i++) {
+        count += !SlConfig_At(config, SL_KIND_NODE, i)->node.unreachable;
+    }
+    return count;
+}
+
+static void
+test_commit(uint32_t nodes)
+{
+    struct lab *lab = create_lab(nodes, 3);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    const struct SlResult *result = ask(lab, &change);
+
+    CU_ASSERT_EQUAL(result->status, SL_OK);
+    lab_run(lab, 10);
+    for (uint32_t i = 0; i < nodes; i++) {
+        CU_ASSERT_PTR_NOT_NULL(
+            SlConfig_Find(config_of(lab, i), SL_KIND_ZONE, "ulaan-a"));
+        CU_ASSERT(
+            SlControl_Fresh(lab->world.nodes[i].control, lab->world.now_us));
+    }
+    destroy_lab(lab);
+}
+
+static void
+test_one_member(void)
+{
+    test_commit(1);
+}
+
+static void
+test_seven_members(void)
+{
+    test_commit(7);
+}
+
+/// Who does not lead names the one who does.
+static void
+test_not_leader_names_leader(void)
+{
+    struct lab *lab = create_lab(3, 4);
+    uint32_t leader = leader_of(lab);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+
+    send_change(lab, (leader + 1) % 3, &change);
+    CU_ASSERT_EQUAL(lab->results[1].status, SL_NOT_LEADER);
+    CU_ASSERT_STRING_EQUAL(lab->results[1].message,
+                           lab->world.nodes[leader].name);
+    destroy_lab(lab);
+}
+
+/// Control's own verbs are not for operators.
+static void
+test_foreign_verbs_are_refused(void)
+{
+    static const enum SlVerb VERBS[] = {SL_VERB_ANNOUNCE, SL_VERB_REACH,
+                                        SL_VERB_NOOP, SL_VERB_MEMBER_PROMOTE};
+    struct lab *lab = create_lab(1, 4);
+
+    for (uint64_t i = 0; i < 4; i++) {
+        struct SlChange change = change_of(1, i + 1, VERBS[i], "control-1");
+
+        CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_INVALID);
+    }
+    destroy_lab(lab);
+}
+
+static struct SlChange
+race_change(uint64_t client, uint64_t number, struct SlVersion version)
+{
+    struct SlChange change =
+        change_of(client, number, SL_VERB_LABEL, "ulaan-a");
+    struct SlLabel *label = &change.object.labels.items[0];
+
+    change.expected = version;
+    change.base = version;
+    change.object.labels.count = 1;
+    snprintf(label->key, sizeof(label->key), "winner");
+    snprintf(label->value, sizeof(label->value), "client-%u",
+             (unsigned)client);
+    return change;
+}
+
+/// Three operators hold the same version and ask in one batch, in an order
+/// that changes; every tenth time the leader dies before it answers, and all
+/// ask again.
+static uint32_t
+race(struct lab *lab, uint64_t number, struct SlVersion version)
+{
+    uint32_t leader = leader_of(lab);
+    uint32_t winners = 0;
+
+    for (uint64_t i = 0; i < 3; i++) {
+        struct SlChange change =
+            race_change(1 + (number + i) % 3, number, version);
+
+        send_change(lab, leader, &change);
+    }
+    world_flush(&lab->world, leader);
+    if (number % 10 == 0) {
+        lab_step(lab);
+        world_crash(&lab->world, leader);
+        start_node(lab, leader);
+    }
+    for (uint64_t client = 1; client <= 3; client++) {
+        struct SlChange change = race_change(client, number, version);
+
+        if (ask(lab, &change)->status == SL_OK) {
+            winners++;
+            continue;
+        }
+        CU_ASSERT_EQUAL(lab->results[client].status, SL_CONFLICT);
+        CU_ASSERT(lab->results[client].has_object);
+        CU_ASSERT(SlVersion_Compare(lab->results[client].object.modified,
+                                    version) > 0);
+    }
+    return winners;
+}
+
+static void
+test_races(void)
+{
+    struct lab *lab = create_lab(3, 5);
+    struct SlChange create = change_of(4, 1, SL_VERB_CREATE, "ulaan-a");
+    uint32_t winners = 0;
+
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_OK);
+    for (uint64_t i = 1; i <= RACES; i++) {
+        const struct SlObject *zone;
+        uint32_t won;
+
+        zone = SlConfig_Find(config_of(lab, leader_of(lab)), SL_KIND_ZONE,
+                             "ulaan-a");
+        won = race(lab, i, zone->modified);
+        CU_ASSERT_EQUAL(won, 1);
+        winners += won;
+    }
+    printf("races of equal versions: %u, winners: %u\n", RACES, winners);
+    destroy_lab(lab);
+}
+
+static void
+restart_all(struct lab *lab)
+{
+    for (uint32_t i = 0; i < lab->world.count; i++) {
+        world_crash(&lab->world, i);
+    }
+    for (uint32_t i = 0; i < lab->world.count; i++) {
+        start_node(lab, i);
+    }
+    leader_of(lab);
+}
+
+/// The answer is lost; the resend gets it, at a new leader, and again after
+/// snapshots and a restart of all, though the object is long deleted.
+static void
+test_resend_gets_first_answer(void)
+{
+    struct lab *lab = create_lab(3, 6);
+    struct SlChange create = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    struct SlChange remove = change_of(2, 1, SL_VERB_DELETE, "ulaan-a");
+    struct SlVersion first;
+    uint32_t leader = leader_of(lab);
+
+    send_change(lab, leader, &create);
+    lab_run(lab, 10);
+    first = lab->results[1].version;
+    world_crash(&lab->world, leader);
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_OK);
+    CU_ASSERT_EQUAL(SlVersion_Compare(lab->results[1].version, first), 0);
+    start_node(lab, leader);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    for (uint64_t i = 1; i <= 100; i++) {
+        struct SlChange other = change_of(3, i, SL_VERB_CREATE, "ulaan-b");
+
+        ask(lab, &other);
+    }
+    CU_ASSERT(lab->world.events[SL_EVENT_SNAPSHOT] > 6);
+    restart_all(lab);
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_OK);
+    CU_ASSERT_EQUAL(SlVersion_Compare(lab->results[1].version, first), 0);
+    CU_ASSERT_PTR_NULL(SlConfig_Find(config_of(lab, leader_of(lab)),
+                                     SL_KIND_ZONE, "ulaan-a"));
+    destroy_lab(lab);
+}
+
+/// A request whose result is forgotten is never run again, also after the
+/// record was carried through a snapshot.
+static void
+test_forgotten_request_is_refused(void)
+{
+    struct lab *lab = create_lab(1, 7);
+    struct SlChange create = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    struct SlChange remove = change_of(2, 1, SL_VERB_DELETE, "ulaan-a");
+
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_OK);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    for (uint64_t i = 1; i <= SL_REQUESTS_MAX + 10; i++) {
+        struct SlChange other = change_of(3, i, SL_VERB_CREATE, "ulaan-b");
+
+        other.base = SlControl_Applied(lab->world.nodes[0].control);
+        send_change(lab, 0, &other);
+        lab_step(lab);
+    }
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_TOO_OLD);
+    restart_all(lab);
+    CU_ASSERT_EQUAL(ask(lab, &create)->status, SL_TOO_OLD);
+    CU_ASSERT_PTR_NULL(
+        SlConfig_Find(config_of(lab, 0), SL_KIND_ZONE, "ulaan-a"));
+    destroy_lab(lab);
+}
+
+/// Leader changes, restarts and a partition of control: no process that is
+/// still linked somewhere is ever missing or unreachable.
+static void
+test_announcements_never_shrink(void)
+{
+    struct lab *lab = create_lab(3, 8);
+
+    connect_agents(lab, 12);
+    CU_ASSERT_EQUAL(count_reachable(lab), 12);
+    for (uint32_t round = 0; round < 6; round++) {
+        uint32_t leader = leader_of(lab);
+
+        if (round % 2 == 0) {
+            lab->world.nodes[leader].cut = true;
+        }
+        else {
+            world_crash(&lab->world, leader);
+        }
+        /* Its agents find another instance. */
+        for (uint32_t i = 0; i < lab->agent_count; i++) {
+            if (lab->agents[i].at == leader) {
+                lab->agents[i].at = (leader + 1) % 3;
+                connect_agent(lab, i);
+            }
+        }
+        for (uint32_t i = 0; i < JUDGED_STEPS; i++) {
+            lab_step(lab);
+            if (world_leader(&lab->world) != lab->world.count) {
+                CU_ASSERT_EQUAL(count_reachable(lab), 12);
+            }
+        }
+        lab->world.nodes[leader].cut = false;
+        if (lab->world.nodes[leader].control == NULL) {
+            start_node(lab, leader);
+        }
+        lab_run(lab, 40);
+    }
+    CU_ASSERT_EQUAL(lab->world.events[SL_EVENT_UNREACHABLE], 0);
+    destroy_lab(lab);
+}
+
+/// One process that falls silent is taken out, and back in when it returns,
+/// wherever it is linked.
+static void
+test_silent_process(void)
+{
+    struct lab *lab = create_lab(3, 9);
+
+    connect_agents(lab, 12);
+    lab_run(lab, JUDGED_STEPS);
+    for (uint32_t i = 0; i < 3; i++) {
+        lab->agents[i].silent = true;
+        lab_run(lab, JUDGED_STEPS);
+        CU_ASSERT_EQUAL(count_reachable(lab), 11);
+        lab->agents[i].silent = false;
+        lab_run(lab, JUDGED_STEPS);
+        CU_ASSERT_EQUAL(count_reachable(lab), 12);
+        /* Later losses are not part of this one. */
+        lab_run(lab, 61 * 1000 * 1000 / WORLD_STEP_US);
+    }
+    CU_ASSERT_EQUAL(lab->world.events[SL_EVENT_LOSS_HELD], 0);
+    destroy_lab(lab);
+}
+
+/// Many at once are kept, also when a new leader finds them gone.
+static void
+test_mass_loss_is_held(void)
+{
+    struct lab *lab = create_lab(3, 10);
+
+    connect_agents(lab, 12);
+    lab_run(lab, JUDGED_STEPS);
+    for (uint32_t i = 0; i < 6; i++) {
+        lab->agents[i].silent = true;
+    }
+    lab_run(lab, 3 * JUDGED_STEPS);
+    CU_ASSERT_EQUAL(count_reachable(lab), 12);
+    CU_ASSERT_EQUAL(lab->world.events[SL_EVENT_LOSS_HELD], 1);
+    restart_all(lab);
+    for (uint32_t i = 6; i < 12; i++) {
+        connect_agent(lab, i);
+    }
+    lab_run(lab, 3 * JUDGED_STEPS);
+    CU_ASSERT_EQUAL(count_reachable(lab), 12);
+    CU_ASSERT_EQUAL(lab->world.events[SL_EVENT_UNREACHABLE], 0);
+    destroy_lab(lab);
+}
+
+static uint64_t
+subscribe(struct lab *lab, uint32_t at, struct SlVersion version)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_SUBSCRIBE,
+                                .subscribe = {.version = version}};
+    uint64_t link = world_connect(&lab->world, at, "entry-1", SL_ROLE_ENTRY);
+
+    world_give(&lab->world, at, link, &message);
+    return link;
+}
+
+/// First the whole, then what changed; the whole again for one that is
+/// further behind than is remembered.
+static void
+test_deltas(void)
+{
+    struct lab *lab = create_lab(3, 11);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    struct SlVersion old;
+    uint32_t at = (leader_of(lab) + 1) % 3;
+
+    connect_agents(lab, 12);
+    old = SlControl_Applied(lab->world.nodes[at].control);
+    subscribe(lab, at, (struct SlVersion){.term = 0});
+    lab_run(lab, 10);
+    CU_ASSERT_EQUAL(lab->whole_parts, 1);
+    CU_ASSERT_EQUAL(lab->config_objects, 12);
+    ask(lab, &change);
+    lab_run(lab, 10);
+    CU_ASSERT_EQUAL(lab->whole_parts, 1);
+    CU_ASSERT_EQUAL(lab->config_objects, 13);
+    change = change_of(1, 2, SL_VERB_DELETE, "ulaan-a");
+    ask(lab, &change);
+    lab_run(lab, 10);
+    CU_ASSERT_EQUAL(lab->config_objects, 13);
+    CU_ASSERT_EQUAL(lab->removed_objects, 1);
+    CU_ASSERT_FALSE(lab->version_went_back);
+    restart_all(lab);
+    lab_run(lab, 20);
+    lab->whole_parts = 0;
+    subscribe(lab, at, old);
+    lab_run(lab, 10);
+    CU_ASSERT(lab->whole_parts <= 1);
+    destroy_lab(lab);
+}
+
+/// A leader cut off in silence: it says that it is not current, gives out no
+/// configuration and no objects, and accepts nothing.
+static void
+test_cut_off_control_gives_nothing_out(void)
+{
+    struct lab *lab = create_lab(3, 12);
+    uint32_t leader = leader_of(lab);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    struct SlMessage query = {.kind = SL_MESSAGE_QUERY,
+                              .query = {.query = SL_QUERY_OBJECTS}};
+    uint64_t link;
+
+    ask(lab, &change);
+    for (uint32_t i = 0; i < 3; i++) {
+        if (i != leader) {
+            world_crash(&lab->world, i);
+        }
+    }
+    lab_run(lab, 2 * WORLD_ELECTION_US / WORLD_STEP_US);
+    link = subscribe(lab, leader, (struct SlVersion){.term = 0});
+    lab->fresh_beats = 0;
+    lab->config_parts = 0;
+    change = change_of(2, 1, SL_VERB_CREATE, "ulaan-b");
+    send_change(lab, leader, &change);
+    world_give(&lab->world, leader, link, &query);
+    lab_run(lab, 100);
+    CU_ASSERT_EQUAL(lab->fresh_beats, 0);
+    CU_ASSERT(lab->stale_beats > 0);
+    CU_ASSERT_EQUAL(lab->config_parts, 0);
+    CU_ASSERT_EQUAL(lab->objects, 0);
+    CU_ASSERT_EQUAL(lab->text_status, SL_STALE);
+    CU_ASSERT_EQUAL(lab->results[2].status, SL_NOT_LEADER);
+    destroy_lab(lab);
+}
+
+/// The change is refused and left nowhere; reading goes on; with space made
+/// the same request is accepted.
+static void
+test_full_disk_at_leader(void)
+{
+    struct lab *lab = create_lab(3, 13);
+    uint32_t leader = leader_of(lab);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    struct SlMessage query = {.kind = SL_MESSAGE_QUERY,
+                              .query = {.query = SL_QUERY_OBJECTS}};
+
+    lab->world.nodes[leader].storage->full = true;
+    CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_DISK_FULL);
+    world_give(&lab->world, leader, lab->operator_link[leader], &query);
+    CU_ASSERT_EQUAL(lab->text_status, SL_OK);
+    lab_run(lab, 20);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_PTR_NULL(
+            SlConfig_Find(config_of(lab, i), SL_KIND_ZONE, "ulaan-a"));
+    }
+    lab->world.nodes[leader].storage->full = false;
+    CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_OK);
+    destroy_lab(lab);
+}
+
+static uint32_t
+count_voters(struct lab *lab, uint32_t *members)
+{
+    struct SlControlMember items[SL_MEMBERS_CONTROL_MAX];
+    uint32_t voters = 0;
+
+    *members = SlControl_Members(lab->world.nodes[leader_of(lab)].control,
+                                 items, SL_MEMBERS_CONTROL_MAX);
+    for (uint32_t i = 0; i < *members; i++) {
+        voters += items[i].voter;
+    }
+    return voters;
+}
+
+/// A fourth instance joins as a learner and votes once it has caught up; it
+/// then stands in for one that is removed.
+static void
+test_membership(void)
+{
+    struct lab *lab = create_lab(3, 14);
+    struct world *world = &lab->world;
+    struct SlChange add = change_of(1, 1, SL_VERB_MEMBER_ADD, "control-4");
+    struct SlChange remove = change_of(1, 2, SL_VERB_MEMBER_REMOVE, "");
+    uint32_t members;
+    uint32_t leader;
+
+    add.object.kind = SL_KIND_NODE;
+    world->nodes[3] = world->nodes[2];
+    world->nodes[3].at = 3;
+    world->nodes[3].bootstrap = false;
+    snprintf(world->nodes[3].name, SL_NAME_BYTES, "control-4");
+    world->nodes[3].node_id = SlNode_Id("control-4");
+    world->nodes[3].storage =
+        fault_storage_create(world->nodes[3].node_id, 4444);
+    world->count = 4;
+    start_node(lab, 3);
+    lab_run(lab, 20);
+    CU_ASSERT_EQUAL(SlControl_State(world->nodes[3].control),
+                    SL_CONTROL_LEARNER);
+    CU_ASSERT_EQUAL(ask(lab, &add)->status, SL_OK);
+    lab_run(lab, 40);
+    CU_ASSERT_EQUAL(count_voters(lab, &members), 4);
+    CU_ASSERT_EQUAL(SlControl_State(world->nodes[3].control),
+                    SL_CONTROL_FOLLOWER);
+    leader = leader_of(lab);
+    remove.object.kind = SL_KIND_NODE;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             world->nodes[leader].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    lab_run(lab, 60);
+    CU_ASSERT_EQUAL(count_voters(lab, &members), 3);
+    CU_ASSERT_NOT_EQUAL(leader_of(lab), leader);
+    destroy_lab(lab);
+}
+
+/// With one of three down, a live one is not let go.
+static void
+test_removal_that_loses_majority(void)
+{
+    struct lab *lab = create_lab(3, 15);
+    uint32_t leader = leader_of(lab);
+    struct SlChange remove = change_of(1, 1, SL_VERB_MEMBER_REMOVE, "");
+
+    world_crash(&lab->world, (leader + 1) % 3);
+    lab_run(lab, 20);
+    remove.object.kind = SL_KIND_NODE;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             lab->world.nodes[(leader + 2) % 3].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_NO_QUORUM);
+    remove.request = 2;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             lab->world.nodes[(leader + 1) % 3].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    destroy_lab(lab);
+}
+
+/// A second instance is lost for good right after a first was repaired.
+static void
+test_second_loss_after_repair(void)
+{
+    struct lab *lab = create_lab(3, 16);
+    struct world *world = &lab->world;
+
+    for (uint64_t round = 1; round <= 9; round++) {
+        struct SlVersion before = world->promoted[round % 3];
+        char name[SL_NAME_BYTES];
+        struct SlChange change;
+
+        snprintf(name, sizeof(name), "ulaan-%u", (unsigned)round);
+        change = change_of(1, round, SL_VERB_CREATE, name);
+        CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_OK);
+        world_crash(world, round % 3);
+        world_wipe(world, round % 3);
+        start_node(lab, round % 3);
+        for (uint32_t i = 0;
+             i < 300 &&
+             SlVersion_Compare(world->promoted[round % 3], before) <= 0;
+             i++) {
+            lab_step(lab);
+        }
+        CU_ASSERT(SlVersion_Compare(world->promoted[round % 3], before) > 0);
+    }
+    CU_ASSERT_EQUAL(
+        SlConfig_Count(config_of(lab, leader_of(lab)), SL_KIND_ZONE), 9);
+    destroy_lab(lab);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"one member", test_one_member},
+        {"seven members", test_seven_members},
+        {"the leader is named", test_not_leader_names_leader},
+        {"foreign verbs", test_foreign_verbs_are_refused},
+        {"races of equal versions", test_races},
+        {"a resend gets the first answer", test_resend_gets_first_answer},
+        {"a forgotten request", test_forgotten_request_is_refused},
+        {"announcements never shrink", test_announcements_never_shrink},
+        {"a silent process", test_silent_process},
+        {"mass loss is held", test_mass_loss_is_held},
+        {"deltas", test_deltas},
+        {"cut-off control", test_cut_off_control_gives_nothing_out},
+        {"full disk at the leader", test_full_disk_at_leader},
+        {"membership", test_membership},
+        {"removal that loses the majority", test_removal_that_loses_majority},
+        {"second loss after a repair", test_second_loss_after_repair},
+    };
+
+    return RUN_SUITE("control", CASES);
+}
