Compare announcements by what they say

Cause: struct bytes include padding, which may differ between equal specs. Change: compare the encoded forms; order a struct's members without holes.

--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -34,6 +34,24 @@
     return control->raft.state == SL_CONTROL_LEADER;
 }
 
+/// True when both specs read alike on the wire.
+static bool
+is_same_spec(const struct SlNodeSpec *a, const struct SlNodeSpec *b)
+{
+    struct SlObject objects[2] = {{.kind = SL_KIND_NODE, .node = *a},
+                                  {.kind = SL_KIND_NODE, .node = *b}};
+    struct SlBuffer bytes[2] = {{.bytes = NULL}, {.bytes = NULL}};
+    bool same =
+        SlObject_Encode(&objects[0], &bytes[0]) == SL_OK &&
+        SlObject_Encode(&objects[1], &bytes[1]) == SL_OK &&
+        bytes[0].length_bytes == bytes[1].length_bytes &&
+        memcmp(bytes[0].bytes, bytes[1].bytes, bytes[0].length_bytes) == 0;
+
+    SlBuffer_Release(&bytes[0]);
+    SlBuffer_Release(&bytes[1]);
+    return same;
+}
+
 /// True when the log already holds what the process says of itself.
 static bool
 is_in_force(const struct SlControl *control, const char *name,
@@ -47,7 +65,7 @@
         return false;
     }
     spec.unreachable = present->node.unreachable;
-    return memcmp(&spec, &present->node, sizeof(spec)) == 0;
+    return is_same_spec(&spec, &present->node);
 }
 
 /// Notes at the leader that an instance hears a process.
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -56,11 +56,12 @@
     /// When the last round that it acknowledged was sent; 0 none.
     uint64_t acked_us;
     uint64_t heard_us;
-    /// A snapshot is on its way; the part at install_offset was sent then.
-    bool installing;
+    /// While installing: the snapshot, how much of it has arrived, and when
+    /// the next part was sent.
     struct SlVersion install_last;
     uint64_t install_offset;
     uint64_t install_sent_us;
+    bool installing;
     /// Answer to the present vote request.
     bool granted;
     /// An append is due, even an empty one.
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -147,7 +147,7 @@
 void
 SlRaft_MembersChanged(struct SlRaft *raft)
 {
-    struct SlRaftProgress slots[SL_MEMBERS_CONTROL_MAX];
+    struct SlRaftProgress slots[SL_MEMBERS_CONTROL_MAX] = {{.node_id = 0}};
 
     for (uint32_t i = 0; i < raft->members.count; i++) {
         uint64_t node_id = raft->members.items[i].node_id;
@@ -159,8 +159,7 @@
             }
         }
     }
-    memset(raft->progress, 0, sizeof(raft->progress));
-    memcpy(raft->progress, slots, raft->members.count * sizeof(slots[0]));
+    memcpy(raft->progress, slots, sizeof(slots));
     raft->options.host_type->event(raft->options.host, SL_EVENT_MEMBER, NULL,
                                    "membership", raft->members.count,
                                    SlRaft_VoterCount(raft));
