--- a/packages/protocol/src/layout.c
+++ b/packages/protocol/src/layout.c
@@ -190,6 +190,7 @@
         return SL_MALFORMED;
     }
     if (value->via.str.size == 0) {
+        /* An empty text may come without an address. */
         return SL_OK;
     }
     if (memchr(value->via.str.ptr, '\0', value->via.str.size) != NULL) {
