--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -20,12 +20,38 @@
     LOSS_HELD_PERCENT = 30,
 };
 
+/// Silence after which a process may be lost: a follower reports it then,
+/// and the leader counts it when it judges how many fell silent at once.
+static uint64_t
+suspect_us(const struct SlControl *control)
+{
+    return control->options.unreachable_us / 2;
+}
+
 static bool
 is_leader(const struct SlControl *control)
 {
     return control->raft.state == SL_CONTROL_LEADER;
 }
 
+/// True when both specs read alike on the wire.
+static bool
+is_same_spec(const struct SlNodeSpec *a, const struct SlNodeSpec *b)
+{
+    struct SlObject objects[2] = {{.kind = SL_KIND_NODE, .node = *a},
+                                  {.kind = SL_KIND_NODE, .node = *b}};
+    struct SlBuffer bytes[2] = {{.bytes = NULL}, {.bytes = NULL}};
+    bool same =
+        SlObject_Encode(&objects[0], &bytes[0]) == SL_OK &&
+        SlObject_Encode(&objects[1], &bytes[1]) == SL_OK &&
+        bytes[0].length_bytes == bytes[1].length_bytes &&
+        memcmp(bytes[0].bytes, bytes[1].bytes, bytes[0].length_bytes) == 0;
+
+    SlBuffer_Release(&bytes[0]);
+    SlBuffer_Release(&bytes[1]);
+    return same;
+}
+
 /// True when the log already holds what the process says of itself.
 static bool
 is_in_force(const struct SlControl *control, const char *name,
@@ -39,7 +65,7 @@
         return false;
     }
     spec.unreachable = present->node.unreachable;
-    return memcmp(&spec, &present->node, sizeof(spec)) == 0;
+    return is_same_spec(&spec, &present->node);
 }
 
 /// Notes at the leader that an instance hears a process.
@@ -68,7 +94,7 @@
 
     if (seen != NULL && seen->heard && seen->via == via) {
         seen->heard = false;
-        seen->at_us = control->now_us;
+        seen->at_us = control->now_us - suspect_us(control);
     }
 }
 
@@ -170,11 +196,9 @@
 static void
 report_changes(struct SlControl *control)
 {
-    uint64_t limit_us = control->options.unreachable_us / 2;
-
     for (uint32_t i = 0; i < control->link_count; i++) {
         struct SlControlLink *link = &control->links[i];
-        bool lost = control->now_us - link->heard_us > limit_us;
+        bool lost = control->now_us - link->heard_us > suspect_us(control);
 
         if (link->announced != NULL &&
             (link->reported_term != control->raft.hard.term ||
@@ -306,10 +330,9 @@
 
 static bool
 is_silent(struct SlControl *control, const struct SlObject *node,
-          const struct SlSeen *seen)
+          const struct SlSeen *seen, uint64_t limit_us)
 {
-    return !node->node.unreachable &&
-           silent_us(control, seen) > control->options.unreachable_us;
+    return !node->node.unreachable && silent_us(control, seen) > limit_us;
 }
 
 /// The entry of a process of the configuration; one that this leader has not
@@ -347,7 +370,7 @@
         lately = node->node.unreachable && seen->marked_us != 0 &&
                  control->now_us - seen->marked_us < LOSS_WINDOW_US;
         count.known += !node->node.unreachable || lately;
-        count.silent += is_silent(control, node, seen);
+        count.silent += is_silent(control, node, seen, suspect_us(control));
         count.marked_lately += lately;
     }
     return count;
@@ -386,7 +409,8 @@
         silent <= control->options.unreachable_us) {
         propose_reach(control, seen, false, silent);
     }
-    else if (is_silent(control, node, seen) && (!held || node->node.leaving)) {
+    else if (is_silent(control, node, seen, control->options.unreachable_us) &&
+             (!held || node->node.leaving)) {
         propose_reach(control, seen, true, silent);
     }
 }
