Bound searches in bytes, and stops by what callers still wait for

A planned stop counted a request only for 10 s, and an answer as whole at its first byte; a stop may now end when no caller waits and all payload is acknowledged. Searches hold at most 4 MiB of packets, and do not wait for agents silent for 5 s. An upstream whose zone returns, or that drained, is cold again. Agents that told to be full are tried at most 500 times a second. The searches' pool and the answers to others have files of their own.

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -208,6 +208,7 @@
         SlRouting_FindNode(call->routing, agent->node_id);
     bool out = self != NULL && self->zone_out;
     bool drains = self != NULL && self->draining;
+    bool returned = false;
     struct SlEvent event = {.node = agent->options.core.name, .service = NULL};
 
     event.value = agent->admission.open_flows;
@@ -220,12 +221,17 @@
             agent->admission.open_flows / AGENT_LEAVE_TICKS + 1;
         atomic_store(&agent->zone_out, out);
         agent_event(call, &event);
+        returned = !out;
     }
     if (drains != atomic_load(&agent->draining)) {
         event.number = SL_EVENT_DRAINED;
         event.reason = drains ? "began" : "returned";
         atomic_store(&agent->draining, drains);
         agent_event(call, &event);
+        returned |= !drains;
+    }
+    if (returned) {
+        agent_admission_restart(call);
     }
 }
 
@@ -342,7 +348,8 @@
 
     pthread_mutex_lock(&admission->lock);
     idle = admission->open_flows == 0 ||
-           (admission->exchanges == 0 && admission->handshakes == 0);
+           (admission->asked == 0 && admission->handshakes == 0 &&
+            admission->moving == 0);
     pthread_mutex_unlock(&admission->lock);
     return idle;
 }
--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -133,6 +133,7 @@
     admission->open_flows--;
     admission->handshakes -= handshake ? 1 : 0;
     admission->exchanges -= flow->flags & SL_FLOW_EXCHANGE ? 1 : 0;
+    admission->asked -= flow->flags & SL_FLOW_ASKED ? 1 : 0;
     hold(admission, flow->service_id, -1);
     pthread_mutex_unlock(&admission->lock);
 }
@@ -159,6 +160,16 @@
     return before;
 }
 
+void
+agent_admission_asked(const struct agent_call *call, bool waits)
+{
+    struct agent_admission *admission = &call->agent->admission;
+
+    pthread_mutex_lock(&admission->lock);
+    admission->asked += waits ? 1 : (uint32_t)-1;
+    pthread_mutex_unlock(&admission->lock);
+}
+
 void
 agent_admission_cancel(const struct agent_call *call)
 {
@@ -375,6 +386,17 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
+void
+agent_admission_restart(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+
+    pthread_mutex_lock(&admission->lock);
+    turn_cold(admission, call->now_us);
+    tell(call, VERDICT_LIMIT, "returned", 0);
+    pthread_mutex_unlock(&admission->lock);
+}
+
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms)
 {
--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -189,6 +189,7 @@
     }
     flow->flags |= SL_FLOW_EXCHANGE | SL_FLOW_ASKED;
     flow->exchange_ms = call->now_ms;
+    agent_admission_asked(call, true);
 }
 
 /// The caller completed the handshake: it is expected to ask at once.
@@ -237,11 +238,13 @@
 {
     bool resets = caller_resets(flow, &p->packet);
     bool in_handshake = flow->flags & SL_FLOW_HANDSHAKE;
+    bool moved = agent_is_moving(flow);
 
     flow->holder = p->tunnel->origin;
     if (agent_track_caller(flow, &p->packet, call->now_ms)) {
         note_question(call, flow);
     }
+    agent_count_moving(call->agent, flow, moved);
     if (p->packet.kind == SL_PACKET_TCP) {
         note_handshake(call, flow, &p->packet);
     }
@@ -302,6 +305,9 @@
                                      AGENT_SECOND_US};
 
     agent_admission_close(call, flow);
+    if (agent_is_moving(flow)) {
+        atomic_fetch_sub(&call->agent->admission.moving, 1);
+    }
     event.limit = call->agent->admission.open_flows;
     flow->flags &=
         (uint16_t) ~(SL_FLOW_EXCHANGE | SL_FLOW_ASKED | SL_FLOW_HANDSHAKE);
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -17,84 +17,16 @@
     PROBE_MS = 20,
 };
 
-bool
-agent_searches_init(struct agent_searches *searches)
-{
-    searches->free_count = AGENT_SEARCHES_MAX;
-    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
-        searches->free[i] = (uint16_t)(AGENT_SEARCHES_MAX - 1 - i);
-    }
-    return pthread_mutex_init(&searches->lock, NULL) == 0;
-}
-
-static void
-release_search(struct agent_search *search)
-{
-    if (search == NULL) {
-        return;
-    }
-    for (uint32_t i = 0; i < search->waiting_count; i++) {
-        free(search->waiting[i].bytes);
-    }
-    free(search);
-}
-
-void
-agent_searches_release(struct agent_searches *searches)
-{
-    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
-        release_search(searches->slots[i]);
-        searches->slots[i] = NULL;
-    }
-}
-
-static struct agent_search *
-start_search(struct agent_searches *searches, uint64_t *slot)
-{
-    struct agent_search *search = calloc(1, sizeof(*search));
-
-    if (search == NULL) {
-        return NULL;
-    }
-    pthread_mutex_lock(&searches->lock);
-    if (searches->free_count == 0) {
-        pthread_mutex_unlock(&searches->lock);
-        free(search);
-        return NULL;
-    }
-    *slot = searches->free[--searches->free_count];
-    searches->slots[*slot] = search;
-    pthread_mutex_unlock(&searches->lock);
-    return search;
-}
-
-static struct agent_search *
-search_of(struct agent_searches *searches, const struct SlFlow *flow)
-{
-    struct agent_search *search;
-
-    pthread_mutex_lock(&searches->lock);
-    search = searches->slots[flow->holder];
-    pthread_mutex_unlock(&searches->lock);
-    return search;
-}
-
-/// Takes a search out of its slot; the caller owns it then.
-static struct agent_search *
-take_search(struct agent_searches *searches, const struct SlFlow *flow)
+static bool
+is_dead(const struct agent_call *call, uint64_t node_id)
 {
-    struct agent_search *search;
+    uint64_t silent_us = agent_peer_silent_us(call, node_id);
 
-    pthread_mutex_lock(&searches->lock);
-    search = searches->slots[flow->holder];
-    searches->slots[flow->holder] = NULL;
-    searches->free[searches->free_count++] = (uint16_t)flow->holder;
-    pthread_mutex_unlock(&searches->lock);
-    return search;
+    return silent_us != UINT64_MAX && silent_us >= AGENT_PEER_RESTART_US;
 }
 
 static void
-ask(struct agent_search *search, uint64_t node_id)
+ask(struct agent_search *search, uint64_t node_id, bool dead)
 {
     for (uint32_t i = 0; i < search->asked_count; i++) {
         if (search->asked[i] == node_id) {
@@ -102,6 +34,7 @@
         }
     }
     if (search->asked_count < AGENT_SEARCH_ASKED_MAX) {
+        search->dead[search->asked_count] = dead;
         search->asked[search->asked_count++] = node_id;
     }
 }
@@ -120,7 +53,7 @@
         const struct SlRouteNode *node = service->members[i];
 
         if (node->node_id != call->agent->node_id && !node->zone_out) {
-            ask(search, node->node_id);
+            ask(search, node->node_id, is_dead(call, node->node_id));
         }
     }
     for (uint32_t i = 0; i < count; i++) {
@@ -128,17 +61,14 @@
             SlRouting_FindNode(call->routing, holders[i]);
 
         if (node != NULL && !node->zone_out) {
-            ask(search, holders[i]);
+            ask(search, holders[i], false);
         }
     }
 }
 
-/// Asks the upstream itself, by an old acknowledgement without payload: where
-/// the connection lives it is answered (RFC 9293, 3.10.7.4), and the answer
-/// makes this agent adopt the flow. Only an agent whose table may have been
-/// lost asks. True when it did.
-static bool
-probe(const struct agent_call *call, const struct SlFlowKey *key, uint32_t seq)
+bool
+agent_probe(const struct agent_call *call, const struct SlFlowKey *key,
+            uint32_t seq)
 {
     uint8_t out[SL_PACKET_ANSWER_BYTES];
     struct SlTcpSegment segment = {.source = key->caller,
@@ -177,7 +107,8 @@
 agent_locate_wait(const struct agent_call *call, struct SlFlow *flow,
                   const struct agent_packet *p)
 {
-    struct agent_search *search = search_of(&call->agent->searches, flow);
+    struct agent_search *search =
+        agent_search_of(&call->agent->searches, flow);
     struct agent_waiting *waiting;
     uint8_t *bytes;
 
@@ -185,8 +116,14 @@
         agent_drop(call, &p->key, "search_full");
         return;
     }
+    if (!agent_search_reserve(&call->agent->searches,
+                              p->packet.length_bytes)) {
+        agent_drop(call, &p->key, "searches_full");
+        return;
+    }
     bytes = malloc(p->packet.length_bytes);
     if (bytes == NULL) {
+        agent_search_give_back(&call->agent->searches, p->packet.length_bytes);
         agent_drop(call, &p->key, "no_memory");
         return;
     }
@@ -198,6 +135,29 @@
     waiting->bytes = bytes;
 }
 
+static bool
+is_complete(const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (!search->answered[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// True when nobody's answer is waited for any more.
+static bool
+is_over(const struct agent_search *search)
+{
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        if (!search->answered[i] && !search->dead[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// How a search ended.
 struct outcome {
     /// 0: nobody is known to have the flow.
@@ -237,7 +197,7 @@
     struct SlFlow *flow;
     uint64_t slot = 0;
 
-    search = start_search(&call->agent->searches, &slot);
+    search = agent_search_start(&call->agent->searches, &slot);
     if (search == NULL) {
         agent_drop(call, &p->key, "searches_full");
         return;
@@ -246,7 +206,7 @@
     if (flow == NULL) {
         struct SlFlow none = {.holder = slot};
 
-        release_search(take_search(&call->agent->searches, &none));
+        agent_search_release(agent_search_take(&call->agent->searches, &none));
         agent_drop(call, &p->key, "table_full");
         return;
     }
@@ -257,26 +217,15 @@
     event.value = search->asked_count;
     agent_event(call, &event);
     if (!claim) {
-        search->probed = probe(call, &p->key, p->packet.tcp_seq);
+        search->probed = agent_probe(call, &p->key, p->packet.tcp_seq);
     }
-    if (search->asked_count == 0 && !search->probed) {
+    send_round(call, &p->key, search);
+    if (is_over(search) && !search->probed) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
     SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
                          call->now_ms + AGENT_LOCATE_ROUND_MS);
-    send_round(call, &p->key, search);
-}
-
-static bool
-is_complete(const struct agent_search *search)
-{
-    for (uint32_t i = 0; i < search->asked_count; i++) {
-        if (!search->answered[i]) {
-            return false;
-        }
-    }
-    return true;
 }
 
 /// An agent that did not answer was heard lately: it may be restarting, and
@@ -418,7 +367,8 @@
 finish(const struct agent_call *call, struct SlFlowShard *shard,
        struct SlFlow *flow, struct outcome outcome)
 {
-    struct agent_search *search = take_search(&call->agent->searches, flow);
+    struct agent_search *search =
+        agent_search_take(&call->agent->searches, flow);
     struct SlFlowKey key = flow->key;
     const struct SlRouteService *service =
         SlRouting_FindServiceById(call->routing, search->service_id);
@@ -444,7 +394,7 @@
         finish_packet(call, shard, search, outcome,
                       &search->waiting[i].tunnel);
     }
-    release_search(search);
+    agent_search_release(search);
 }
 
 /// True when an upstream was probed whose answer is not yet known.
@@ -475,13 +425,14 @@
 agent_locate_due(const struct agent_call *call, struct SlFlowShard *shard,
                  struct SlFlow *flow)
 {
-    struct agent_search *search = search_of(&call->agent->searches, flow);
+    struct agent_search *search =
+        agent_search_of(&call->agent->searches, flow);
 
     if (!search->claim && search->round == 0) {
         ask_probed_again(search);
     }
     search->round++;
-    if (search->round >= AGENT_LOCATE_ROUNDS || is_complete(search)) {
+    if (search->round >= AGENT_LOCATE_ROUNDS || is_over(search)) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
@@ -490,17 +441,26 @@
     send_round(call, &flow->key, search);
 }
 
+void
+agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
+                   struct SlFlow *flow, uint64_t node_id)
+{
+    finish(call, shard, flow,
+           (struct outcome){.holder = node_id, .claims = true});
+}
+
 void
 agent_locate_denied(const struct agent_call *call, const struct SlFlow *flow)
 {
-    search_of(&call->agent->searches, flow)->denied = true;
+    agent_search_of(&call->agent->searches, flow)->denied = true;
 }
 
 void
 agent_locate_own(const struct agent_call *call, struct SlFlowShard *shard,
                  struct SlFlow *flow, const struct SlRouteService *service)
 {
-    struct agent_search *search = take_search(&call->agent->searches, flow);
+    struct agent_search *search =
+        agent_search_take(&call->agent->searches, flow);
     struct SlFlowKey key = flow->key;
     struct agent_packet p;
 
@@ -511,169 +471,7 @@
             agent_route(call, shard, &p);
         }
     }
-    release_search(search);
-}
-
-/// What this agent knows of a flow that another asks for.
-struct knowledge {
-    enum SlLocateAnswer answer;
-    uint64_t holder;
-    bool has_last_seq;
-    uint32_t last_seq;
-};
-
-static void
-answer_ended(const struct SlFlow *flow, bool claim, uint64_t self,
-             struct knowledge *known)
-{
-    known->has_last_seq = flow->flags & SL_FLOW_CALLER_SEEN;
-    known->last_seq = flow->caller_next;
-    if (!claim && !(flow->flags & SL_FLOW_WAS_RESET)) {
-        known->answer = SL_LOCATE_YES;
-        known->holder = self;
-    }
-}
-
-static void
-answer_mark(const struct agent_call *call, const struct SlFlow *flow,
-            const struct SlTunnel *tunnel, struct knowledge *known)
-{
-    const struct SlRouteNode *node =
-        SlRouting_FindNode(call->routing, flow->holder);
-
-    if (flow->holder != tunnel->sender && node != NULL && !node->zone_out) {
-        known->answer = SL_LOCATE_PASSED;
-        known->holder = flow->holder;
-    }
-}
-
-static void
-look_up(const struct agent_call *call, const struct SlFlow *flow,
-        const struct SlTunnel *tunnel, struct knowledge *known)
-{
-    uint64_t self = call->agent->node_id;
-    bool claim = tunnel->flags & SL_TUNNEL_CLAIM;
-
-    *known = (struct knowledge){.answer = SL_LOCATE_NO};
-    if (flow == NULL || flow->service_id != tunnel->service_id) {
-        return;
-    }
-    switch ((enum SlFlowKind)flow->kind) {
-    case SL_FLOW_OPEN:
-    case SL_FLOW_REFUSED:
-        known->answer = SL_LOCATE_YES;
-        known->holder = self;
-        break;
-    case SL_FLOW_ENDED:
-        answer_ended(flow, claim, self, known);
-        break;
-    case SL_FLOW_MARK:
-        answer_mark(call, flow, tunnel, known);
-        break;
-    case SL_FLOW_PENDING:
-        if (claim && search_of(&call->agent->searches, flow)->claim) {
-            known->answer = SL_LOCATE_CLAIMED;
-            known->holder = self;
-        }
-        break;
-    case SL_FLOW_PROMISED:
-        known->has_last_seq = flow->flags & SL_FLOW_HAS_LAST_SEQ;
-        known->last_seq = flow->caller_next;
-        break;
-    case SL_FLOW_NONE:
-        break;
-    }
-}
-
-static void
-send_answer(const struct agent_call *call, const struct SlTunnel *asked,
-            const struct knowledge *known)
-{
-    struct SlTunnel tunnel = {.kind = SL_TUNNEL_LOCATED,
-                              .service_id = asked->service_id,
-                              .flow = asked->flow,
-                              .answer = known->answer,
-                              .holder = known->holder};
-
-    if (agent_started_within(call, call->agent->options.adopt_us)) {
-        tunnel.flags |= SL_TUNNEL_RECENT_BOOT;
-    }
-    if (known->has_last_seq) {
-        tunnel.flags |= SL_TUNNEL_HAS_LAST_SEQ;
-        tunnel.last_seq = known->last_seq;
-    }
-    agent_send(call, asked->sender, &tunnel);
-}
-
-/// Notes that the asker may admit the flow, and this agent may not. Where
-/// an earlier promise stands, the lower node keeps it.
-static void
-promise(const struct agent_call *call, struct SlFlowShard *shard,
-        struct SlFlow *flow, const struct SlTunnel *tunnel,
-        const struct knowledge *known)
-{
-    if (flow != NULL && flow->kind == SL_FLOW_PROMISED &&
-        flow->holder < tunnel->sender) {
-        return;
-    }
-    if (flow != NULL) {
-        SlFlowShard_Remove(shard, flow);
-    }
-    flow = agent_insert_soft(call, shard, &tunnel->flow, SL_FLOW_PROMISED);
-    if (flow == NULL) {
-        return;
-    }
-    flow->holder = tunnel->sender;
-    flow->service_id = tunnel->service_id;
-    if (known->has_last_seq) {
-        flow->flags |= SL_FLOW_HAS_LAST_SEQ;
-        flow->caller_next = known->last_seq;
-    }
-}
-
-static bool
-may_promise(const struct SlFlow *flow)
-{
-    return flow == NULL || flow->kind == SL_FLOW_PROMISED ||
-           flow->kind == SL_FLOW_ENDED || flow->kind == SL_FLOW_MARK;
-}
-
-/// True when the flow's address belongs, also by this agent's table, to the
-/// service that the asker means, and this upstream serves it.
-static bool
-serves_flow(const struct agent_call *call, const struct SlTunnel *tunnel)
-{
-    const struct SlRouteService *service = SlRouting_FindService(
-        call->routing, &tunnel->flow.service, tunnel->flow.protocol);
-
-    return agent_serves(call, service) &&
-           service->service_id == tunnel->service_id;
-}
-
-void
-agent_handle_locate(const struct agent_call *call,
-                    const struct SlTunnel *tunnel)
-{
-    struct SlFlowShard *shard =
-        SlFlowTable_Lock(call->agent->table, &tunnel->flow);
-    struct SlFlow *flow = SlFlowShard_Find(shard, &tunnel->flow);
-    bool claim = tunnel->flags & SL_TUNNEL_CLAIM;
-    struct knowledge known;
-
-    look_up(call, flow, tunnel, &known);
-    send_answer(call, tunnel, &known);
-    if (!claim && flow == NULL && serves_flow(call, tunnel)) {
-        probe(call, &tunnel->flow, tunnel->last_seq);
-    }
-    if (claim && known.answer == SL_LOCATE_NO && may_promise(flow)) {
-        promise(call, shard, flow, tunnel, &known);
-    }
-    if (claim && known.answer == SL_LOCATE_CLAIMED &&
-        tunnel->sender < call->agent->node_id) {
-        finish(call, shard, flow,
-               (struct outcome){.holder = tunnel->sender, .claims = true});
-    }
-    SlFlowShard_Unlock(shard);
+    agent_search_release(search);
 }
 
 /// The place of the sender among those asked; asked_count if it is not.
@@ -724,7 +522,8 @@
 note_answer(const struct agent_call *call, struct SlFlowShard *shard,
             struct SlFlow *flow, const struct SlTunnel *tunnel)
 {
-    struct agent_search *search = search_of(&call->agent->searches, flow);
+    struct agent_search *search =
+        agent_search_of(&call->agent->searches, flow);
     uint32_t place = place_of(search, tunnel->sender);
     struct outcome outcome = {.holder = answered_holder(call, tunnel),
                               .claims = tunnel->answer == SL_LOCATE_CLAIMED};
@@ -745,7 +544,7 @@
         finish(call, shard, flow, outcome);
         return;
     }
-    if (!is_complete(search)) {
+    if (!is_over(search)) {
         return;
     }
     if (waits_for_probes(search)) {
--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -11,6 +11,10 @@
     /// balance alone.
     MARGIN_PERCENT = 2,
     MARGIN_FLOWS = 2,
+    /// Flows that may be passed to agents without room in one window: their
+    /// word may be old, but under overload the flow is refused sooner.
+    TRIES_MAX = 50,
+    TRIES_WINDOW_US = 100 * 1000,
 };
 
 bool
@@ -318,6 +322,17 @@
     choice->peer->room -= choice->peer->room > 0 ? 1 : 0;
 }
 
+/// True while agents that told to be full may still be tried.
+static bool
+may_try_full(struct agent_peers *peers, uint64_t now_us)
+{
+    if (agent_elapsed_us(now_us, peers->tries_us) >= TRIES_WINDOW_US) {
+        peers->tries_us = now_us;
+        peers->tries = 0;
+    }
+    return peers->tries++ < TRIES_MAX;
+}
+
 uint64_t
 agent_peers_pick(const struct agent_call *call, const struct agent_packet *p,
                  bool balance)
@@ -339,6 +354,9 @@
 
         best = back.rank == RANK_ROOM ? back : best;
     }
+    if (best.rank == RANK_FULL && !may_try_full(peers, call->now_us)) {
+        best = (struct choice){.rank = RANK_NONE};
+    }
     if (best.rank != RANK_NONE) {
         count_in(call, p, &best);
     }
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -33,7 +33,7 @@
     AGENT_LOCATE_ROUNDS = 2,
     AGENT_HANDSHAKE_MS = 5000,
     AGENT_SOFT_MS = 60 * 1000,
-    AGENT_REFUSED_MS = 2000,
+    AGENT_REFUSED_MS = 200,
     /// A caller that asks nothing for this long after its handshake is not
     /// expected to ask at once.
     AGENT_EXPECT_MS = 250,
@@ -47,6 +47,7 @@
     AGENT_WINDOW_BYTES = 1 << 26,
     AGENT_SEARCHES_MAX = 1024,
     AGENT_SEARCH_PACKETS = 4,
+    AGENT_SEARCH_BYTES_MAX = 4 * 1024 * 1024,
     AGENT_SEARCH_ASKED_MAX = 80,
     AGENT_PEERS_MAX = 512,
     AGENT_HOLDERS_MAX = 64,
@@ -89,6 +90,10 @@
     _Atomic uint32_t limit_flows;
     uint32_t handshakes;
     uint32_t exchanges;
+    /// Flows whose caller waits for an answer, however long already.
+    uint32_t asked;
+    /// TCP flows with payload that the other side has not acknowledged.
+    _Atomic uint32_t moving;
     uint32_t limit_exchanges;
     /// Answers in usual time since the last growth.
     uint32_t good_answers;
@@ -130,6 +135,9 @@
     uint32_t holder_count;
     struct agent_holder holders[AGENT_HOLDERS_MAX];
     uint64_t gossip_us;
+    /// Flows passed to agents that told to be full, in the present window.
+    uint64_t tries_us;
+    uint32_t tries;
 };
 
 /// A packet that waits for the end of a search.
@@ -152,6 +160,8 @@
     uint32_t asked_count;
     uint64_t asked[AGENT_SEARCH_ASKED_MAX];
     bool answered[AGENT_SEARCH_ASKED_MAX];
+    /// Asked, but silent for so long that nobody waits for its answer.
+    bool dead[AGENT_SEARCH_ASKED_MAX];
     bool recent[AGENT_SEARCH_ASKED_MAX];
     /// Where an agent passed the flow on to, by its word; 0 if none.
     uint64_t passed;
@@ -165,6 +175,7 @@
 /// is worked on under its flow's shard; the lock guards the free slots.
 struct agent_searches {
     pthread_mutex_t lock;
+    uint32_t waiting_bytes;
     uint32_t free_count;
     uint16_t free[AGENT_SEARCHES_MAX];
     struct agent_search *slots[AGENT_SEARCHES_MAX];
@@ -364,6 +375,13 @@
 void
 agent_track_upstream(struct SlFlow *flow, const struct SlPacket *packet,
                      uint32_t now_ms);
+/// True when payload of a TCP flow is not yet acknowledged.
+bool
+agent_is_moving(const struct SlFlow *flow);
+/// Keeps count of the flows that move. before: as it was.
+void
+agent_count_moving(struct SlAgent *agent, const struct SlFlow *flow,
+                   bool before);
 /// True when both sides have closed and know it.
 bool
 agent_is_closed(const struct SlFlow *flow);
@@ -389,6 +407,9 @@
 /// Begins an exchange; returns how many were in progress.
 uint32_t
 agent_admission_begin(const struct agent_call *call);
+/// Notes that a caller waits for an answer, or no longer does.
+void
+agent_admission_asked(const struct agent_call *call, bool waits);
 /// Ends an exchange that nothing was learnt from.
 void
 agent_admission_cancel(const struct agent_call *call);
@@ -403,6 +424,9 @@
 /// Raises the limits when it is time.
 void
 agent_admission_tick(const struct agent_call *call);
+/// The upstream returns after its zone was out or it drained.
+void
+agent_admission_restart(const struct agent_call *call);
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms);
 /// New flows that would be admitted now.
@@ -435,11 +459,29 @@
 void
 agent_peers_tick(const struct agent_call *call);
 
-/* agent_locate.c */
+/* agent_search.c */
 bool
 agent_searches_init(struct agent_searches *searches);
 void
 agent_searches_release(struct agent_searches *searches);
+/// NULL when there are too many, or without memory.
+struct agent_search *
+agent_search_start(struct agent_searches *searches, uint64_t *slot);
+struct agent_search *
+agent_search_of(struct agent_searches *searches, const struct SlFlow *flow);
+/// Takes a search out of its slot; the caller releases it.
+struct agent_search *
+agent_search_take(struct agent_searches *searches, const struct SlFlow *flow);
+/// Frees a search and what waits. NULL is allowed.
+void
+agent_search_release(struct agent_search *search);
+/// Counts bytes in that wait, within the bound for all searches.
+bool
+agent_search_reserve(struct agent_searches *searches, uint32_t length_bytes);
+void
+agent_search_give_back(struct agent_searches *searches, uint32_t length_bytes);
+
+/* agent_locate.c */
 /// Starts a search for the flow's holder; the packet waits.
 void
 agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
@@ -459,13 +501,27 @@
 /// The upstream told that it does not have the flow.
 void
 agent_locate_denied(const struct agent_call *call, const struct SlFlow *flow);
-/// Another agent asks, or answers.
-void
-agent_handle_locate(const struct agent_call *call,
-                    const struct SlTunnel *tunnel);
+/// A claim by a lower node: this agent's own search ends in its favour.
+void
+agent_locate_yield(const struct agent_call *call, struct SlFlowShard *shard,
+                   struct SlFlow *flow, uint64_t node_id);
+/// Asks the upstream itself, by an old acknowledgement without payload: where
+/// the connection lives it is answered (RFC 9293, 3.10.7.4), and the answer
+/// makes this agent adopt the flow. Only an agent whose table may have been
+/// lost asks. True when it did.
+bool
+agent_probe(const struct agent_call *call, const struct SlFlowKey *key,
+            uint32_t seq);
+/// Another agent answers a search.
 void
 agent_handle_located(const struct agent_call *call,
                      const struct SlTunnel *tunnel);
+
+/* agent_answer.c */
+/// Another agent searches.
+void
+agent_handle_locate(const struct agent_call *call,
+                    const struct SlTunnel *tunnel);
 /* agent_refuse.c */
 /// Refuses a new flow. not_run: nothing was delivered anywhere.
 void
--- a/packages/coordination/src/agent_refuse.c
+++ b/packages/coordination/src/agent_refuse.c
@@ -166,7 +166,11 @@
         reset_udp(call, flow);
         return;
     }
-    reset_caller(call, flow);
+    /* Before the handshake a reset would say that nothing was run. */
+    if (!(flow->flags & SL_FLOW_EARLY_DATA) ||
+        (flow->flags & SL_FLOW_UPSTREAM_SEEN)) {
+        reset_caller(call, flow);
+    }
     reset_upstream(call, flow);
 }
 
--- /dev/null
+++ b/packages/coordination/src/agent_search.c
@@ -0,0 +1,106 @@
+/// The searches in progress: a bounded number of them, and of bytes that wait
+/// for their end.
+
+#include "agent_private.h"
+
+#include <stdlib.h>
+
+bool
+agent_searches_init(struct agent_searches *searches)
+{
+    searches->free_count = AGENT_SEARCHES_MAX;
+    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
+        searches->free[i] = (uint16_t)(AGENT_SEARCHES_MAX - 1 - i);
+    }
+    return pthread_mutex_init(&searches->lock, NULL) == 0;
+}
+
+void
+agent_search_release(struct agent_search *search)
+{
+    if (search == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < search->waiting_count; i++) {
+        free(search->waiting[i].bytes);
+    }
+    free(search);
+}
+
+void
+agent_searches_release(struct agent_searches *searches)
+{
+    for (uint32_t i = 0; i < AGENT_SEARCHES_MAX; i++) {
+        agent_search_release(searches->slots[i]);
+        searches->slots[i] = NULL;
+    }
+}
+
+struct agent_search *
+agent_search_start(struct agent_searches *searches, uint64_t *slot)
+{
+    struct agent_search *search = calloc(1, sizeof(*search));
+
+    if (search == NULL) {
+        return NULL;
+    }
+    pthread_mutex_lock(&searches->lock);
+    if (searches->free_count == 0) {
+        pthread_mutex_unlock(&searches->lock);
+        free(search);
+        return NULL;
+    }
+    *slot = searches->free[--searches->free_count];
+    searches->slots[*slot] = search;
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+struct agent_search *
+agent_search_of(struct agent_searches *searches, const struct SlFlow *flow)
+{
+    struct agent_search *search;
+
+    pthread_mutex_lock(&searches->lock);
+    search = searches->slots[flow->holder];
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+/// Takes a search out of its slot; the caller owns it then.
+struct agent_search *
+agent_search_take(struct agent_searches *searches, const struct SlFlow *flow)
+{
+    struct agent_search *search;
+
+    pthread_mutex_lock(&searches->lock);
+    search = searches->slots[flow->holder];
+    for (uint32_t i = 0; i < search->waiting_count; i++) {
+        searches->waiting_bytes -= search->waiting[i].tunnel.packet_bytes;
+    }
+    searches->slots[flow->holder] = NULL;
+    searches->free[searches->free_count++] = (uint16_t)flow->holder;
+    pthread_mutex_unlock(&searches->lock);
+    return search;
+}
+
+/// Counts bytes in that wait, within the bound for all searches.
+bool
+agent_search_reserve(struct agent_searches *searches, uint32_t length_bytes)
+{
+    bool fits;
+
+    pthread_mutex_lock(&searches->lock);
+    fits = searches->waiting_bytes + length_bytes <= AGENT_SEARCH_BYTES_MAX;
+    searches->waiting_bytes += fits ? length_bytes : 0;
+    pthread_mutex_unlock(&searches->lock);
+    return fits;
+}
+
+void
+agent_search_give_back(struct agent_searches *searches, uint32_t length_bytes)
+{
+    pthread_mutex_lock(&searches->lock);
+    searches->waiting_bytes -= length_bytes;
+    pthread_mutex_unlock(&searches->lock);
+}
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -140,7 +140,7 @@
     }
     if (took_ms >= AGENT_EXCHANGE_MS) {
         agent_admission_cancel(call);
-        flow->flags &= (uint16_t) ~(SL_FLOW_EXCHANGE | SL_FLOW_ASKED);
+        flow->flags &= (uint16_t)~SL_FLOW_EXCHANGE;
     }
 }
 
--- a/packages/coordination/src/agent_track.c
+++ b/packages/coordination/src/agent_track.c
@@ -235,6 +235,27 @@
     }
 }
 
+bool
+agent_is_moving(const struct SlFlow *flow)
+{
+    return flow->key.protocol == IPPROTO_TCP &&
+           (flow->caller_wait_ms != 0 || flow->upstream_wait_ms != 0);
+}
+
+void
+agent_count_moving(struct SlAgent *agent, const struct SlFlow *flow,
+                   bool before)
+{
+    bool after = agent_is_moving(flow);
+
+    if (after && !before) {
+        atomic_fetch_add(&agent->admission.moving, 1);
+    }
+    if (before && !after) {
+        atomic_fetch_sub(&agent->admission.moving, 1);
+    }
+}
+
 bool
 agent_is_closed(const struct SlFlow *flow)
 {
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -13,14 +13,11 @@
         return;
     }
     flow->flags |= SL_FLOW_ANSWERED;
-    if (!(flow->flags & SL_FLOW_EXCHANGE)) {
-        return;
-    }
-    if (flow->flags & SL_FLOW_ASKED) {
+    if (flow->flags & SL_FLOW_EXCHANGE) {
         agent_admission_answered(call, flow);
     }
-    else {
-        agent_admission_cancel(call);
+    if (flow->flags & SL_FLOW_ASKED) {
+        agent_admission_asked(call, false);
     }
     flow->flags &= (uint16_t) ~(SL_FLOW_EXCHANGE | SL_FLOW_ASKED);
 }
@@ -48,8 +45,10 @@
 {
     bool resets =
         packet->kind == SL_PACKET_TCP && (packet->tcp_flags & SL_TCP_RST);
+    bool moved = agent_is_moving(flow);
 
     agent_track_upstream(flow, packet, call->now_ms);
+    agent_count_moving(call->agent, flow, moved);
     note_udp_handshake(flow, packet);
     agent_count(call->agent, COUNT_RETURNED);
     agent_return(call, flow->service_id, flow->holder, packet->bytes,
