--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -180,6 +180,109 @@
     fx_close(&fx);
 }
 
+/// Reopens, from new ports, the flows that were reset; returns how many.
+static uint32_t
+reopen(struct fixture *fx, uint16_t first, uint16_t *next)
+{
+    uint32_t count = 0;
+
+    for (uint16_t port = first; port < *next; port++) {
+        if (fx->callers[port].reset || fx->callers[port].refused) {
+            fx->callers[port].reset = false;
+            fx->callers[port].refused = false;
+            fx->callers[*next].asks = true;
+            fx_syn(fx, *next % FX_ENTRIES, *next);
+            (*next)++;
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Zone c (agents 2 and 6) leaves with its flows, and returns cold while other
+   flows come and go: nobody is refused, and the load evens out again. */
+static void
+test_zone_leaves_and_returns(void)
+{
+    struct fixture fx;
+    uint16_t next = FIRST_PORT + 7000;
+    uint32_t reopened = 0;
+    uint32_t again = 0;
+    uint32_t cold_busy = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 7000, 400);
+    site_hold(&fx.site, SL_VERB_HOLD, SL_KIND_ZONE, "c");
+    fx_publish(&fx, NULL);
+    for (uint32_t i = 0; i < 30; i++) {
+        fx_run(&fx, 100000);
+        again = reopen(&fx, FIRST_PORT, &next);
+        reopened += again;
+    }
+    CU_ASSERT_EQUAL(again, 0);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, open_flows), 7000);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_not_run), 0);
+    site_hold(&fx.site, SL_VERB_RELEASE, SL_KIND_ZONE, "c");
+    fx_publish(&fx, NULL);
+    fx.agents[2].busy_most = 0;
+    fx.agents[6].busy_most = 0;
+    for (uint32_t i = 0; i < 8000; i++) {
+        fx.callers[next].asks = true;
+        fx_syn(&fx, next % FX_ENTRIES, next);
+        fx_tcp(&fx, 0, (uint16_t)(FIRST_PORT + i % 7000),
+               SL_TCP_FIN | SL_TCP_ACK, 0);
+        next++;
+        fx_run(&fx, 2000);
+        if (i == 249) {
+            cold_busy = fx.agents[2].busy_most > fx.agents[6].busy_most
+                            ? fx.agents[2].busy_most
+                            : fx.agents[6].busy_most;
+        }
+    }
+    fx_run(&fx, 500000);
+    printf("zone out and in: %u flows reopened, refused %lu; returned ones "
+           "busy at most %u in 500 ms; imbalance %.3f after 16 s\n",
+           reopened, (unsigned long)FX_TOTAL(&fx, refused_not_run), cold_busy,
+           imbalance(&fx));
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_not_run), 0);
+    CU_ASSERT(cold_busy <= 1);
+    CU_ASSERT(imbalance(&fx) <= 1.05);
+    fx_close(&fx);
+}
+
+/* Twice as many flows as the service can hold: the rest is refused at once,
+   with a bounded number of datagrams, and open flows do not notice. */
+static void
+test_overload_spares_open_flows(void)
+{
+    struct fixture fx;
+    uint64_t datagrams;
+    uint32_t answered = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, FLOWS, 200);
+    datagrams = fx.datagrams;
+    for (uint32_t i = 0; i < 14000; i++) {
+        fx_syn(&fx, i % FX_ENTRIES, (uint16_t)(20000 + i));
+        if (i % 7 == 0) {
+            fx_ask(&fx, 0, (uint16_t)(FIRST_PORT + i));
+        }
+        fx_run(&fx, 250);
+    }
+    fx_run(&fx, 2000000);
+    for (uint32_t i = 0; i < 14000; i += 7) {
+        answered += fx.callers[FIRST_PORT + i].answers == 2;
+    }
+    printf("overload: %u of 14000 refused, %.1f datagrams each; %u of 2000 "
+           "requests on open flows answered\n",
+           refused(&fx, 20000, 14000),
+           (double)(fx.datagrams - datagrams) / 14000, answered);
+    CU_ASSERT_EQUAL(refused(&fx, 20000, 14000), 14000);
+    CU_ASSERT_EQUAL(answered, 2000);
+    CU_ASSERT(fx.datagrams - datagrams < 14000 * 3);
+    fx_close(&fx);
+}
+
 int
 main(void)
 {
@@ -188,6 +291,8 @@
         {"cold upstream ramps up", test_cold_upstream_ramps_up},
         {"sudden cold is noticed", test_sudden_cold_is_noticed},
         {"full service refuses at once", test_full_service_refuses_at_once},
+        {"zone leaves and returns", test_zone_leaves_and_returns},
+        {"overload spares open flows", test_overload_spares_open_flows},
         {"SYN flood is bounded", test_syn_flood_is_bounded},
     };
 
--- a/test/agent_change_test.c
+++ b/test/agent_change_test.c
@@ -257,6 +257,37 @@
     fx_close(&fx);
 }
 
+/* A request that takes long, and an answer that is not yet acknowledged, hold
+   a planned stop up. */
+static void
+test_stop_waits_for_requests(void)
+{
+    struct fixture fx;
+    struct fx_agent *holder;
+    struct SlInput stop = {.kind = SL_INPUT_STOP};
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 1, 10);
+    holder = fx_holder(&fx, FIRST_PORT);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(holder);
+    stop.now_us = fx.now_us;
+    fx_handle(holder, &stop);
+    CU_ASSERT(SlAgent_Idle(holder->agent));
+    holder->service_us = 20 * 1000 * 1000;
+    fx_ask(&fx, 0, FIRST_PORT);
+    fx_run(&fx, 19 * FX_SECOND_US);
+    CU_ASSERT_FALSE(SlAgent_Idle(holder->agent));
+    fx_run(&fx, 2 * FX_SECOND_US);
+    CU_ASSERT(SlAgent_Idle(holder->agent));
+    CU_ASSERT_EQUAL(fx.callers[FIRST_PORT].answers, 2);
+    holder->service_us = 1000;
+    fx.callers[FIRST_PORT].deaf = true;
+    fx_ask(&fx, 0, FIRST_PORT);
+    fx_run(&fx, FX_SECOND_US);
+    CU_ASSERT_FALSE(SlAgent_Idle(holder->agent));
+    fx_close(&fx);
+}
+
 /* A selector gives the agent to another service: it keeps its flows, which
    are found there, and gets no new ones. */
 static void
@@ -300,6 +331,7 @@
         {"stale entry is served elsewhere",
          test_stale_entry_is_served_elsewhere},
         {"drain and stop", test_drain_and_stop},
+        {"stop waits for requests", test_stop_waits_for_requests},
         {"reassigned agent keeps flows", test_reassigned_agent_keeps_flows},
     };
 
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -40,6 +40,8 @@
     bool reset;
     uint32_t answers;
     uint32_t icmp;
+    /// What is sent to it is lost.
+    bool deaf;
     /// The caller asks once as soon as the handshake is complete.
     bool asks;
 };
@@ -99,6 +101,8 @@
     uint8_t protocol;
     struct fx_caller *callers;
     uint64_t hints;
+    /// Datagrams between agents.
+    uint64_t datagrams;
     uint64_t last_holder;
     /// Last ICMP or TCP packet that came back.
     struct SlPacket returned;
@@ -268,6 +272,7 @@
         return;
     }
     if (peer != NULL) {
+        agent->fx->datagrams++;
         fx_post(agent->fx, FX_TUNNEL, (uint32_t)(peer - agent->fx->agents),
                 tunnel, tunnel->packet, tunnel->packet_bytes, FX_LATENCY_US);
         return;
@@ -536,6 +541,9 @@
     uint16_t port = packet->destination.port;
     struct fx_caller *caller = &fx->callers[port];
 
+    if (caller->deaf) {
+        return;
+    }
     if (packet->tcp_flags & SL_TCP_RST) {
         caller->refused |= !caller->open;
         caller->reset |= caller->open;
--- a/test/agent_race_test.c
+++ b/test/agent_race_test.c
@@ -213,6 +213,30 @@
     fx_close(&fx);
 }
 
+/* A dead agent holds up nobody's first datagram once its buckets have moved
+   and settled. */
+static void
+test_dead_agent_delays_nobody(void)
+{
+    struct fixture fx;
+    uint32_t answered = 0;
+
+    fx_open(&fx, "catalogue");
+    fx_run(&fx, 40 * FX_SECOND_US);
+    hold_agent(&fx, "catalogue-1", SL_VERB_HOLD);
+    fx_publish(&fx, NULL);
+    fx_agent(&fx, "catalogue-1")->down = true;
+    fx_run(&fx, 15 * FX_SECOND_US);
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + 200; port++) {
+        fx_udp(&fx, 1, fx.site.routing, 0, port);
+        fx_run(&fx, 20000);
+        answered += fx.callers[port].answers;
+    }
+    CU_ASSERT_EQUAL(answered, 200);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_unknown), 0);
+    fx_close(&fx);
+}
+
 int
 main(void)
 {
@@ -223,6 +247,7 @@
         {"UDP copies with loss", test_udp_copies_with_loss},
         {"unreachable home means unknown",
          test_unreachable_home_means_unknown},
+        {"dead agent delays nobody", test_dead_agent_delays_nobody},
     };
 
     return RUN_SUITE("agent race", CASES);
