--- /dev/null
+++ b/example/embedded_core.c
@@ -0,0 +1,299 @@
+/// The cores without the daemon: one entry, two agents and one control in one
+/// thread, on a clock and a message queue of our own. Callers ask an echo
+/// service; zone a leaves, zone b serves them. Exits with 1 if it does not.
+
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <urcu.h>
+
+#include "savoryledge/common/packet.h"
+#include "savoryledge/coordination/node.h"
+
+enum {
+    ENTRY,
+    AGENT_A,
+    AGENT_B,
+    CONTROL,
+    OPERATOR,
+    CALLERS = 8,
+    QUEUE_ITEMS = 1024,
+    SECOND_US = 1000 * 1000,
+};
+
+struct process {
+    struct SlSink sink;
+    struct SlNode *node;
+    struct SlPeer self;
+};
+
+struct item {
+    struct SlInput input;
+    uint32_t to;
+    struct SlBuffer bytes;
+};
+
+static struct process processes[OPERATOR + 1];
+static uint8_t linked[OPERATOR][OPERATOR];
+static struct item queue[QUEUE_ITEMS];
+static uint32_t queue_count;
+static uint64_t now_us = SECOND_US;
+static struct SlStorage *storage;
+static uint32_t answers;
+static uint32_t served_in_b;
+static const uint8_t HELLO[] = "hello";
+
+static uint32_t
+place_of(const struct SlSink *sink)
+{
+    return (uint32_t)((const struct process *)sink - processes);
+}
+
+/// A process numbers its links by the place of the other end, from 1 on.
+static struct SlBuffer *
+push(enum SlInputKind kind, uint32_t from, uint32_t to)
+{
+    struct item *item = &queue[queue_count++];
+
+    if (queue_count > QUEUE_ITEMS) {
+        abort();
+    }
+    *item = (struct item){.to = to};
+    item->input.kind = kind;
+    item->input.link = from + 1;
+    item->input.peer = &processes[from].self;
+    return &item->bytes;
+}
+
+static void
+send_to_caller(struct SlSink *sink, const uint8_t *bytes, uint32_t length)
+{
+    (void)sink;
+    (void)length;
+    (void)bytes;
+    answers++;
+}
+
+static void
+send_to_upstream(struct SlSink *sink, const uint8_t *bytes, uint32_t length)
+{
+    SlBuffer_Append(push(SL_INPUT_UPSTREAM_PACKET, 0, place_of(sink)), bytes,
+                    length);
+}
+
+/// Addresses are places here, carried in the port.
+static void
+send_tunnel(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to,
+            const struct SlTunnel *tunnel)
+{
+    uint8_t bytes[SL_TUNNEL_HEADER_MAX_BYTES + SL_PACKET_MTU_BYTES];
+    uint32_t length = sizeof(bytes);
+
+    (void)node_id;
+    SlTunnel_Encode(tunnel, bytes, &length);
+    SlBuffer_Append(push(SL_INPUT_TUNNEL, place_of(sink), to->port), bytes,
+                    length);
+}
+
+static void
+send_message(struct SlSink *sink, uint64_t link,
+             const struct SlMessage *message)
+{
+    if (link != OPERATOR + 1) {
+        SlMessage_Encode(message, push(SL_INPUT_MESSAGE, place_of(sink),
+                                       (uint32_t)link - 1));
+    }
+}
+
+static void
+dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
+{
+    uint32_t from = place_of(sink);
+
+    (void)node_id;
+    if (linked[from][to->port]++ == 0) {
+        push(SL_INPUT_LINK_UP, to->port, from);
+        push(SL_INPUT_LINK_UP, from, to->port);
+    }
+}
+
+static void
+drop(struct SlSink *sink, uint64_t node_id)
+{
+    (void)sink;
+    (void)node_id;
+}
+
+static void
+log_event(struct SlSink *sink, const struct SlEvent *event)
+{
+    (void)sink;
+    puts(SlEvent_Format(event, (char[SL_EVENT_TEXT_BYTES]){0}));
+}
+
+static const struct SlSinkType SINK = {
+    send_to_caller, send_to_upstream, send_tunnel, send_message, dial,
+    drop,           log_event};
+
+static void
+give(uint32_t to, struct SlInput input)
+{
+    input.now_us = now_us;
+    SlNode_Handle(processes[to].node, &processes[to].sink, &input);
+    input.kind = SL_INPUT_BATCH_END;
+    SlNode_Handle(processes[to].node, &processes[to].sink, &input);
+}
+
+static void
+deliver(const struct item *item)
+{
+    const struct SlBuffer *bytes = &item->bytes;
+    uint8_t answer[SL_PACKET_ANSWER_BYTES];
+    struct SlInput input = item->input;
+    struct SlMessage message = {.kind = SL_MESSAGE_NONE};
+    struct SlTunnel tunnel;
+    struct SlPacket packet;
+
+    if (input.kind == SL_INPUT_TUNNEL) {
+        SlTunnel_Decode(bytes->bytes, (uint32_t)bytes->length_bytes, &tunnel);
+        input.tunnel = &tunnel;
+    }
+    else if (input.kind == SL_INPUT_MESSAGE) {
+        SlMessage_Decode(bytes->bytes, bytes->length_bytes, &message);
+        input.message = &message;
+    }
+    else if (input.kind == SL_INPUT_UPSTREAM_PACKET) {
+        served_in_b += item->to == AGENT_B;
+        SlPacket_Parse(bytes->bytes, (uint32_t)bytes->length_bytes, &packet);
+        input.packet.bytes = answer;
+        input.packet.length_bytes =
+            SlPacket_BuildUdp(&packet.destination, &packet.source, HELLO, 5,
+                              answer, sizeof(answer));
+    }
+    give(item->to, input);
+    SlMessage_Release(&message);
+}
+
+/// Lets time pass: all that is queued arrives within a step.
+static void
+run(uint64_t duration_us)
+{
+    for (uint64_t end_us = now_us + duration_us; now_us < end_us;
+         now_us += SL_TICK_US) {
+        for (uint32_t i = 0; i < OPERATOR; i++) {
+            give(i, (struct SlInput){.kind = SL_INPUT_TICK});
+        }
+        for (uint32_t i = 0; i < queue_count; i++) {
+            deliver(&queue[i]);
+            SlBuffer_Release(&queue[i].bytes);
+        }
+        queue_count = 0;
+    }
+}
+
+static void
+start(uint32_t place, const char *name, const char *zone, uint32_t roles)
+{
+    struct SlControlMember control = {.node_id = SlNode_Id("control-1"),
+                                      .name = "control-1",
+                                      .link = {.port = CONTROL},
+                                      .voter = true};
+    struct SlNodeOptions options = {
+        .core = {.roles = roles, .seed = place},
+        .agent = {.slots = 3, .capacity_flows = 100},
+        .replica = {.control_count = 1,
+                    .control_id = {control.node_id},
+                    .control = {control.link},
+                    .announce = {.kind = SL_KIND_NODE,
+                                 .node = {.node_id = SlNode_Id(name),
+                                          .roles = roles,
+                                          .tunnel = {.port = (uint16_t)place},
+                                          .link = {.port = (uint16_t)place},
+                                          .slots = 3,
+                                          .capacity_flows = 100}}},
+        .control = {.member_count = 1,
+                    .members = {control},
+                    .bootstrap = true,
+                    .storage = storage}};
+
+    snprintf(options.core.name, SL_NAME_BYTES, "%s", name);
+    snprintf(options.core.zone, SL_NAME_BYTES, "%s", zone);
+    snprintf(options.replica.announce.name, SL_NAME_BYTES, "%s", name);
+    snprintf(options.replica.announce.node.zone, SL_NAME_BYTES, "%s", zone);
+    processes[place].sink.type = &SINK;
+    processes[place].self.node_id = SlNode_Id(name);
+    processes[place].self.roles = roles;
+    snprintf(processes[place].self.name, SL_NAME_BYTES, "%s", name);
+    SlNode_Create(&options, now_us, &processes[place].node, NULL);
+}
+
+/// Sends an operator's change to control.
+static void
+change(struct SlChange wanted)
+{
+    static uint64_t request;
+    struct SlMessage message = {.kind = SL_MESSAGE_CHANGE, .change = wanted};
+
+    message.change.client = 1;
+    message.change.request = ++request;
+    give(CONTROL, (struct SlInput){.kind = SL_INPUT_MESSAGE,
+                                   .link = OPERATOR + 1,
+                                   .message = &message});
+    run(SECOND_US);
+}
+
+static void
+ask(uint16_t first_port, const struct SlAddress *service)
+{
+    uint8_t bytes[SL_PACKET_ANSWER_BYTES];
+    struct SlInput input = {.kind = SL_INPUT_CALLER_PACKET,
+                            .packet = {.bytes = bytes}};
+    struct SlAddress caller = *service;
+
+    for (uint32_t i = 0; i < CALLERS; i++) {
+        caller.port = (uint16_t)(first_port + i);
+        input.packet.length_bytes = SlPacket_BuildUdp(&caller, service, HELLO,
+                                                      5, bytes, sizeof(bytes));
+        give(ENTRY, input);
+        run(SECOND_US / 2);
+    }
+}
+
+int
+main(void)
+{
+    struct SlChange zone = {.verb = SL_VERB_CREATE,
+                            .object = {.kind = SL_KIND_ZONE, .name = "a"},
+                            .hold = {.key = "operator"}};
+    struct SlChange group = {
+        .verb = SL_VERB_CREATE,
+        .object = {.kind = SL_KIND_GROUP, .name = "echo"}};
+    struct SlChange service = group;
+
+    service.object.kind = SL_KIND_SERVICE;
+    service.object.service.protocol = IPPROTO_UDP;
+    SlAddress_Parse("198.51.100.7:7", &service.object.service.address);
+    storage = SlStorage_CreateMemory(SlNode_Id("control-1"), 1);
+    rcu_register_thread();
+    start(ENTRY, "entry-1", "a", SL_ROLE_ENTRY);
+    start(AGENT_A, "agent-a", "a", SL_ROLE_AGENT);
+    start(AGENT_B, "agent-b", "b", SL_ROLE_AGENT);
+    start(CONTROL, "control-1", "a", SL_ROLE_CONTROL);
+    push(SL_INPUT_LINK_UP, OPERATOR, CONTROL);
+    run(UINT64_C(3) * SECOND_US);
+    change(zone);
+    change(group);
+    change(service);
+    ask(4000, &service.object.service.address);
+    zone.verb = SL_VERB_HOLD;
+    change(zone);
+    answers = served_in_b = 0;
+    ask(5000, &service.object.service.address);
+    printf("%u answers, %u of them from b\n", answers, served_in_b);
+    for (uint32_t i = 0; i < OPERATOR; i++) {
+        SlNode_Destroy(processes[i].node);
+    }
+    SlStorage_Destroy(storage);
+    rcu_unregister_thread();
+    return answers == CALLERS && served_in_b == CALLERS ? 0 : 1;
+}
--- /dev/null
+++ b/scripts/check.d/embedded.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# The example that embeds the cores does what it says, the same each time, and
+# stays short. First argument: the build folder.
+set -eu
+cd "$(dirname "$0")/../.."
+[ "$(wc -l <example/embedded_core.c)" -lt 300 ] || {
+    echo "example/embedded_core.c has 300 lines or more"
+    exit 1
+}
+mkdir -p out
+"$1/example/embedded_core" >out/embedded.1
+"$1/example/embedded_core" >out/embedded.2
+cmp out/embedded.1 out/embedded.2
+tail -1 out/embedded.1
