Keep links and reports that two cores of control share

On a control process the replica looked for a fresh instance by dropping and dialling the links that the log also uses, which cut them, and found no new link where one was up. It now takes the configuration from its own control, and a link goes only when both cores have dropped it. A leader forgot reports that came between its election and its first look at the processes, and followers report once in a term: entries were missing from the registry until the next term (seen for 4 s after a start). It now begins its table before it takes the first report.

--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -126,6 +126,27 @@
     }
 }
 
+/// A new leader starts with the processes linked to itself, before it takes
+/// the first report of another instance.
+static void
+start_leading(struct SlControl *control)
+{
+    if (control->seen_term == control->raft.hard.term) {
+        return;
+    }
+    SlSeenTable_Release(&control->seen);
+    control->seen_term = control->raft.hard.term;
+    control->loss_held = false;
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        const struct SlControlLink *link = &control->links[i];
+
+        if (link->announced != NULL) {
+            note_heard(control, link->peer.node_id, link->peer.name,
+                       link->announced, 0);
+        }
+    }
+}
+
 void
 SlControl_OnAnnounce(struct SlControl *control, uint64_t number,
                      const struct SlObject *object)
@@ -135,6 +156,9 @@
     if (link == NULL || object->kind != SL_KIND_NODE) {
         return;
     }
+    if (is_leader(control)) {
+        start_leading(control);
+    }
     if (object->node.node_id == link->peer.node_id) {
         on_own_word(control, link, object);
         return;
@@ -184,23 +208,6 @@
     }
 }
 
-/// A new leader starts with the processes linked to itself.
-static void
-start_leading(struct SlControl *control)
-{
-    SlSeenTable_Release(&control->seen);
-    control->seen_term = control->raft.hard.term;
-    control->loss_held = false;
-    for (uint32_t i = 0; i < control->link_count; i++) {
-        const struct SlControlLink *link = &control->links[i];
-
-        if (link->announced != NULL) {
-            note_heard(control, link->peer.node_id, link->peer.name,
-                       link->announced, 0);
-        }
-    }
-}
-
 /// When a direct link last brought anything from the process; 0 no link.
 static uint64_t
 heard_directly(const struct SlControl *control, uint64_t node_id)
@@ -423,9 +430,7 @@
         }
         return;
     }
-    if (control->seen_term != control->raft.hard.term) {
-        start_leading(control);
-    }
+    start_leading(control);
     if (!SlRaft_Fresh(&control->raft, control->now_us)) {
         return;
     }
--- a/packages/coordination/src/local_link.c
+++ b/packages/coordination/src/local_link.c
@@ -85,28 +85,57 @@
     local->outer->type->send_message(local->outer, link, message);
 }
 
+/// Where the process stands among those that the end dialled; dial_count
+/// when it does not.
+static uint32_t
+find_dial(const struct SlLocalSink *end, uint64_t node_id)
+{
+    uint32_t at = 0;
+
+    while (at < end->dial_count && end->dials[at] != node_id) {
+        at++;
+    }
+    return at;
+}
+
 static void
 dial_local(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
 {
-    struct SlLocalLink *local = local_of(sink);
+    struct SlLocalSink *end = (struct SlLocalSink *)sink;
+    struct SlLocalLink *local = end->local;
 
     if (node_id == local->node_id) {
         local->dialled = true;
         return;
     }
+    if (find_dial(end, node_id) == end->dial_count &&
+        end->dial_count < SL_LOCAL_DIALS_MAX) {
+        end->dials[end->dial_count++] = node_id;
+    }
     local->outer->type->dial(local->outer, node_id, to);
 }
 
 static void
 drop_local(struct SlSink *sink, uint64_t node_id)
 {
-    struct SlLocalLink *local = local_of(sink);
+    struct SlLocalSink *end = (struct SlLocalSink *)sink;
+    struct SlLocalLink *local = end->local;
+    const struct SlLocalSink *other =
+        &local->ends[end->end == SL_LOCAL_REPLICA ? SL_LOCAL_CONTROL
+                                                  : SL_LOCAL_REPLICA];
+    uint32_t at = find_dial(end, node_id);
 
     if (node_id == local->node_id) {
         local->dialled = false;
+        local->dropped = true;
         return;
     }
-    local->outer->type->drop(local->outer, node_id);
+    if (at < end->dial_count) {
+        end->dials[at] = end->dials[--end->dial_count];
+    }
+    if (find_dial(other, node_id) == other->dial_count) {
+        local->outer->type->drop(local->outer, node_id);
+    }
 }
 
 static void
--- a/packages/coordination/src/local_link.h
+++ b/packages/coordination/src/local_link.h
@@ -7,6 +7,10 @@
 
 #include "savoryledge/coordination/core.h"
 
+enum {
+    SL_LOCAL_DIALS_MAX = 2 * SL_MEMBERS_CONTROL_MAX,
+};
+
 enum SlLocalEnd {
     SL_LOCAL_REPLICA = 0,
     SL_LOCAL_CONTROL = 1,
@@ -24,6 +28,10 @@
     struct SlSink sink;
     struct SlLocalLink *local;
     enum SlLocalEnd end;
+    /// Other processes that this end dialled: a link that both want stays
+    /// until both have dropped it.
+    uint32_t dial_count;
+    uint64_t dials[SL_LOCAL_DIALS_MAX];
 };
 
 struct SlLocalLink {
@@ -34,6 +42,8 @@
     struct SlLocalMessage *first;
     struct SlLocalMessage *last;
     bool dialled;
+    /// Dropped since it was up, perhaps to be dialled again at once.
+    bool dropped;
     bool up;
 };
 
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -31,6 +31,24 @@
     struct SlLocalLink local;
 };
 
+/// A process with a control instance takes the configuration from that one:
+/// it is told of every change first, and its links to the others are the
+/// log's.
+static void
+use_own_control(struct SlNodeOptions *options)
+{
+    struct SlReplicaOptions *replica = &options->replica;
+    uint64_t own = SlNode_Id(options->core.name);
+
+    for (uint32_t i = 0; i < replica->control_count; i++) {
+        if (replica->control_id[i] == own) {
+            replica->control_id[0] = own;
+            replica->control[0] = replica->control[i];
+            replica->control_count = 1;
+        }
+    }
+}
+
 static enum SlStatus
 create_parts(struct SlNode *node, const struct SlNodeOptions *options,
              uint64_t now_us, struct SlError *error)
@@ -38,6 +56,9 @@
     struct SlNodeOptions filled = *options;
     enum SlStatus status;
 
+    if (options->core.roles & SL_ROLE_CONTROL) {
+        use_own_control(&filled);
+    }
     filled.replica.core = options->core;
     filled.entry.core = options->core;
     filled.agent.core = options->core;
@@ -179,29 +200,45 @@
     }
 }
 
-/// Brings the local link up or down, as the replica dialled or dropped it.
 static void
-settle_local_link(struct SlNode *node, struct SlSink *sink,
-                  const struct SlInput *input)
+change_local_link(struct SlNode *node, struct SlSink *sink,
+                  const struct SlInput *input, bool up)
 {
     struct SlPeer peer = {.node_id = node->local.node_id,
                           .roles = node->core.roles,
                           .boot = node->core.boot};
-    struct SlInput change = {.now_us = input->now_us,
+    struct SlInput change = {.kind =
+                                 up ? SL_INPUT_LINK_UP : SL_INPUT_LINK_DOWN,
+                             .now_us = input->now_us,
                              .wall_us = input->wall_us,
                              .link = SL_LOCAL_LINK,
                              .peer = &peer};
 
-    if (node->control == NULL || node->local.dialled == node->local.up) {
-        return;
-    }
-    node->local.up = node->local.dialled;
+    node->local.up = up;
     memcpy(peer.name, node->core.name, sizeof(peer.name));
-    change.kind = node->local.up ? SL_INPUT_LINK_UP : SL_INPUT_LINK_DOWN;
     give_control(node, sink, &change);
     give_replica(node, sink, &change);
 }
 
+/// Brings the local link up or down, as the replica dialled or dropped it.
+static void
+settle_local_link(struct SlNode *node, struct SlSink *sink,
+                  const struct SlInput *input)
+{
+    bool dropped = node->local.dropped;
+
+    if (node->control == NULL) {
+        return;
+    }
+    node->local.dropped = false;
+    if (node->local.up && (dropped || !node->local.dialled)) {
+        change_local_link(node, sink, input, false);
+    }
+    if (!node->local.up && node->local.dialled) {
+        change_local_link(node, sink, input, true);
+    }
+}
+
 /// Hands on what replica and control of this process said to each other.
 static void
 run_local_link(struct SlNode *node, struct SlSink *sink,
--- /dev/null
+++ b/test/node_test.c
@@ -0,0 +1,218 @@
+#include <string.h>
+#include <urcu.h>
+
+#include "control_world.h"
+#include "savoryledge/coordination/node.h"
+#include "test.h"
+
+/// The cores of one process together, and reports between control instances.
+
+enum {
+    SECONDS_US = 1000 * 1000,
+    SEEDS = 30,
+};
+
+/// Counts what a node asks of its links.
+struct counting_sink {
+    struct SlSink sink;
+    uint32_t dials;
+    uint32_t drops;
+};
+
+static void
+send_to_caller_counting(struct SlSink *sink, const uint8_t *bytes,
+                        uint32_t length_bytes)
+{
+    (void)sink;
+    (void)bytes;
+    (void)length_bytes;
+}
+
+static void
+send_tunnel_counting(struct SlSink *sink, uint64_t node_id,
+                     const struct SlAddress *to, const struct SlTunnel *tunnel)
+{
+    (void)sink;
+    (void)node_id;
+    (void)to;
+    (void)tunnel;
+}
+
+static void
+send_message_counting(struct SlSink *sink, uint64_t link,
+                      const struct SlMessage *message)
+{
+    (void)sink;
+    (void)link;
+    (void)message;
+}
+
+static void
+dial_counting(struct SlSink *sink, uint64_t node_id,
+              const struct SlAddress *to)
+{
+    (void)node_id;
+    (void)to;
+    ((struct counting_sink *)sink)->dials++;
+}
+
+static void
+drop_counting(struct SlSink *sink, uint64_t node_id)
+{
+    (void)node_id;
+    ((struct counting_sink *)sink)->drops++;
+}
+
+static void
+event_counting(struct SlSink *sink, const struct SlEvent *event)
+{
+    (void)sink;
+    (void)event;
+}
+
+static const struct SlSinkType COUNTING = {
+    .send_to_caller = send_to_caller_counting,
+    .send_to_upstream = send_to_caller_counting,
+    .send_tunnel = send_tunnel_counting,
+    .send_message = send_message_counting,
+    .dial = dial_counting,
+    .drop = drop_counting,
+    .event = event_counting,
+};
+
+/// A control process, one of as many members.
+static struct SlNode *
+create_node(struct SlStorage *storage, uint32_t members)
+{
+    struct SlNodeOptions options = {
+        .core = {.name = "control-1", .zone = "a", .roles = SL_ROLE_CONTROL},
+        .control = {.bootstrap = true,
+                    .storage = storage,
+                    .member_count = members},
+        .replica = {.control_count = members,
+                    .announce = {.kind = SL_KIND_NODE, .name = "control-1"}},
+    };
+    struct SlNode *node = NULL;
+
+    options.replica.announce.node =
+        (struct SlNodeSpec){.node_id = SlNode_Id("control-1"),
+                            .roles = SL_ROLE_CONTROL,
+                            .zone = "a"};
+    for (uint32_t i = 0; i < members; i++) {
+        struct SlControlMember *member = &options.control.members[i];
+
+        snprintf(member->name, SL_NAME_BYTES, "control-%u", members - i);
+        member->node_id = SlNode_Id(member->name);
+        member->voter = true;
+        options.replica.control_id[i] = member->node_id;
+    }
+    CU_ASSERT_EQUAL_FATAL(SlNode_Create(&options, SECONDS_US, &node, NULL),
+                          SL_OK);
+    return node;
+}
+
+static void
+run_node(struct SlNode *node, struct counting_sink *sink, uint64_t until_us)
+{
+    for (uint64_t now_us = SECONDS_US; now_us < until_us;
+         now_us += SL_TICK_US) {
+        struct SlInput input = {.kind = SL_INPUT_TICK, .now_us = now_us};
+
+        SlNode_Handle(node, &sink->sink, &input);
+        input.kind = SL_INPUT_BATCH_END;
+        SlNode_Handle(node, &sink->sink, &input);
+    }
+}
+
+static void
+test_search_for_control_leaves_the_logs_links_alone(void)
+{
+    struct counting_sink sink = {.sink = {.type = &COUNTING}};
+    struct SlStorage *storage =
+        SlStorage_CreateMemory(SlNode_Id("control-1"), 1);
+    struct SlNode *node = create_node(storage, 3);
+
+    run_node(node, &sink, 20 * SECONDS_US);
+    CU_ASSERT_TRUE(sink.dials > 0);
+    CU_ASSERT_EQUAL(sink.drops, 0);
+    CU_ASSERT_TRUE(SlReplica_CutOff(SlNode_Replica(node), 20 * SECONDS_US));
+    SlNode_Destroy(node);
+    SlStorage_Destroy(storage);
+}
+
+static void
+test_process_takes_the_configuration_of_its_own_control(void)
+{
+    struct counting_sink sink = {.sink = {.type = &COUNTING}};
+    struct SlStorage *storage =
+        SlStorage_CreateMemory(SlNode_Id("control-1"), 1);
+    struct SlNode *node = create_node(storage, 1);
+    const struct SlConfig *config;
+
+    run_node(node, &sink, 20 * SECONDS_US);
+    config = SlReplica_Config(SlNode_Replica(node));
+    CU_ASSERT_PTR_NOT_NULL(SlConfig_Find(config, SL_KIND_NODE, "control-1"));
+    CU_ASSERT_FALSE(SlReplica_CutOff(SlNode_Replica(node), 20 * SECONDS_US));
+    SlNode_Destroy(node);
+    SlStorage_Destroy(storage);
+}
+
+static void
+announce(struct world *world, uint32_t at, const char *name)
+{
+    uint64_t link = world_connect(world, at, name, SL_ROLE_ENTRY);
+    struct SlMessage message = {.kind = SL_MESSAGE_ANNOUNCE,
+                                .announce = {.kind = SL_KIND_NODE}};
+
+    snprintf(message.announce.name, SL_NAME_BYTES, "%s", name);
+    message.announce.node = (struct SlNodeSpec){
+        .node_id = SlNode_Id(name), .roles = SL_ROLE_ENTRY, .zone = "a"};
+    world_give(world, at, link, &message);
+    world_flush(world, at);
+}
+
+/// A follower tells the leader of its processes as soon as it knows of the
+/// leader, which may be before the leader's first look at the processes.
+static void
+test_reports_to_a_leader_just_elected_count(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        static struct world world;
+        const struct SlConfig *config;
+
+        world_create(&world, 3, seed);
+        world.unreachable_us = 600 * SECONDS_US;
+        for (uint32_t i = 0; i < world.count; i++) {
+            world_start(&world, i);
+            world_run(&world, 1 + (uint32_t)seed % 6);
+        }
+        announce(&world, 0, "entry-1");
+        announce(&world, 1, "entry-2");
+        announce(&world, 2, "entry-3");
+        world_run(&world, 100);
+        config = SlControl_Config(world.nodes[0].control);
+        CU_ASSERT_PTR_NOT_NULL(SlConfig_Find(config, SL_KIND_NODE, "entry-1"));
+        CU_ASSERT_PTR_NOT_NULL(SlConfig_Find(config, SL_KIND_NODE, "entry-2"));
+        CU_ASSERT_PTR_NOT_NULL(SlConfig_Find(config, SL_KIND_NODE, "entry-3"));
+        world_destroy(&world);
+    }
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"the search for control leaves the log's links alone",
+         test_search_for_control_leaves_the_logs_links_alone},
+        {"a process takes the configuration of its own control",
+         test_process_takes_the_configuration_of_its_own_control},
+        {"reports to a leader just elected count",
+         test_reports_to_a_leader_just_elected_count},
+    };
+    int code;
+
+    rcu_register_thread();
+    code = RUN_SUITE("node", CASES);
+    rcu_unregister_thread();
+    return code;
+}
