Hold back signals before the first thread starts

The log's thread did not block SIGTERM and SIGHUP, so the process died of them instead of stopping or reloading.

--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -59,15 +59,17 @@
 static int
 serve(const char *path, const struct SlSettings *settings)
 {
-    struct SlLog *log = SlLog_Create(STDERR_FILENO, settings->node.log_level);
-    struct SlShellOptions options = {
-        .settings = settings, .settings_path = path, .log = log};
+    struct SlShellOptions options = {.settings = settings,
+                                     .settings_path = path};
     struct SlShell *shell = NULL;
     struct SlError error;
     int code = EXIT_FAILED;
 
-    if (log == NULL) {
-        fprintf(stderr, "savoryledged: no memory for the log\n");
+    if (SlShell_BlockSignals() == SL_OK) {
+        options.log = SlLog_Create(STDERR_FILENO, settings->node.log_level);
+    }
+    if (options.log == NULL) {
+        fprintf(stderr, "savoryledged: cannot start the log\n");
         return EXIT_FAILED;
     }
     if (SlShell_Create(&options, &shell, &error) == SL_OK) {
@@ -78,7 +80,7 @@
                 SlStatus_Name(error.status), error.message);
     }
     SlShell_Destroy(shell);
-    SlLog_Destroy(log);
+    SlLog_Destroy(options.log);
     return code;
 }
 
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -16,6 +16,18 @@
     MAX_SERVICES = 1024,
 };
 
+static const int SIGNALS[] = {SIGTERM, SIGINT, SIGHUP};
+
+enum {
+    SIGNAL_COUNT = sizeof(SIGNALS) / sizeof(SIGNALS[0]),
+};
+
+enum SlStatus
+SlShell_BlockSignals(void)
+{
+    return SlSignals_Block(SIGNALS, SIGNAL_COUNT);
+}
+
 /// The advertised address of a process that does not set one.
 static const uint8_t NO_IP[sizeof(((struct SlAddress *)0)->ip)];
 
@@ -148,10 +160,9 @@
 static enum SlStatus
 watch_signals(struct SlShell *shell, struct SlError *error)
 {
-    static const int SIGNALS[] = {SIGTERM, SIGINT, SIGHUP};
     int descriptor;
 
-    if (SlSignals_Open(SIGNALS, 3, &descriptor) != SL_OK) {
+    if (SlSignals_Open(SIGNALS, SIGNAL_COUNT, &descriptor) != SL_OK) {
         return SlError_Set(error, SL_IO, SL_STEP_OPEN, NULL,
                            "cannot watch for signals");
     }
--- a/packages/daemon/src/shell.h
+++ b/packages/daemon/src/shell.h
@@ -21,6 +21,11 @@
     struct SlLog *log;
 };
 
+/// Holds back the signals that the shell handles; call it before the process
+/// starts its first thread. Errors: SL_IO.
+enum SlStatus
+SlShell_BlockSignals(void);
+
 /// Opens sockets, ports and durable state.
 /// Errors: SL_IO, SL_NO_MEMORY, SL_DAMAGED.
 enum SlStatus
--- a/packages/transport/include/savoryledge/transport/loop.h
+++ b/packages/transport/include/savoryledge/transport/loop.h
@@ -75,8 +75,12 @@
 void
 SlLoop_Wake(struct SlLoop *loop);
 
-/// Blocks the signals in the calling thread (and threads it then starts)
-/// and opens a descriptor that tells of them. Errors: SL_IO.
+/// Blocks the signals in the calling thread and threads that it starts from
+/// then on: call it before the first thread is started, as a thread that does
+/// not block a signal may end the process. Errors: SL_IO.
+enum SlStatus
+SlSignals_Block(const int *signals, uint32_t count);
+/// Opens a descriptor that tells of blocked signals. Errors: SL_IO.
 enum SlStatus
 SlSignals_Open(const int *signals, uint32_t count, int *descriptor);
 /// The next signal that waits at the descriptor; 0 when none.
--- a/packages/transport/src/loop.c
+++ b/packages/transport/src/loop.c
@@ -249,8 +249,8 @@
     (void)written;
 }
 
-enum SlStatus
-SlSignals_Open(const int *signals, uint32_t count, int *descriptor)
+static sigset_t
+signal_set(const int *signals, uint32_t count)
 {
     sigset_t set;
 
@@ -258,9 +258,22 @@
     for (uint32_t i = 0; i < count; i++) {
         sigaddset(&set, signals[i]);
     }
-    if (pthread_sigmask(SIG_BLOCK, &set, NULL) != 0) {
-        return SL_IO;
-    }
+    return set;
+}
+
+enum SlStatus
+SlSignals_Block(const int *signals, uint32_t count)
+{
+    sigset_t set = signal_set(signals, count);
+
+    return pthread_sigmask(SIG_BLOCK, &set, NULL) == 0 ? SL_OK : SL_IO;
+}
+
+enum SlStatus
+SlSignals_Open(const int *signals, uint32_t count, int *descriptor)
+{
+    sigset_t set = signal_set(signals, count);
+
     *descriptor = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
     return *descriptor >= 0 ? SL_OK : SL_IO;
 }
--- a/test/shell_thread_test.c
+++ b/test/shell_thread_test.c
@@ -237,11 +237,8 @@
 start_process(struct process *process)
 {
     struct SlAddress caller;
-    sigset_t set;
 
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    CU_ASSERT_EQUAL_FATAL(SlShell_BlockSignals(), SL_OK);
     snprintf(process->folder, sizeof(process->folder),
              "/tmp/shell_test.XXXXXX");
     CU_ASSERT_PTR_NOT_NULL_FATAL(mkdtemp(process->folder));
