Keep flows when restarts, loss and drains come together

A flow whose last acknowledgement was lost was taken for silent: the sender must have gone on for a quarter of the bound, as TCP does.

--- a/packages/coordination/src/agent_answer.c
+++ b/packages/coordination/src/agent_answer.c
@@ -8,6 +8,8 @@
     uint64_t holder;
     bool has_last_seq;
     uint32_t last_seq;
+    /// The upstream was asked a moment ago.
+    bool probing;
 };
 
 static void
@@ -68,6 +70,7 @@
         known->has_last_seq = flow->flags & SL_FLOW_HAS_LAST_SEQ;
         known->last_seq = flow->caller_next;
         break;
+    case SL_FLOW_PROBED:
     case SL_FLOW_NONE:
         break;
     }
@@ -83,9 +86,7 @@
                               .answer = known->answer,
                               .holder = known->holder};
 
-    if (agent_started_within(call, call->agent->options.adopt_us)) {
-        tunnel.flags |= SL_TUNNEL_RECENT_BOOT;
-    }
+    tunnel.flags = known->probing ? SL_TUNNEL_RECENT_BOOT : 0;
     if (known->has_last_seq) {
         tunnel.flags |= SL_TUNNEL_HAS_LAST_SEQ;
         tunnel.last_seq = known->last_seq;
@@ -123,7 +124,8 @@
 may_promise(const struct SlFlow *flow)
 {
     return flow == NULL || flow->kind == SL_FLOW_PROMISED ||
-           flow->kind == SL_FLOW_ENDED || flow->kind == SL_FLOW_MARK;
+           flow->kind == SL_FLOW_ENDED || flow->kind == SL_FLOW_MARK ||
+           flow->kind == SL_FLOW_PROBED;
 }
 
 /// True when the flow's address belongs, also by this agent's table, to the
@@ -138,6 +140,28 @@
            service->service_id == tunnel->service_id;
 }
 
+/// Asks the upstream about a flow of which nothing is known, once in a while.
+/// True while its answer is not yet due.
+static bool
+ask_upstream(const struct agent_call *call, struct SlFlowShard *shard,
+             const struct SlFlow *flow, const struct SlTunnel *tunnel)
+{
+    struct SlFlow *probed;
+
+    if (flow != NULL && flow->kind == SL_FLOW_PROBED) {
+        return agent_elapsed_ms(call->now_ms, flow->last_ms) < AGENT_PROBE_MS;
+    }
+    if (flow != NULL || !serves_flow(call, tunnel) ||
+        !agent_probe(call, &tunnel->flow, tunnel->last_seq)) {
+        return false;
+    }
+    probed = agent_insert_soft(call, shard, &tunnel->flow, SL_FLOW_PROBED);
+    if (probed != NULL) {
+        probed->service_id = tunnel->service_id;
+    }
+    return probed != NULL;
+}
+
 void
 agent_handle_locate(const struct agent_call *call,
                     const struct SlTunnel *tunnel)
@@ -149,10 +173,10 @@
     struct knowledge known;
 
     look_up(call, flow, tunnel, &known);
-    send_answer(call, tunnel, &known);
-    if (!claim && flow == NULL && serves_flow(call, tunnel)) {
-        agent_probe(call, &tunnel->flow, tunnel->last_seq);
+    if (!claim) {
+        known.probing = ask_upstream(call, shard, flow, tunnel);
     }
+    send_answer(call, tunnel, &known);
     if (claim && known.answer == SL_LOCATE_NO && may_promise(flow)) {
         promise(call, shard, flow, tunnel, &known);
     }
--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -50,9 +50,11 @@
     }
     flow->kind = kind;
     flow->last_ms = call->now_ms;
-    if (kind == SL_FLOW_REFUSED) {
+    if (kind == SL_FLOW_REFUSED || kind == SL_FLOW_PROBED) {
         SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
-                             call->now_ms + AGENT_REFUSED_MS);
+                             call->now_ms + (kind == SL_FLOW_REFUSED
+                                                 ? AGENT_REFUSED_MS
+                                                 : AGENT_PROBED_MS));
     }
     else if (kind != SL_FLOW_PENDING) {
         SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_SOFT,
--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -342,6 +342,11 @@
         agent_locate_wait(call, flow, p);
         return;
     }
+    if (flow->kind == SL_FLOW_PROBED) {
+        SlFlowShard_Remove(shard, flow);
+        route_unknown(call, shard, p);
+        return;
+    }
     if (is_of_other_service(flow, p)) {
         route_reassigned(call, shard, flow, p);
         return;
@@ -359,6 +364,7 @@
         agent_refuse(call, shard, p, true, "copy");
         break;
     case SL_FLOW_PENDING:
+    case SL_FLOW_PROBED:
     case SL_FLOW_NONE:
         break;
     }
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -13,8 +13,6 @@
 enum {
     /// How far behind the caller's packet a probe lies.
     PROBE_BEHIND_BYTES = 1 << 20,
-    /// How long probed upstreams have to answer.
-    PROBE_MS = 20,
 };
 
 static bool
@@ -158,6 +156,26 @@
     return true;
 }
 
+/// Lets probed upstreams answer. False when there is nothing to wait for.
+static bool
+look_later(const struct agent_call *call, struct SlFlowShard *shard,
+           struct SlFlow *flow, struct agent_search *search)
+{
+    bool probed = search->probed && search->looks == 0;
+
+    for (uint32_t i = 0; i < search->asked_count; i++) {
+        probed |= search->recent[i];
+    }
+    if (!probed || search->looks >= AGENT_LOOKS_MAX) {
+        return false;
+    }
+    search->looks++;
+    search->looking = true;
+    SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
+                         call->now_ms + AGENT_PROBE_MS);
+    return true;
+}
+
 /// How a search ended.
 struct outcome {
     /// 0: nobody is known to have the flow.
@@ -220,8 +238,10 @@
         search->probed = agent_probe(call, &p->key, p->packet.tcp_seq);
     }
     send_round(call, &p->key, search);
-    if (is_over(search) && !search->probed) {
-        finish(call, shard, flow, (struct outcome){.holder = 0});
+    if (is_over(search)) {
+        if (claim || !look_later(call, shard, flow, search)) {
+            finish(call, shard, flow, (struct outcome){.holder = 0});
+        }
         return;
     }
     SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
@@ -397,28 +417,15 @@
     agent_search_release(search);
 }
 
-/// True when an upstream was probed whose answer is not yet known.
-static bool
-waits_for_probes(const struct agent_search *search)
-{
-    if (search->claim || search->round > 0) {
-        return false;
-    }
-    for (uint32_t i = 0; i < search->asked_count; i++) {
-        if (search->recent[i]) {
-            return true;
-        }
-    }
-    return search->probed;
-}
-
 /// Those who probed their upstreams are asked once more.
 static void
 ask_probed_again(struct agent_search *search)
 {
     for (uint32_t i = 0; i < search->asked_count; i++) {
         search->answered[i] = search->answered[i] && !search->recent[i];
+        search->recent[i] = false;
     }
+    search->looking = false;
 }
 
 void
@@ -428,10 +435,12 @@
     struct agent_search *search =
         agent_search_of(&call->agent->searches, flow);
 
-    if (!search->claim && search->round == 0) {
+    if (search->looking) {
         ask_probed_again(search);
     }
-    search->round++;
+    else {
+        search->round++;
+    }
     if (search->round >= AGENT_LOCATE_ROUNDS || is_over(search)) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
@@ -547,9 +556,7 @@
     if (!is_over(search)) {
         return;
     }
-    if (waits_for_probes(search)) {
-        SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_WHEEL,
-                             call->now_ms + PROBE_MS);
+    if (!search->claim && look_later(call, shard, flow, search)) {
         return;
     }
     finish(call, shard, flow, outcome);
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -34,6 +34,11 @@
     AGENT_HANDSHAKE_MS = 5000,
     AGENT_SOFT_MS = 60 * 1000,
     AGENT_REFUSED_MS = 200,
+    /// How long a probed upstream has to answer, how long its silence is
+    /// remembered, and how often those who probed are asked again.
+    AGENT_PROBE_MS = 20,
+    AGENT_PROBED_MS = 1000,
+    AGENT_LOOKS_MAX = 5,
     /// A caller that asks nothing for this long after its handshake is not
     /// expected to ask at once.
     AGENT_EXPECT_MS = 250,
@@ -157,11 +162,15 @@
     uint64_t service_id;
     uint64_t started_us;
     uint32_t round;
+    /// Waits for the answers of probed upstreams, for the looks-th time.
+    bool looking;
+    uint32_t looks;
     uint32_t asked_count;
     uint64_t asked[AGENT_SEARCH_ASKED_MAX];
     bool answered[AGENT_SEARCH_ASKED_MAX];
     /// Asked, but silent for so long that nobody waits for its answer.
     bool dead[AGENT_SEARCH_ASKED_MAX];
+    /// Answered that its upstream was asked just now.
     bool recent[AGENT_SEARCH_ASKED_MAX];
     /// Where an agent passed the flow on to, by its word; 0 if none.
     uint64_t passed;
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -8,6 +8,8 @@
 enum {
     REPEATS_MIN = 2,
     DATAGRAMS_MIN = 3,
+    /// The last packet must come after this share of the bound.
+    SENDING_SHARE = 4,
     RECHECK_MS = 1000,
 };
 
@@ -83,19 +85,30 @@
            agent_elapsed_ms(call->now_ms, since_ms) >= bound_ms;
 }
 
+/// One direction waited for the whole bound, and its sender did not give up
+/// early on: TCP goes on sending as long as it waits.
+static bool
+is_stuck(const struct agent_call *call, const struct SlFlow *flow,
+         uint32_t since_ms, uint32_t silence_ms)
+{
+    return waited(call, since_ms, silence_ms) &&
+           agent_elapsed_ms(flow->last_ms, since_ms) >=
+               silence_ms / SENDING_SHARE;
+}
+
 static bool
 is_silent(const struct agent_call *call, const struct SlFlow *flow,
           uint32_t silence_ms)
 {
+    bool caller = is_stuck(call, flow, flow->caller_wait_ms, silence_ms);
+    bool upstream = is_stuck(call, flow, flow->upstream_wait_ms, silence_ms);
+
     if (flow->key.protocol != IPPROTO_TCP) {
-        return (flow->flags & SL_FLOW_ANSWERED) &&
-               waited(call, flow->caller_wait_ms, silence_ms) &&
+        return (flow->flags & SL_FLOW_ANSWERED) && caller &&
                flow->caller_repeats >= DATAGRAMS_MIN;
     }
-    return (waited(call, flow->caller_wait_ms, silence_ms) &&
-            flow->caller_repeats >= REPEATS_MIN) ||
-           (waited(call, flow->upstream_wait_ms, silence_ms) &&
-            flow->upstream_repeats >= REPEATS_MIN);
+    return (caller && flow->caller_repeats >= REPEATS_MIN) ||
+           (upstream && flow->upstream_repeats >= REPEATS_MIN);
 }
 
 static void
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -111,6 +111,13 @@
         agent_locate_denied(call, flow);
         return;
     }
+    if (flow != NULL && flow->kind == SL_FLOW_PROBED) {
+        if (!shows_connection(packet)) {
+            return;
+        }
+        SlFlowShard_Remove(shard, flow);
+        flow = NULL;
+    }
     if (!serves || !shows_connection(packet) ||
         atomic_load(&call->agent->zone_out) ||
         (flow != NULL && flow->kind != SL_FLOW_PENDING)) {
--- a/packages/state/include/savoryledge/state/flow_table.h
+++ b/packages/state/include/savoryledge/state/flow_table.h
@@ -37,6 +37,8 @@
     SL_FLOW_PENDING,
     /// Refused a moment ago: copies of the first packet are refused too.
     SL_FLOW_REFUSED,
+    /// The upstream was asked whether it has the flow, and did not say so.
+    SL_FLOW_PROBED,
 };
 
 enum SlFlowFlag {
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -28,6 +28,7 @@
     uint32_t received;
     uint32_t sent;
     uint32_t payloads;
+    uint32_t answers;
 };
 
 /// A flow as its caller sees it.
@@ -368,6 +369,11 @@
         connection->open = false;
         return;
     }
+    if ((packet->tcp_flags & SL_TCP_SYN) && connection->open &&
+        connection->received != packet->tcp_seq + 1) {
+        fx_upstream_sends(agent, packet, SL_TCP_ACK, 0, 0);
+        return;
+    }
     if (packet->tcp_flags & SL_TCP_SYN) {
         if (!connection->open) {
             connection->sent = 0x1000000 + packet->source.port * 7919u;
@@ -389,7 +395,10 @@
         return;
     }
     if ((int32_t)(packet->tcp_seq - connection->received) < 0) {
-        fx_upstream_sends(agent, packet, SL_TCP_ACK, 0, 0);
+        bool again = packet->payload_bytes != 0 && connection->answers != 0;
+
+        connection->sent -= again ? 100 : 0;
+        fx_upstream_sends(agent, packet, SL_TCP_ACK, again ? 100 : 0, 0);
         return;
     }
     if (packet->payload_bytes != 0 &&
@@ -447,6 +456,7 @@
     agent->busy--;
     SlPacket_Parse(message->bytes, message->length_bytes, &packet);
     if (agent->connections[packet.source.port].open) {
+        agent->connections[packet.source.port].answers++;
         fx_upstream_sends(agent, &packet, SL_TCP_ACK | SL_TCP_PSH, 100, 0);
     }
 }
