Keep idle links alive, and leave silent members of a wait sooner

Two control instances dial each other and each sends on one of the two links only, so every link was silent in one direction: after 4 s both were closed and dialled again, for ever, and a live instance was marked unreachable. An idle link now carries an empty frame each second.

--- a/packages/ctl/src/ask.c
+++ b/packages/ctl/src/ask.c
@@ -7,8 +7,6 @@
 #include "savoryledge/transport/loop.h"
 
 enum {
-    /// A process that does not answer within this time is left for the next.
-    TRY_US = 2 * 1000 * 1000,
     LINE_BYTES = 512,
     ROUND_PAUSE_NS = 200 * 1000 * 1000,
 };
@@ -70,7 +68,7 @@
                                   const struct SlMessage *answer, bool *done),
             void *context)
 {
-    uint64_t deadline_us = SlClock_Monotonic() + TRY_US;
+    uint64_t deadline_us = SlClock_Monotonic() + ctl->try_us;
     enum SlStatus status = open_conversation(ctl);
     bool done = false;
 
--- a/packages/ctl/src/client.c
+++ b/packages/ctl/src/client.c
@@ -171,7 +171,7 @@
 turn(struct SlClient *client)
 {
     SlLoop_Turn(client->loop, TURN_US);
-    SlLinks_Flush(client->links);
+    SlLinks_Tick(client->links, SlClock_Monotonic());
 }
 
 enum SlStatus
--- a/packages/ctl/src/command_wait.c
+++ b/packages/ctl/src/command_wait.c
@@ -11,6 +11,8 @@
 
 enum {
     NODES_MAX = 8192,
+    /// One silent member must not hold up the rest.
+    MEMBER_TRY_US = 500 * 1000,
     ROUND_PAUSE_NS = 100 * 1000 * 1000,
 };
 
@@ -239,6 +241,7 @@
     if (strcmp(word, "latest") != 0 && !SlCtl_ParseVersion(word, &wanted)) {
         return SlCtl_Usage(word, "neither TERM.INDEX nor latest");
     }
+    ctl->try_us = MEMBER_TRY_US;
     survey.nodes = calloc(NODES_MAX, sizeof(*survey.nodes));
     if (survey.nodes == NULL) {
         return SL_EXIT_FAILED;
--- a/packages/ctl/src/ctl.h
+++ b/packages/ctl/src/ctl.h
@@ -59,6 +59,8 @@
     /// NULL until a conversation begins.
     struct SlClient *conversation;
     uint32_t next_control;
+    /// A process that does not answer within this time is left for the next.
+    uint64_t try_us;
 };
 
 /// Options that a command takes beside the common ones.
--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -8,6 +8,7 @@
     DEFAULT_TIMEOUT_MS = 10 * 1000,
     MAX_TIMEOUT_MS = 3600 * 1000,
     US_PER_MS = 1000,
+    TRY_US = 2 * 1000 * 1000,
     MAX_LABEL_OPTIONS = 8,
     /// Options that point into argv are numbered by this table.
     MAX_ERRORS = 8,
@@ -309,7 +310,7 @@
 static int
 run(const struct arguments *arguments)
 {
-    struct SlCtl ctl = {.conversation = NULL};
+    struct SlCtl ctl = {.try_us = TRY_US};
     const struct SlCommand *command;
     int code;
 
--- a/packages/transport/include/savoryledge/transport/link.h
+++ b/packages/transport/include/savoryledge/transport/link.h
@@ -4,7 +4,7 @@
 /// All links of a process: TCP connections under a channel (channel.h).
 ///
 /// A link that brings nothing, or takes nothing, within its deadline is
-/// closed. A dialled link is dialled again, with growing pauses and jitter,
+/// closed; an idle link carries an empty frame now and then. A dialled link is dialled again, with growing pauses and jitter,
 /// until it is dropped. All calls belong to the loop's thread; callbacks
 /// come only from the loop, SlLinks_Tick and SlLinks_Flush.
 
@@ -103,7 +103,8 @@
 /// Writes what is queued and ends links that failed.
 void
 SlLinks_Flush(struct SlLinks *links);
-/// Deadlines and redials; call it at least every 100 ms.
+/// Deadlines, empty frames and redials; call it at least every 100 ms. Time
+/// goes on for the links with these calls only.
 void
 SlLinks_Tick(struct SlLinks *links, uint64_t now_us);
 
--- a/packages/transport/src/link.c
+++ b/packages/transport/src/link.c
@@ -18,6 +18,9 @@
     ACCEPTS_PER_EVENT = 64,
     /// Of all links, this part may be before the end of its handshake.
     GREETING_PART = 4,
+    /// An empty frame is sent when nothing else was for this part of the
+    /// longest silence.
+    KEEP_ALIVE_PART = 4,
 };
 
 #define DEFAULT(value, otherwise)                                             \
@@ -40,6 +43,7 @@
         return NULL;
     }
     links->options = *options;
+    links->now_us = SlClock_Monotonic();
     links->listener.watch.descriptor = -1;
     links->listener.links = links;
     DEFAULT(links->options.max_links, DEFAULT_MAX_LINKS);
@@ -253,8 +257,9 @@
         return SL_FULL;
     }
     if (link->out.length_bytes == link->sent_bytes) {
-        link->progress_us = SlClock_Monotonic();
+        link->progress_us = links->now_us;
     }
+    link->queued_us = links->now_us;
     status = SlChannel_Seal(link->channel, bytes, length_bytes, &link->out);
     link_mark(link, status == SL_TOO_LONG ? SL_OK : status);
     return status;
@@ -343,11 +348,27 @@
     return SL_OK;
 }
 
+/// The process at the other end may use another link between the two; this
+/// one must not look silent for that.
+static void
+keep_alive(struct SlLinks *links, struct link *link, uint64_t now_us)
+{
+    if (link->state == LINK_UP && link->failure == SL_OK &&
+        now_us >
+            link->queued_us + links->options.silence_us / KEEP_ALIVE_PART) {
+        SlLinks_Send(links, link->id, NULL, 0);
+    }
+}
+
 void
 SlLinks_Tick(struct SlLinks *links, uint64_t now_us)
 {
     uint32_t left = links->used;
 
+    if (now_us > links->now_us) {
+        links->now_us = now_us;
+    }
+
     for (uint32_t i = 0; left > 0 && i < links->options.max_links; i++) {
         struct link *link = links->slots[i];
 
@@ -358,6 +379,7 @@
         if (judge_deadlines(links, link, now_us) != SL_OK) {
             link_mark(link, SL_TIMEOUT);
         }
+        keep_alive(links, link, now_us);
     }
     if (links->listener.paused) {
         links->listener.paused = false;
--- a/packages/transport/src/link_internal.h
+++ b/packages/transport/src/link_internal.h
@@ -44,6 +44,8 @@
     uint64_t opened_us;
     uint64_t received_us;
     uint64_t progress_us;
+    /// When a frame was last queued.
+    uint64_t queued_us;
 };
 
 struct SlLinks {
@@ -58,6 +60,8 @@
     uint32_t greeting;
     uint32_t first_free_hint;
     uint64_t serial;
+    /// Time of the last tick.
+    uint64_t now_us;
     struct dial *dials;
     uint32_t dial_count;
     struct link *dirty;
--- a/packages/transport/src/link_io.c
+++ b/packages/transport/src/link_io.c
@@ -55,6 +55,9 @@
     if (status != SL_OK) {
         link_mark(link, status);
     }
+    else if (plain != NULL && plain_bytes == 0) {
+        return;
+    }
     else if (plain != NULL) {
         owner->type->message(owner, link->id, plain, plain_bytes);
     }
@@ -98,7 +101,7 @@
         link_mark(link, length == 0 ? SL_CLOSED : SL_IO);
         return false;
     }
-    link->received_us = SlClock_Monotonic();
+    link->received_us = link->links->now_us;
     link->links->counters.received_bytes += (uint64_t)length;
     if (SlFrameReader_Feed(&link->reader, bytes, (size_t)length) != SL_OK) {
         link_mark(link, SL_NO_MEMORY);
@@ -169,9 +172,10 @@
     link->dial = dial;
     link->remote = *remote;
     link->state = dial != NULL ? LINK_CONNECTING : LINK_GREETING;
-    link->opened_us = SlClock_Monotonic();
+    link->opened_us = links->now_us;
     link->received_us = link->opened_us;
     link->progress_us = link->opened_us;
+    link->queued_us = link->opened_us;
     link->channel =
         SlChannel_Create(&links->options.keyring, dial != NULL, &link->out);
     if (link->channel == NULL) {
@@ -316,7 +320,7 @@
             break;
         }
         link->sent_bytes += (size_t)length;
-        link->progress_us = SlClock_Monotonic();
+        link->progress_us = link->links->now_us;
         link->links->counters.sent_bytes += (uint64_t)length;
     }
     forget_sent(link);
--- a/test/link_test.c
+++ b/test/link_test.c
@@ -231,6 +231,28 @@
     close_pair(&pair);
 }
 
+static void
+test_idle_link_stays_up(void)
+{
+    uint64_t now_us = SlClock_Monotonic();
+    struct pair pair;
+
+    open_pair(&pair, keyring_of(1, 0), keyring_of(1, 0));
+    SlLinks_Dial(pair.dialler.links, DIAL, &pair.address);
+    TURN_UNTIL(&pair, pair.dialler.ups == 1 && pair.listener.ups == 1);
+    for (int i = 0; i < 60; i++) {
+        now_us += 500 * 1000;
+        SlLinks_Tick(pair.dialler.links, now_us);
+        SlLinks_Tick(pair.listener.links, now_us);
+        for (int turns = 0; turns < 4; turns++) {
+            SlLoop_Turn(pair.loop, TURN_US);
+        }
+    }
+    CU_ASSERT_EQUAL(pair.dialler.downs + pair.listener.downs, 0);
+    CU_ASSERT_EQUAL(pair.dialler.messages + pair.listener.messages, 0);
+    close_pair(&pair);
+}
+
 static void
 test_peer_that_takes_nothing_is_closed_at_the_bound(void)
 {
@@ -415,6 +437,7 @@
         {"links of a key that is gone end",
          test_links_of_a_key_that_is_gone_end},
         {"a silent peer is dialled again", test_silent_peer_is_dialled_again},
+        {"an idle link stays up", test_idle_link_stays_up},
         {"a peer that takes nothing is closed at the bound",
          test_peer_that_takes_nothing_is_closed_at_the_bound},
         {"bytes that are no greeting are refused",
