--- a/packages/transport/include/savoryledge/transport/link.h
+++ b/packages/transport/include/savoryledge/transport/link.h
@@ -4,9 +4,10 @@
 /// All links of a process: TCP connections under a channel (channel.h).
 ///
 /// A link that brings nothing, or takes nothing, within its deadline is
-/// closed; an idle link carries an empty frame now and then. A dialled link is dialled again, with growing pauses and jitter,
-/// until it is dropped. All calls belong to the loop's thread; callbacks
-/// come only from the loop, SlLinks_Tick and SlLinks_Flush.
+/// closed; an idle link carries an empty frame now and then. A dialled link is
+/// dialled again, with growing pauses and jitter, until it is dropped. All
+/// calls belong to the loop's thread; callbacks come only from the loop,
+/// SlLinks_Tick and SlLinks_Flush.
 
 #include "savoryledge/common/address.h"
 #include "savoryledge/transport/key.h"
--- a/packages/transport/include/savoryledge/transport/port.h
+++ b/packages/transport/include/savoryledge/transport/port.h
@@ -62,7 +62,8 @@
 enum SlPortKind {
     /// Whole IP packets in UDP datagrams.
     SL_PORT_ENCAP = 0,
-    /// Ordinary UDP sockets.
+    /// Ordinary UDP sockets. ICMP errors reach callers only where the process
+    /// may open raw sockets; elsewhere they are counted as refused.
     SL_PORT_UDP,
     /// A TUN device.
     SL_PORT_TUN,
--- a/packages/transport/src/port_udp_callers.c
+++ b/packages/transport/src/port_udp_callers.c
@@ -29,6 +29,10 @@
     uint32_t socket_count;
     /// In order of address.
     struct service_socket *sockets[MAX_SERVICES];
+    /// Raw sockets for ICMP errors, by which callers learn of a refusal at
+    /// once; -1 where the process may not open them.
+    int raw_ipv4;
+    int raw_ipv6;
     /// The batch being filled, within one receive call.
     struct SlBatch *filling;
     uint8_t payload[SL_BATCH_ITEM_BYTES];
@@ -69,6 +73,13 @@
     return found != NULL ? *found : NULL;
 }
 
+static int
+open_raw(int family)
+{
+    return socket(family, SOCK_RAW | SOCK_CLOEXEC | SOCK_NONBLOCK,
+                  IPPROTO_RAW);
+}
+
 static enum SlStatus
 port_open_udp_callers(const struct SlPortOptions *options,
                       struct SlPort **port, struct SlError *error)
@@ -88,6 +99,8 @@
                            "cannot open an event queue");
     }
     pthread_mutex_init(&self->lock, NULL);
+    self->raw_ipv4 = open_raw(AF_INET);
+    self->raw_ipv6 = open_raw(AF_INET6);
     *port = &self->port;
     return SL_OK;
 }
@@ -161,6 +174,21 @@
     port_count(&self->counts.received, batch->count);
 }
 
+/// Sends a packet with its own IP header.
+static bool
+send_raw(const struct port_udp_callers *self, const struct SlBatchItem *item,
+         const struct SlPacket *packet)
+{
+    struct SlAddress to = packet->destination;
+    int raw = SlAddress_IsIpv4(&to) ? self->raw_ipv4 : self->raw_ipv6;
+    struct sockaddr_storage name;
+
+    to.port = 0;
+    return raw >= 0 && sendto(raw, item->bytes, item->length_bytes,
+                              MSG_DONTWAIT, (struct sockaddr *)&name,
+                              SlAddress_ToSockaddr(&to, &name)) >= 0;
+}
+
 static void
 send_packet(struct port_udp_callers *self, const struct SlBatchItem *item)
 {
@@ -169,8 +197,17 @@
     struct SlPacket packet;
     ssize_t sent;
 
-    if (SlPacket_Parse(item->bytes, item->length_bytes, &packet) != SL_OK ||
-        packet.kind != SL_PACKET_UDP) {
+    if (SlPacket_Parse(item->bytes, item->length_bytes, &packet) != SL_OK) {
+        port_count(&self->counts.refused, 1);
+        return;
+    }
+    if (packet.kind == SL_PACKET_ICMP_ERROR) {
+        port_count(send_raw(self, item, &packet) ? &self->counts.sent
+                                                 : &self->counts.refused,
+                   1);
+        return;
+    }
+    if (packet.kind != SL_PACKET_UDP) {
         port_count(&self->counts.refused, 1);
         return;
     }
@@ -287,6 +324,14 @@
                      counters);
 }
 
+static void
+close_raw(int descriptor)
+{
+    if (descriptor >= 0) {
+        close(descriptor);
+    }
+}
+
 static void
 port_close_udp_callers(struct SlPort *port)
 {
@@ -295,6 +340,8 @@
     for (uint32_t i = 0; i < self->socket_count; i++) {
         close_socket(self, self->sockets[i]);
     }
+    close_raw(self->raw_ipv4);
+    close_raw(self->raw_ipv6);
     SlLoop_Destroy(self->loop);
     pthread_mutex_destroy(&self->lock);
     free(self);
--- a/test/port_test.c
+++ b/test/port_test.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -192,6 +193,57 @@
     test_caller_gets_the_reply_from_the_services_address("[::1]:0", "[::1]:0");
 }
 
+/// Where the process may not open raw sockets, the refusal is counted.
+static void
+test_caller_learns_of_a_refusal(const char *service_text,
+                                const char *caller_text)
+{
+    struct SlBatch *batch = SlBatch_Create();
+    struct SlPortOptions options = {.kind = SL_PORT_UDP};
+    struct SlPort *port = open_port(&options);
+    struct SlAddress service = free_address(service_text);
+    struct SlPortCounters counters;
+    struct sockaddr_storage name;
+    struct SlAddress caller_address;
+    struct SlPacket packet;
+    uint8_t quoted[SL_PACKET_ANSWER_BYTES];
+    uint8_t bytes[64];
+    int error = 0;
+    int caller = open_socket(caller_text, &caller_address);
+    socklen_t length = SlAddress_ToSockaddr(&service, &name);
+
+    CU_ASSERT_EQUAL(connect(caller, (struct sockaddr *)&name, length), 0);
+    length = SlPacket_BuildUdp(&caller_address, &service, PAYLOAD,
+                               PAYLOAD_BYTES, quoted, sizeof(quoted));
+    CU_ASSERT_EQUAL(SlPacket_Parse(quoted, length, &packet), SL_OK);
+    batch->items[0].length_bytes =
+        SlPacket_BuildIcmp(&packet, SL_ICMP_PROHIBITED, 0,
+                           batch->items[0].bytes, SL_BATCH_ITEM_BYTES);
+    batch->count = 1;
+    port->type->send(port, 1, batch);
+    port->type->counters(port, &counters);
+    CU_ASSERT_EQUAL(counters.sent + counters.refused, 1);
+    for (int i = 0; i < TRIES && counters.sent == 1 && error == 0; i++) {
+        if (recv(caller, bytes, sizeof(bytes), MSG_DONTWAIT) < 0 &&
+            errno != EAGAIN) {
+            error = errno;
+        }
+        usleep(PAUSE_US);
+    }
+    CU_ASSERT_TRUE(counters.refused == 1 || error == EHOSTUNREACH ||
+                   error == EACCES);
+    SlPort_Close(port);
+    SlBatch_Destroy(batch);
+    close(caller);
+}
+
+static void
+test_refusals_reach_ordinary_sockets(void)
+{
+    test_caller_learns_of_a_refusal("127.0.0.3:0", "127.0.0.1:0");
+    test_caller_learns_of_a_refusal("[::1]:0", "[::1]:0");
+}
+
 static void
 test_addresses_of_deleted_services_are_let_go(void)
 {
@@ -367,6 +419,8 @@
          test_encap_carries_whole_packets_of_its_peer_alone},
         {"replies leave from the service's address",
          test_replies_leave_from_the_services_address},
+        {"refusals reach ordinary sockets",
+         test_refusals_reach_ordinary_sockets},
         {"addresses of deleted services are let go",
          test_addresses_of_deleted_services_are_let_go},
         {"each flow has a socket of its own",
