--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -160,6 +160,9 @@
     bool holds = tells_holder(call, tunnel);
     struct agent_peer *peer;
 
+    if (tunnel->load_capacity == 0 && !holds) {
+        return;
+    }
     pthread_mutex_lock(&peers->lock);
     peer = find_peer(peers, tunnel->sender);
     if (peer != NULL && tunnel->load_capacity != 0) {
