Take an upstream for cold when it gives up its connections

An upstream that restarts at once lets nothing fail: its system closes the connections, and the limits stayed warm.

--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -23,6 +23,11 @@
     SAMPLE_SHARE = 16,
     LATE_SLACK_US = 20 * 1000,
     BAD_IN_A_ROW = 2,
+    /// So many connections given up within the window, and this share of
+    /// those that were open, make an upstream cold.
+    LOST_MIN = 3,
+    LOST_SHARE = 4,
+    LOST_WINDOW_US = 500 * 1000,
 };
 
 bool
@@ -374,6 +379,30 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
+void
+agent_admission_lost(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    enum verdict verdict = VERDICT_NONE;
+    uint32_t before;
+
+    pthread_mutex_lock(&admission->lock);
+    if (agent_elapsed_us(call->now_us, admission->lost_us) >= LOST_WINDOW_US) {
+        admission->lost_us = call->now_us;
+        admission->lost = 0;
+    }
+    admission->lost++;
+    before = admission->open_flows + admission->lost - 1;
+    if (admission->lost >= LOST_MIN &&
+        admission->lost >= before / LOST_SHARE &&
+        admission->limit_exchanges > COLD_EXCHANGES) {
+        turn_cold(admission, call->now_us);
+        verdict = VERDICT_COLD;
+    }
+    tell(call, verdict, "connections_lost", 0);
+    pthread_mutex_unlock(&admission->lock);
+}
+
 void
 agent_admission_tick(const struct agent_call *call)
 {
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -110,6 +110,9 @@
     uint64_t grown_us;
     uint64_t cut_us;
     uint64_t answered_us;
+    /// Connections that the upstream gave up in the present window.
+    uint64_t lost_us;
+    uint32_t lost;
     uint32_t held_count;
     struct agent_held held[AGENT_SERVICES_MAX];
 };
@@ -430,6 +433,10 @@
 /// answered anybody since since_ms.
 void
 agent_admission_failed(const struct agent_call *call, const char *reason);
+/// The upstream closed or reset a connection that was idle or had a request
+/// in progress. Many at once mean that it started anew.
+void
+agent_admission_lost(const struct agent_call *call);
 /// Raises the limits when it is time.
 void
 agent_admission_tick(const struct agent_call *call);
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -4,6 +4,11 @@
 
 #include <netinet/in.h>
 
+enum {
+    /// A connection without packets for this long is idle.
+    QUIET_MS = 1000,
+};
+
 /// The upstream's first answer ends the exchange in progress.
 static void
 note_answer(const struct agent_call *call, struct SlFlow *flow,
@@ -39,6 +44,23 @@
     }
 }
 
+/// The upstream gives up a connection that its caller did not close, and not
+/// because it has just answered.
+static bool
+gives_up(const struct agent_call *call, const struct SlFlow *flow,
+         const struct SlPacket *packet)
+{
+    const uint16_t closing =
+        SL_FLOW_CALLER_FIN | SL_FLOW_UPSTREAM_FIN | SL_FLOW_HANDSHAKE;
+
+    if (packet->kind != SL_PACKET_TCP || (flow->flags & closing) ||
+        !(packet->tcp_flags & (SL_TCP_FIN | SL_TCP_RST))) {
+        return false;
+    }
+    return (flow->flags & SL_FLOW_ASKED) ||
+           agent_elapsed_ms(call->now_ms, flow->last_ms) >= QUIET_MS;
+}
+
 static void
 upstream_open(const struct agent_call *call, struct SlFlowShard *shard,
               struct SlFlow *flow, const struct SlPacket *packet)
@@ -47,6 +69,9 @@
         packet->kind == SL_PACKET_TCP && (packet->tcp_flags & SL_TCP_RST);
     bool moved = agent_is_moving(flow);
 
+    if (gives_up(call, flow, packet)) {
+        agent_admission_lost(call);
+    }
     agent_track_upstream(flow, packet, call->now_ms);
     agent_count_moving(call->agent, flow, moved);
     note_udp_handshake(flow, packet);
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -120,6 +120,40 @@
     fx_close(&fx);
 }
 
+/* An upstream's process ends, which closes its connections, and is back at
+   once: it is cold although nobody said so. */
+static void
+test_restarted_upstream_is_cold(void)
+{
+    struct fixture fx;
+    struct fx_agent *back;
+    uint32_t busy = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 6000, 400);
+    fx_run(&fx, 5 * FX_SECOND_US);
+    back = fx_agent(&fx, "workroom-3");
+    for (uint32_t port = FIRST_PORT; port < FIRST_PORT + 6000; port++) {
+        if (back->connections[port].open) {
+            fx_upstream_closes(back, (uint16_t)port);
+        }
+    }
+    fx_run(&fx, 10000);
+    CU_ASSERT(back->events[SL_EVENT_COLD] >= 1);
+    back->busy_most = 0;
+    for (uint32_t i = 0; i < 900; i++) {
+        fx.callers[12000 + i].asks = true;
+        fx_syn(&fx, i % FX_ENTRIES, (uint16_t)(12000 + i));
+        fx_run(&fx, 500);
+        busy = back->busy_most;
+    }
+    fx_run(&fx, 100000);
+    printf("restarted: busy at most %u in 450 ms\n", busy);
+    CU_ASSERT(busy <= 1);
+    CU_ASSERT_EQUAL(refused(&fx, 12000, 900), 0);
+    fx_close(&fx);
+}
+
 /* All upstreams have all the flows that they can hold: the next one is told
    at once that it was not run. */
 static void
@@ -290,6 +324,7 @@
         {"flows spread evenly", test_flows_spread_evenly},
         {"cold upstream ramps up", test_cold_upstream_ramps_up},
         {"sudden cold is noticed", test_sudden_cold_is_noticed},
+        {"restarted upstream is cold", test_restarted_upstream_is_cold},
         {"full service refuses at once", test_full_service_refuses_at_once},
         {"zone leaves and returns", test_zone_leaves_and_returns},
         {"overload spares open flows", test_overload_spares_open_flows},
--- a/test/agent_change_test.c
+++ b/test/agent_change_test.c
@@ -192,6 +192,38 @@
     fx_close(&fx);
 }
 
+/* Agents and upstreams of a zone die unannounced: after the time in which they
+   might come back, callers that ask are reset at once; nobody else is. */
+static void
+test_zone_dies_unannounced(void)
+{
+    struct fixture fx;
+    struct outcome outcome;
+    uint32_t lost = 0;
+
+    fx_open(&fx, "workroom");
+    fx.random = 18;
+    fx_open_flows(&fx, FIRST_PORT, FLOWS, 400);
+    fx_agent(&fx, "workroom-2")->down = true;
+    fx_agent(&fx, "workroom-6")->down = true;
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + FLOWS; port++) {
+        struct fx_agent *holder = fx_holder(&fx, port);
+
+        lost += holder != NULL && holder->down;
+    }
+    fx_run(&fx, 6 * FX_SECOND_US);
+    site_hold(&fx.site, SL_VERB_HOLD, SL_KIND_NODE, "workroom-2");
+    site_hold(&fx.site, SL_VERB_HOLD, SL_KIND_NODE, "workroom-6");
+    fx_publish(&fx, NULL);
+    outcome = ask_all(&fx, FLOWS);
+    printf("zone died: %u flows lost, %u reset, %u answered\n", lost,
+           outcome.reset, outcome.answered);
+    CU_ASSERT(lost > FLOWS / 5);
+    CU_ASSERT_EQUAL(outcome.reset, lost);
+    CU_ASSERT_EQUAL(outcome.answered, FLOWS - lost);
+    fx_close(&fx);
+}
+
 /* New flows by a table that still has the zone in are served elsewhere. */
 static void
 test_stale_entry_is_served_elsewhere(void)
@@ -328,6 +360,7 @@
         {"lost upstream resets its flows only",
          test_lost_upstream_resets_its_flows_only},
         {"zone out ends its flows", test_zone_out_ends_its_flows},
+        {"zone dies unannounced", test_zone_dies_unannounced},
         {"stale entry is served elsewhere",
          test_stale_entry_is_served_elsewhere},
         {"drain and stop", test_drain_and_stop},
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -417,6 +417,26 @@
     }
 }
 
+/// The upstream's process ends: its system closes the connection.
+static inline void
+fx_upstream_closes(struct fx_agent *agent, uint16_t port)
+{
+    struct fx_connection *connection = &agent->connections[port];
+    struct SlTcpSegment segment = {.source = agent->fx->service,
+                                   .destination = agent->fx->caller,
+                                   .flags = SL_TCP_FIN | SL_TCP_ACK,
+                                   .seq = connection->sent,
+                                   .ack = connection->received};
+    uint8_t out[SL_PACKET_ANSWER_BYTES];
+    uint32_t length;
+
+    segment.destination.port = port;
+    length = SlPacket_BuildTcp(&segment, out, sizeof(out));
+    connection->open = false;
+    fx_post(agent->fx, FX_FROM_UPSTREAM, (uint32_t)(agent - agent->fx->agents),
+            NULL, out, length, 0);
+}
+
 static inline void
 fx_upstream_udp(struct fx_agent *agent, const struct SlPacket *packet)
 {
