Let a SYN that comes again after 5 s open its flow

A handshake that was not completed within 5 s left an ended flow behind, and the caller's next SYN, with the same number, was refused. It is forgotten now; its caller is not reset once the upstream has answered, so that a flood from forged addresses is not answered twice.

--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -306,6 +306,10 @@
                             .value = (int64_t)(now_s - flow->opened_s) *
                                      AGENT_SECOND_US};
 
+    bool remembered =
+        key.protocol == IPPROTO_TCP && (!(flow->flags & SL_FLOW_HANDSHAKE) ||
+                                        (flow->flags & SL_FLOW_EARLY_DATA));
+
     agent_admission_close(call, flow);
     if (agent_is_moving(flow)) {
         atomic_fetch_sub(&call->agent->admission.moving, 1);
@@ -313,7 +317,7 @@
     event.limit = call->agent->admission.open_flows;
     flow->flags &=
         (uint16_t) ~(SL_FLOW_EXCHANGE | SL_FLOW_ASKED | SL_FLOW_HANDSHAKE);
-    if (key.protocol == IPPROTO_TCP) {
+    if (remembered) {
         make_room_for_soft(call, shard);
         flow->kind = SL_FLOW_ENDED;
         SlFlowShard_Schedule(shard, flow, SL_FLOW_QUEUE_SOFT,
--- a/packages/coordination/src/agent_refuse.c
+++ b/packages/coordination/src/agent_refuse.c
@@ -159,6 +159,18 @@
     agent_return(call, flow->service_id, flow->holder, out, length);
 }
 
+/// Before the upstream's answer a reset would say that nothing was run; after
+/// it, a caller that is there sends its SYN again, and one that is not shall
+/// not be sent anything.
+static bool
+may_reset_caller(const struct SlFlow *flow)
+{
+    if (flow->flags & SL_FLOW_HANDSHAKE) {
+        return !(flow->flags & (SL_FLOW_EARLY_DATA | SL_FLOW_SYN_ACKED));
+    }
+    return true;
+}
+
 void
 agent_send_resets(const struct agent_call *call, const struct SlFlow *flow)
 {
@@ -166,9 +178,7 @@
         reset_udp(call, flow);
         return;
     }
-    /* Before the handshake a reset would say that nothing was run. */
-    if (!(flow->flags & SL_FLOW_EARLY_DATA) ||
-        (flow->flags & SL_FLOW_UPSTREAM_SEEN)) {
+    if (may_reset_caller(flow)) {
         reset_caller(call, flow);
     }
     reset_upstream(call, flow);
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -174,6 +174,38 @@
     fx_close(&fx);
 }
 
+/* Datagrams that no upstream can take: each is told "not run", and it and its
+   copies were delivered nowhere. */
+static void
+test_refused_datagrams_did_not_run(void)
+{
+    struct fixture fx;
+    uint32_t told = 0;
+    uint32_t ran = 0;
+
+    fx_open(&fx, "catalogue");
+    for (uint32_t i = 7; i < FX_AGENTS; i++) {
+        fx.agents[i].upstream_stuck = true;
+    }
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + 300; port++) {
+        fx_udp(&fx, 0, fx.site.routing, 0, port);
+        fx_udp(&fx, 1, fx.site.routing, fx.agents[7 + port % 4].node_id, port);
+        fx_run(&fx, 20000);
+    }
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + 300; port++) {
+        uint32_t first = 0;
+        bool refused_one = fx.callers[port].icmp != 0;
+
+        told += refused_one;
+        ran += refused_one && fx_receivers(&fx, port, &first) != 0;
+    }
+    printf("datagrams: %u of 300 flows refused, %u of them ran\n", told, ran);
+    CU_ASSERT(told > 100);
+    CU_ASSERT_EQUAL(ran, 0);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_unknown), 0);
+    fx_close(&fx);
+}
+
 /* SYNs of callers that never answer fill no table and push nobody out. */
 static void
 test_syn_flood_is_bounded(void)
@@ -328,6 +360,7 @@
         {"full service refuses at once", test_full_service_refuses_at_once},
         {"zone leaves and returns", test_zone_leaves_and_returns},
         {"overload spares open flows", test_overload_spares_open_flows},
+        {"refused datagrams did not run", test_refused_datagrams_did_not_run},
         {"SYN flood is bounded", test_syn_flood_is_bounded},
     };
 
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -446,6 +446,9 @@
                                         OK, sizeof(OK), out, sizeof(out));
 
     agent->connections[packet->source.port].payloads++;
+    if (agent->upstream_stuck) {
+        return;
+    }
     fx_post(agent->fx, FX_FROM_UPSTREAM, (uint32_t)(agent - agent->fx->agents),
             NULL, out, length, 0);
 }
--- a/test/agent_sequence_test.c
+++ b/test/agent_sequence_test.c
@@ -136,6 +136,28 @@
     fx_close(&fx);
 }
 
+/* The caller does not get the upstream's answer for longer than the agent
+   waits: its next SYN opens the flow all the same. */
+static void
+test_late_syn_opens_again(void)
+{
+    struct fixture fx;
+
+    fx_open(&fx, "workroom");
+    fx.callers[PORT].asks = true;
+    fx.callers[PORT].deaf = true;
+    fx_syn(&fx, 0, PORT);
+    fx_run(&fx, 7 * FX_SECOND_US);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, open_flows), 0);
+    CU_ASSERT_PTR_NULL(fx_holder(&fx, PORT));
+    fx.callers[PORT].deaf = false;
+    fx_syn(&fx, 1, PORT);
+    fx_run(&fx, FX_SECOND_US);
+    CU_ASSERT_FALSE(fx.callers[PORT].refused);
+    CU_ASSERT_EQUAL(fx.callers[PORT].answers, 1);
+    fx_close(&fx);
+}
+
 /* A reset with a guessed number ends nothing. */
 static void
 test_blind_reset_ends_nothing(void)
@@ -322,6 +344,7 @@
         {"overlapping successor is refused",
          test_overlapping_successor_is_refused},
         {"successor elsewhere", test_successor_elsewhere},
+        {"late SYN opens again", test_late_syn_opens_again},
         {"blind reset ends nothing", test_blind_reset_ends_nothing},
         {"silent flow is reset", test_silent_flow_is_reset},
         {"silent caller is reset", test_silent_caller_is_reset},
