--- a/packages/coordination/include/savoryledge/coordination/entry.h
+++ b/packages/coordination/include/savoryledge/coordination/entry.h
@@ -21,7 +21,7 @@
 
 struct SlEntryOptions {
     struct SlCoreOptions core;
-    /// Flows in the cache, rounded up to a power of two; 0 takes 1 << 20.
+    /// Flows that the cache is meant for, at 16 bytes each; 0 takes 1 << 20.
     uint32_t cache_flows;
     /// Largest packet that fits the tunnel. The MSS option of each SYN is
     /// lowered to it; a larger packet that must not be fragmented is answered
--- a/packages/coordination/src/entry_route.c
+++ b/packages/coordination/src/entry_route.c
@@ -241,6 +241,8 @@
 static void
 route_uncached(const struct entry_call *call, struct route *route)
 {
+    route->bucket =
+        SlRouting_BucketOf(route->service->service_id, &route->flow);
     choose_home(call, route);
     if (route->node == NULL) {
         choose_draining(route);
@@ -259,8 +261,6 @@
 {
     const struct SlPacket *packet = route->packet;
 
-    route->bucket =
-        SlRouting_BucketOf(route->service->service_id, &route->flow);
     route->hash = entry_cache_hash(call->entry, route->service->service_id,
                                    &route->flow);
     route->starts_flow =
--- a/packages/coordination/src/flow_cache.h
+++ b/packages/coordination/src/flow_cache.h
@@ -10,7 +10,7 @@
 
 struct flow_cache;
 
-/// flows: places, rounded up to a power of two. NULL without memory.
+/// flows: how many it is meant for, at 16 bytes each. NULL without memory.
 struct flow_cache *
 flow_cache_create(uint32_t flows);
 /// NULL is allowed.
--- a/packages/state/src/routing.c
+++ b/packages/state/src/routing.c
@@ -8,6 +8,7 @@
 
 enum {
     SLOTS_PER_SERVICE = 4,
+    SLOTS_PER_NODE = 2,
     ADDRESS_KEY_BYTES = 19,
 };
 
@@ -53,7 +54,7 @@
     }
     free(routing->services);
     free(routing->nodes);
-    free(routing->nodes_by_id);
+    free(routing->node_slots);
     free(routing->services_by_id);
     free(routing->slots);
     free(routing);
@@ -77,15 +78,6 @@
     return (a > b) - (a < b);
 }
 
-static int
-compare_nodes(const void *a, const void *b)
-{
-    const struct SlRouteNode *const *left = a;
-    const struct SlRouteNode *const *right = b;
-
-    return compare_ids((*left)->node_id, (*right)->node_id);
-}
-
 static int
 compare_services(const void *a, const void *b)
 {
@@ -95,19 +87,38 @@
     return compare_ids((*left)->service_id, (*right)->service_id);
 }
 
+/// Node ids are hashes already.
+static const struct SlRouteNode **
+node_slot(const struct SlRouting *routing, uint64_t node_id)
+{
+    for (uint64_t at = node_id;; at++) {
+        const struct SlRouteNode **slot =
+            &routing->node_slots[at & routing->node_mask];
+
+        if (*slot == NULL || (*slot)->node_id == node_id) {
+            return slot;
+        }
+    }
+}
+
 enum SlStatus
 routing_index_nodes(struct SlRouting *routing)
 {
-    routing->nodes_by_id =
-        calloc(routing->node_count + 1, sizeof(const struct SlRouteNode *));
-    if (routing->nodes_by_id == NULL) {
+    uint32_t slots = SLOTS_PER_NODE;
+
+    while (slots < routing->node_count * SLOTS_PER_NODE) {
+        slots *= 2;
+    }
+    routing->node_mask = slots - 1;
+    routing->node_slots = calloc(slots, sizeof(const struct SlRouteNode *));
+    if (routing->node_slots == NULL) {
         return SL_NO_MEMORY;
     }
     for (uint32_t i = 0; i < routing->node_count; i++) {
-        routing->nodes_by_id[i] = &routing->nodes[i]->node;
+        const struct SlRouteNode *node = &routing->nodes[i]->node;
+
+        *node_slot(routing, node->node_id) = node;
     }
-    qsort(routing->nodes_by_id, routing->node_count,
-          sizeof(const struct SlRouteNode *), compare_nodes);
     return SL_OK;
 }
 
@@ -215,24 +226,7 @@
 const struct SlRouteNode *
 SlRouting_FindNode(const struct SlRouting *routing, uint64_t node_id)
 {
-    uint32_t low = 0;
-    uint32_t high = routing->node_count;
-
-    while (low < high) {
-        uint32_t middle = (low + high) / 2;
-        const struct SlRouteNode *node = routing->nodes_by_id[middle];
-
-        if (node->node_id == node_id) {
-            return node;
-        }
-        if (node->node_id < node_id) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return NULL;
+    return *node_slot(routing, node_id);
 }
 
 uint32_t
--- a/packages/state/src/routing_internal.h
+++ b/packages/state/src/routing_internal.h
@@ -27,8 +27,10 @@
     struct route_node **nodes;
     uint32_t service_count;
     struct route_service **services;
-    /// The same in order of id.
-    const struct SlRouteNode **nodes_by_id;
+    /// Open addressing by node id; a power of two of places.
+    uint32_t node_mask;
+    const struct SlRouteNode **node_slots;
+    /// Services in order of id.
     const struct SlRouteService **services_by_id;
     /// Open addressing by address and protocol; a power of two of places.
     uint32_t slot_mask;
