Hand the lead over at a planned stop, and follow up after a full disk

Cause: a stopped leader left the others to wait for their timeout; what a leader could not log on a full disk was not proposed again in a quiet site; deltas compared every touched object with every later one; a message searched all links. Change: a leader that stops says so (SlAppend.resigns) and is not elected again; refused proposals are due again after a pause; a touch counts when it is the object's last change; links are found by halving. Fields of vote, append and install that nobody read are gone.

--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -523,6 +523,38 @@
     stop(&pair.driver);
 }
 
+/// Processor time of a leader that hears all agents itself, with heartbeats
+/// both ways, without the transport.
+static void
+bench_idle_processor(uint32_t agents)
+{
+    struct SlMessage subscribe = {.kind = SL_MESSAGE_SUBSCRIBE};
+    struct SlMessage beat = {.kind = SL_MESSAGE_HEARTBEAT};
+    uint32_t ticks = 10 * 1000 * 1000 / SL_TICK_US;
+    uint32_t beat_ticks = 500 * 1000 / SL_TICK_US;
+    struct driver driver;
+    uint64_t spent_ns;
+
+    start_with_agents(&driver, agents);
+    for (uint32_t i = 0; i < agents; i++) {
+        give_message(&driver, 10 + i, &subscribe);
+    }
+    end_batch(&driver);
+    spent_ns = bench_cpu_ns();
+    for (uint32_t tick = 0; tick < ticks; tick++) {
+        driver.now_us += SL_TICK_US;
+        give(&driver, (struct SlInput){.kind = SL_INPUT_TICK});
+        for (uint32_t i = tick % beat_ticks; i < agents; i += beat_ticks) {
+            give_message(&driver, 10 + i, &beat);
+        }
+        end_batch(&driver);
+    }
+    spent_ns = bench_cpu_ns() - spent_ns;
+    printf("control_idle_core_percent_%u %.3f percent\n", agents,
+           (double)spent_ns / (10 * 1e9) * 100);
+    stop(&driver);
+}
+
 int
 main(void)
 {
@@ -542,5 +574,8 @@
     bench_idle_members(5);
     bench_idle_members(7);
     bench_idle_subscriber();
+    bench_idle_processor(300);
+    bench_idle_processor(1200);
+    bench_idle_processor(2400);
     return 0;
 }
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -139,6 +139,7 @@
         return;
     }
     link->heard_us = input->now_us;
+    SlControl_Heard(control, link);
     switch (message->kind) {
     case SL_MESSAGE_ANNOUNCE:
         SlControl_OnAnnounce(control, input->link, &message->announce);
@@ -203,6 +204,9 @@
     case SL_INPUT_MESSAGE:
         handle_message(control, input);
         break;
+    case SL_INPUT_STOP:
+        SlRaft_Resign(&control->raft, control->now_us);
+        break;
     case SL_INPUT_BATCH_END:
         SlRaft_Flush(&control->raft, control->now_us);
         SlControl_Publish(control);
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -62,7 +62,7 @@
     /// The control instance that hears it; 0 is this one.
     uint64_t via;
     bool heard;
-    /// Directly heard last, or lost since.
+    /// Directly heard last, reported by via, or lost since.
     uint64_t at_us;
     /// It wants this announcement in the log.
     bool announce_due;
@@ -76,7 +76,7 @@
 struct SlSeenTable {
     uint32_t count;
     uint32_t room;
-    struct SlSeen *items;
+    struct SlSeen **items;
 };
 
 struct SlControl {
@@ -92,6 +92,7 @@
     uint32_t early_count;
     struct SlEvent early[SL_CONTROL_EARLY_EVENTS];
 
+    /// In order of number: the newest stands last.
     uint32_t link_count;
     uint32_t link_room;
     struct SlControlLink *links;
@@ -186,6 +187,13 @@
 void
 SlControl_OnAnnounce(struct SlControl *control, uint64_t link,
                      const struct SlObject *object);
+/// A message came from the process at the other end of a link.
+void
+SlControl_Heard(struct SlControl *control, const struct SlControlLink *link);
+/// Records from from_index on were refused: what they proposed is due again,
+/// after a pause.
+void
+SlControl_ReachRefused(struct SlControl *control, uint64_t from_index);
 /// A process's link ended.
 void
 SlControl_LinkLost(struct SlControl *control,
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -7,15 +7,35 @@
     LINKS_FIRST_ROOM = 16,
 };
 
-struct SlControlLink *
-SlControl_FindLink(struct SlControl *control, uint64_t link)
+/// Index of the first link whose number is at least that.
+static uint32_t
+lower_bound(const struct SlControl *control, uint64_t number)
 {
-    for (uint32_t i = 0; i < control->link_count; i++) {
-        if (control->links[i].link == link) {
-            return &control->links[i];
+    uint32_t low = 0;
+    uint32_t high = control->link_count;
+
+    while (low < high) {
+        uint32_t middle = (low + high) / 2;
+
+        if (control->links[middle].link < number) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
         }
     }
-    return NULL;
+    return low;
+}
+
+struct SlControlLink *
+SlControl_FindLink(struct SlControl *control, uint64_t number)
+{
+    uint32_t at = lower_bound(control, number);
+
+    if (at == control->link_count || control->links[at].link != number) {
+        return NULL;
+    }
+    return &control->links[at];
 }
 
 struct SlControlLink *
@@ -32,24 +52,38 @@
     return NULL;
 }
 
+static bool
+reserve_link(struct SlControl *control)
+{
+    uint32_t room =
+        control->link_room ? control->link_room * 2 : LINKS_FIRST_ROOM;
+    struct SlControlLink *links;
+
+    if (control->link_count < control->link_room) {
+        return true;
+    }
+    links = realloc(control->links, room * sizeof(*links));
+    if (links == NULL) {
+        return false;
+    }
+    control->links = links;
+    control->link_room = room;
+    return true;
+}
+
 void
 SlControl_LinkUp(struct SlControl *control, const struct SlInput *input)
 {
     struct SlControlLink *link;
 
-    if (control->link_count == control->link_room) {
-        uint32_t room =
-            control->link_room ? control->link_room * 2 : LINKS_FIRST_ROOM;
-        struct SlControlLink *links =
-            realloc(control->links, room * sizeof(*links));
-
-        if (links == NULL) {
-            return;
-        }
-        control->links = links;
-        control->link_room = room;
+    if (!reserve_link(control)) {
+        return;
     }
-    link = &control->links[control->link_count++];
+    link = &control->links[lower_bound(control, input->link)];
+    memmove(link + 1, link,
+            (size_t)((uint8_t *)&control->links[control->link_count] -
+                     (uint8_t *)link));
+    control->link_count++;
     *link = (struct SlControlLink){
         .link = input->link, .peer = *input->peer, .heard_us = input->now_us};
     if ((link->peer.roles & SL_ROLE_CONTROL) &&
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -75,23 +75,6 @@
                              SL_CONTROL_TOUCHED_MAX];
 }
 
-/// True when the object is touched again later; then that one counts.
-static bool
-touched_later(const struct SlControl *control, uint32_t at)
-{
-    const struct SlTouched *touched = touched_at(control, at);
-
-    for (uint32_t i = at + 1; i < control->touched_count; i++) {
-        const struct SlTouched *later = touched_at(control, i);
-
-        if (later->kind == touched->kind &&
-            strcmp(later->name, touched->name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /// Position of the first touch after version.
 static uint32_t
 first_after(const struct SlControl *control, struct SlVersion version)
@@ -127,6 +110,8 @@
     part->removed_count = 0;
 }
 
+/// Adds the object as it is now. A touch that is not the object's last one
+/// adds nothing: the last follows.
 static void
 add_touched(struct SlControl *control, struct SlConfigPart *part,
             const struct SlTouched *touched)
@@ -135,13 +120,15 @@
         SlConfig_Find(control->config, touched->kind, touched->name);
     struct SlObject *removed;
 
-    if (object != NULL) {
-        part->objects[part->object_count++] = *object;
+    if (object == NULL) {
+        removed = &part->removed[part->removed_count++];
+        *removed = (struct SlObject){.kind = touched->kind};
+        memcpy(removed->name, touched->name, sizeof(removed->name));
         return;
     }
-    removed = &part->removed[part->removed_count++];
-    *removed = (struct SlObject){.kind = touched->kind};
-    memcpy(removed->name, touched->name, sizeof(removed->name));
+    if (SlVersion_Compare(object->modified, touched->version) == 0) {
+        part->objects[part->object_count++] = *object;
+    }
 }
 
 static void
@@ -156,9 +143,6 @@
 
     for (uint32_t i = first_after(control, link->sent);
          i < control->touched_count; i++) {
-        if (touched_later(control, i)) {
-            continue;
-        }
         if (part.object_count == SL_CONFIG_OBJECTS_MAX ||
             part.removed_count == SL_CONFIG_OBJECTS_MAX) {
             send_part(control, link->link, &part, false);
--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -15,6 +15,8 @@
     GRACE_FACTOR = 3,
     /// Losses within this time count as one.
     LOSS_WINDOW_US = 60 * 1000 * 1000,
+    /// After a refused proposal.
+    REFUSED_PAUSE_US = 1000 * 1000,
     /// More losses at once than both of these are held.
     LOSS_HELD_NODES = 2,
     LOSS_HELD_PERCENT = 30,
@@ -201,6 +203,34 @@
     }
 }
 
+void
+SlControl_Heard(struct SlControl *control, const struct SlControlLink *link)
+{
+    struct SlSeen *seen;
+
+    if (!is_leader(control) || link->announced == NULL) {
+        return;
+    }
+    seen = SlSeenTable_Find(&control->seen, link->peer.node_id);
+    if (seen != NULL && seen->heard && seen->via == 0) {
+        seen->at_us = control->now_us;
+    }
+}
+
+void
+SlControl_ReachRefused(struct SlControl *control, uint64_t from_index)
+{
+    control->reach_due_us = control->now_us + REFUSED_PAUSE_US;
+    for (uint32_t i = 0; i < control->seen.count; i++) {
+        struct SlSeen *seen = control->seen.items[i];
+
+        if (seen->proposed_index != 0 && seen->proposed_index >= from_index) {
+            seen->proposed_index = 0;
+            seen->announce_due = seen->heard;
+        }
+    }
+}
+
 void
 SlControl_LinkLost(struct SlControl *control, const struct SlControlLink *link)
 {
@@ -232,21 +262,6 @@
     }
 }
 
-/// When a direct link last brought anything from the process; 0 no link.
-static uint64_t
-heard_directly(const struct SlControl *control, uint64_t node_id)
-{
-    uint64_t latest_us = 0;
-
-    for (uint32_t i = 0; i < control->link_count; i++) {
-        if (control->links[i].peer.node_id == node_id &&
-            control->links[i].heard_us > latest_us) {
-            latest_us = control->links[i].heard_us;
-        }
-    }
-    return latest_us;
-}
-
 /// How long nobody has heard from the process.
 static uint64_t
 silent_us(struct SlControl *control, const struct SlSeen *seen)
@@ -254,10 +269,7 @@
     uint64_t at_us = seen->at_us;
     const struct SlRaftProgress *via;
 
-    if (seen->heard && seen->via == 0) {
-        at_us = heard_directly(control, seen->node_id);
-    }
-    else if (seen->heard) {
+    if (seen->heard && seen->via != 0) {
         via = SlRaft_Progress(&control->raft, seen->via);
         at_us = via != NULL ? via->heard_us : seen->at_us;
     }
@@ -319,7 +331,7 @@
 propose_announcements(struct SlControl *control)
 {
     for (uint32_t i = 0; i < control->seen.count; i++) {
-        struct SlSeen *seen = &control->seen.items[i];
+        struct SlSeen *seen = control->seen.items[i];
 
         if (seen->announce_due &&
             seen->proposed_index <= control->raft.applied.index) {
--- a/packages/coordination/src/control_request.c
+++ b/packages/coordination/src/control_request.c
@@ -221,6 +221,7 @@
                            ? "the disk is full; not run"
                            : "the outcome is unknown; send it again";
 
+    SlControl_ReachRefused(control, from_index);
     while (control->waiter_count > 0) {
         struct SlControlWaiter waiter =
             control->waiters[control->waiter_count - 1];
--- a/packages/coordination/src/control_seen.c
+++ b/packages/coordination/src/control_seen.c
@@ -17,7 +17,7 @@
     while (low < high) {
         uint32_t middle = (low + high) / 2;
 
-        if (table->items[middle].node_id < node_id) {
+        if (table->items[middle]->node_id < node_id) {
             low = middle + 1;
         }
         else {
@@ -32,23 +32,24 @@
 {
     uint32_t at = lower_bound(table, node_id);
 
-    if (at == table->count || table->items[at].node_id != node_id) {
+    if (at == table->count || table->items[at]->node_id != node_id) {
         return NULL;
     }
-    return &table->items[at];
+    return table->items[at];
 }
 
 struct SlSeen *
 SlSeenTable_Add(struct SlSeenTable *table, uint64_t node_id)
 {
     uint32_t at = lower_bound(table, node_id);
+    struct SlSeen *seen;
 
-    if (at < table->count && table->items[at].node_id == node_id) {
-        return &table->items[at];
+    if (at < table->count && table->items[at]->node_id == node_id) {
+        return table->items[at];
     }
     if (table->count == table->room) {
         uint32_t room = table->room ? table->room * 2 : SEEN_FIRST_ROOM;
-        struct SlSeen *items = realloc(table->items, room * sizeof(*items));
+        struct SlSeen **items = realloc(table->items, room * sizeof(*items));
 
         if (items == NULL) {
             return NULL;
@@ -56,16 +57,24 @@
         table->items = items;
         table->room = room;
     }
+    seen = calloc(1, sizeof(*seen));
+    if (seen == NULL) {
+        return NULL;
+    }
+    seen->node_id = node_id;
     memmove(&table->items[at + 1], &table->items[at],
-            (table->count - at) * sizeof(*table->items));
-    table->items[at] = (struct SlSeen){.node_id = node_id};
+            (table->count - at) * sizeof(struct SlSeen *));
+    table->items[at] = seen;
     table->count++;
-    return &table->items[at];
+    return seen;
 }
 
 void
 SlSeenTable_Release(struct SlSeenTable *table)
 {
+    for (uint32_t i = 0; i < table->count; i++) {
+        free(table->items[i]);
+    }
     free(table->items);
     *table = (struct SlSeenTable){.count = 0};
 }
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -127,6 +127,7 @@
     uint64_t fresh_us;
     uint64_t leading_since_us;
     uint64_t heartbeat_due_us;
+    uint64_t repair_due_us;
     uint64_t round;
     uint64_t round_sent_us[SL_RAFT_ROUNDS];
     bool lease_lost;
@@ -156,6 +157,7 @@
     bool state_unsaved;
     /// Storage refuses every write.
     bool broken;
+    bool stopping;
 };
 
 /// Reads durable state. Errors: SL_DAMAGED, SL_NO_MEMORY, SL_IO.
@@ -174,6 +176,10 @@
 /// Syncs and sends what was gathered, commits and applies.
 void
 SlRaft_Flush(struct SlRaft *raft, uint64_t now_us);
+/// A planned stop: a leader gives its lease up and tells so, and this
+/// instance does not stand for election any more.
+void
+SlRaft_Resign(struct SlRaft *raft, uint64_t now_us);
 /// A link to the node came up.
 void
 SlRaft_LinkUp(struct SlRaft *raft, uint64_t now_us, uint64_t node_id);
@@ -254,6 +260,8 @@
 SlRaft_ApplyCommitted(struct SlRaft *raft);
 
 /// raft_election.c
+uint64_t
+SlRaft_Random(struct SlRaft *raft);
 void
 SlRaft_BecomeFollower(struct SlRaft *raft, uint64_t term, uint64_t leader,
                       const char *reason);
--- a/packages/coordination/src/raft_election.c
+++ b/packages/coordination/src/raft_election.c
@@ -16,8 +16,8 @@
 }
 
 /// A step of a 64-bit linear congruential generator (Knuth, TAOCP 3.3.4).
-static uint64_t
-next_random(struct SlRaft *raft)
+uint64_t
+SlRaft_Random(struct SlRaft *raft)
 {
     raft->random = raft->random * 6364136223846793005u + 1442695040888963407u;
     return raft->random >> 33;
@@ -33,7 +33,7 @@
                              : election_us;
 
     raft->election_due_us =
-        raft->now_us + election_us + next_random(raft) % spread_us;
+        raft->now_us + election_us + SlRaft_Random(raft) % spread_us;
 }
 
 void
@@ -115,8 +115,7 @@
         .kind = SL_MESSAGE_VOTE,
         .vote = {.term = raft->hard.term + raft->pre_voting,
                  .pre = raft->pre_voting,
-                 .last = SlRaft_Last(raft),
-                 .incarnation = raft->hard.incarnation},
+                 .last = SlRaft_Last(raft)},
     };
 
     send_to_voters(raft, &message);
@@ -173,7 +172,7 @@
     if (raft->state == SL_CONTROL_LEARNER) {
         raft->state = SL_CONTROL_FOLLOWER;
     }
-    if (raft->now_us >= raft->election_due_us || alone) {
+    if (!raft->stopping && (raft->now_us >= raft->election_due_us || alone)) {
         start_pre_vote(raft);
     }
 }
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -122,6 +122,16 @@
     return matched;
 }
 
+/// The leader stops: its lease binds nobody any more.
+static void
+take_resignation(struct SlRaft *raft)
+{
+    raft->leader = 0;
+    raft->leader_heard_us = 0;
+    raft->election_due_us =
+        raft->now_us + SlRaft_Random(raft) % raft->options.heartbeat_us;
+}
+
 void
 SlRaft_OnAppend(struct SlRaft *raft, uint64_t from,
                 const struct SlAppend *append)
@@ -132,6 +142,10 @@
     if (!SlRaft_AcceptLeader(raft, from, append->term)) {
         return;
     }
+    if (append->resigns) {
+        take_resignation(raft);
+        return;
+    }
     raft->ack_due = true;
     raft->ack.term = append->term;
     raft->ack.round = append->round;
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -190,7 +190,6 @@
         .append = {.term = raft->hard.term,
                    .commit = raft->commit,
                    .round = raft->round,
-                   .incarnation = raft->hard.incarnation,
                    .fresh = SlRaft_Fresh(raft, raft->now_us),
                    .entries = entries}};
     struct SlAppend *append = &message.append;
@@ -206,6 +205,30 @@
                                   &message);
 }
 
+void
+SlRaft_Resign(struct SlRaft *raft, uint64_t now_us)
+{
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_APPEND,
+        .append = {.term = raft->hard.term, .resigns = true}};
+
+    raft->now_us = now_us;
+    raft->stopping = true;
+    if (raft->state != SL_CONTROL_LEADER) {
+        return;
+    }
+    SlRaft_Flush(raft, now_us);
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        uint64_t node_id = raft->members.items[i].node_id;
+
+        if (node_id != raft->options.node_id) {
+            raft->options.host_type->send(raft->options.host, node_id,
+                                          &message);
+        }
+    }
+    SlRaft_BecomeFollower(raft, raft->hard.term, 0, "stopping");
+}
+
 static void
 send_to(struct SlRaft *raft, struct SlRaftProgress *progress)
 {
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -283,11 +283,13 @@
 void
 SlRaft_RepairMembers(struct SlRaft *raft)
 {
-    if (raft->members_index > raft->commit || !SlRaft_Ready(raft)) {
+    if (raft->members_index > raft->commit || !SlRaft_Ready(raft) ||
+        raft->now_us < raft->repair_due_us) {
         return;
     }
     for (uint32_t i = 0; i < raft->members.count; i++) {
         if (repair_member(raft, i)) {
+            raft->repair_due_us = raft->now_us + raft->options.heartbeat_us;
             return;
         }
     }
--- a/packages/coordination/src/raft_snapshot.c
+++ b/packages/coordination/src/raft_snapshot.c
@@ -231,10 +231,8 @@
 send_part(struct SlRaft *raft, struct SlRaftProgress *progress)
 {
     struct SlStorage *storage = raft->options.storage;
-    struct SlMessage message = {
-        .kind = SL_MESSAGE_INSTALL,
-        .install = {.term = raft->hard.term,
-                    .incarnation = raft->hard.incarnation}};
+    struct SlMessage message = {.kind = SL_MESSAGE_INSTALL,
+                                .install = {.term = raft->hard.term}};
     struct SlInstall *install = &message.install;
     const uint8_t *bytes;
     size_t length_bytes;
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -127,7 +127,6 @@
     /// Pre-vote: would you vote for me? Changes no state.
     bool pre;
     struct SlVersion last;
-    uint64_t incarnation;
 };
 
 struct SlVoted {
@@ -151,9 +150,10 @@
     uint64_t commit;
     /// Number of this heartbeat round, echoed; grants the leader's lease.
     uint64_t round;
-    uint64_t incarnation;
     /// The leader holds its lease: commit is current.
     bool fresh;
+    /// The leader stops: its lease is over, elect another at once.
+    bool resigns;
     uint32_t entry_count;
     struct SlLogEntry *entries;
 };
@@ -173,7 +173,6 @@
     struct SlVersion last;
     uint64_t offset;
     bool done;
-    uint64_t incarnation;
     uint32_t data_bytes;
     const uint8_t *data;
 };
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -176,7 +176,6 @@
     U64(SlVote, term),
     BOOL(SlVote, pre),
     PART(SlVote, last, VERSION),
-    U64(SlVote, incarnation),
 };
 static const struct SlLayout VOTE = SL_LAYOUT(SlVote, VOTE_FIELDS);
 
@@ -201,8 +200,8 @@
     PART(SlAppend, previous, VERSION),
     U64(SlAppend, commit),
     U64(SlAppend, round),
-    U64(SlAppend, incarnation),
     BOOL(SlAppend, fresh),
+    BOOL(SlAppend, resigns),
     SL_FIELD_POINTER(SlAppend, entries, entry_count, APPEND_ENTRIES_MAX,
                      LOG_ENTRY),
 };
@@ -220,7 +219,6 @@
     PART(SlInstall, last, VERSION),
     U64(SlInstall, offset),
     BOOL(SlInstall, done),
-    U64(SlInstall, incarnation),
     SL_FIELD_BYTES(SlInstall, data, data_bytes, SL_BLOB_CHUNK_BYTES),
 };
 static const struct SlLayout INSTALL = SL_LAYOUT(SlInstall, INSTALL_FIELDS);
--- /dev/null
+++ b/test/control_member_test.c
@@ -0,0 +1,314 @@
+/* Control instances come, go, stop, lose their folders and find damage. */
+
+#include "control_lab.h"
+
+static uint32_t
+count_voters(struct lab *lab, uint32_t *members)
+{
+    struct SlControlMember items[SL_MEMBERS_CONTROL_MAX];
+    uint32_t voters = 0;
+
+    *members = SlControl_Members(lab->world.nodes[leader_of(lab)].control,
+                                 items, SL_MEMBERS_CONTROL_MAX);
+    for (uint32_t i = 0; i < *members; i++) {
+        voters += items[i].voter;
+    }
+    return voters;
+}
+
+/// A fourth instance joins as a learner and votes once it has caught up; it
+/// then stands in for one that is removed.
+static void
+test_membership(void)
+{
+    struct lab *lab = create_lab(3, 14);
+    struct world *world = &lab->world;
+    struct SlChange add = change_of(1, 1, SL_VERB_MEMBER_ADD, "control-4");
+    struct SlChange remove = change_of(1, 2, SL_VERB_MEMBER_REMOVE, "");
+    uint32_t members;
+    uint32_t leader;
+
+    add.object.kind = SL_KIND_NODE;
+    world->nodes[3] = world->nodes[2];
+    world->nodes[3].at = 3;
+    world->nodes[3].bootstrap = false;
+    snprintf(world->nodes[3].name, SL_NAME_BYTES, "control-4");
+    world->nodes[3].node_id = SlNode_Id("control-4");
+    world->nodes[3].storage =
+        fault_storage_create(world->nodes[3].node_id, 4444);
+    world->count = 4;
+    start_node(lab, 3);
+    lab_run(lab, 20);
+    CU_ASSERT_EQUAL(SlControl_State(world->nodes[3].control),
+                    SL_CONTROL_LEARNER);
+    CU_ASSERT_EQUAL(ask(lab, &add)->status, SL_OK);
+    lab_run(lab, 40);
+    CU_ASSERT_EQUAL(count_voters(lab, &members), 4);
+    CU_ASSERT_EQUAL(SlControl_State(world->nodes[3].control),
+                    SL_CONTROL_FOLLOWER);
+    leader = leader_of(lab);
+    remove.object.kind = SL_KIND_NODE;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             world->nodes[leader].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    lab_run(lab, 60);
+    CU_ASSERT_EQUAL(count_voters(lab, &members), 3);
+    CU_ASSERT_NOT_EQUAL(leader_of(lab), leader);
+    destroy_lab(lab);
+}
+
+/// With one of three down, a live one is not let go.
+static void
+test_removal_that_loses_majority(void)
+{
+    struct lab *lab = create_lab(3, 15);
+    uint32_t leader = leader_of(lab);
+    struct SlChange remove = change_of(1, 1, SL_VERB_MEMBER_REMOVE, "");
+
+    world_crash(&lab->world, (leader + 1) % 3);
+    lab_run(lab, 20);
+    remove.object.kind = SL_KIND_NODE;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             lab->world.nodes[(leader + 2) % 3].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_NO_QUORUM);
+    remove.request = 2;
+    snprintf(remove.object.name, SL_NAME_BYTES, "%s",
+             lab->world.nodes[(leader + 1) % 3].name);
+    CU_ASSERT_EQUAL(ask(lab, &remove)->status, SL_OK);
+    destroy_lab(lab);
+}
+
+/// A second instance is lost for good right after a first was repaired.
+static void
+test_second_loss_after_repair(void)
+{
+    struct lab *lab = create_lab(3, 16);
+    struct world *world = &lab->world;
+
+    for (uint64_t round = 1; round <= 9; round++) {
+        struct SlVersion before = world->promoted[round % 3];
+        char name[SL_NAME_BYTES];
+        struct SlChange change;
+
+        snprintf(name, sizeof(name), "ulaan-%u", (unsigned)round);
+        change = change_of(1, round, SL_VERB_CREATE, name);
+        CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_OK);
+        world_crash(world, round % 3);
+        world_wipe(world, round % 3);
+        start_node(lab, round % 3);
+        for (uint32_t i = 0;
+             i < 300 &&
+             SlVersion_Compare(world->promoted[round % 3], before) <= 0;
+             i++) {
+            lab_step(lab);
+        }
+        CU_ASSERT(SlVersion_Compare(world->promoted[round % 3], before) > 0);
+    }
+    CU_ASSERT_EQUAL(
+        SlConfig_Count(config_of(lab, leader_of(lab)), SL_KIND_ZONE), 9);
+    destroy_lab(lab);
+}
+
+/// A leader that stops hands over before an election could begin without
+/// its word.
+static void
+test_planned_stop(void)
+{
+    struct lab *lab = calloc(1, sizeof(*lab));
+    uint64_t stopped_us;
+    uint32_t leader;
+
+    world_create(&lab->world, 3, 17);
+    lab->world.heartbeat_us = 150 * 1000;
+    lab->world.election_us = 900 * 1000;
+    lab->world.outside = on_outside;
+    lab->world.context = lab;
+    for (uint32_t i = 0; i < 3; i++) {
+        start_node(lab, i);
+    }
+    leader = leader_of(lab);
+    lab_run(lab, 40);
+    stopped_us = lab->world.now_us;
+    world_input(&lab->world, leader, (struct SlInput){.kind = SL_INPUT_STOP});
+    CU_ASSERT_EQUAL(SlControl_State(lab->world.nodes[leader].control),
+                    SL_CONTROL_FOLLOWER);
+    CU_ASSERT_NOT_EQUAL(leader_of(lab), leader);
+    CU_ASSERT(lab->world.now_us - stopped_us < lab->world.election_us);
+    lab_run(lab, 200);
+    CU_ASSERT_NOT_EQUAL(leader_of(lab), leader);
+    destroy_lab(lab);
+}
+
+/// A site does not start before all first members were there once; after
+/// that a majority does.
+static void
+test_first_start(void)
+{
+    struct lab *lab = calloc(1, sizeof(*lab));
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+
+    world_create(&lab->world, 3, 18);
+    lab->world.outside = on_outside;
+    lab->world.context = lab;
+    start_node(lab, 0);
+    start_node(lab, 1);
+    CU_ASSERT_EQUAL(world_await_leader(&lab->world, 200), 3);
+    start_node(lab, 2);
+    leader_of(lab);
+    lab_run(lab, 40);
+    world_crash(&lab->world, 2);
+    CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_OK);
+    destroy_lab(lab);
+}
+
+/// Zones with long labels, so that a snapshot takes several parts.
+static void
+fill_zones(struct lab *lab, uint64_t count)
+{
+    for (uint64_t i = 1; i <= count; i++) {
+        char name[SL_NAME_BYTES];
+        struct SlChange change;
+
+        snprintf(name, sizeof(name), "ulaan-%u", (unsigned)i);
+        change = change_of(1, i, SL_VERB_CREATE, name);
+        change.object.labels.count = SL_LABELS_MAX;
+        for (uint32_t j = 0; j < SL_LABELS_MAX; j++) {
+            struct SlLabel *label = &change.object.labels.items[j];
+
+            snprintf(label->key, sizeof(label->key), "key-%u", j);
+            memset(label->value, 'v', sizeof(label->value) - 1);
+        }
+        send_change(lab, leader_of(lab), &change);
+        if (i % 20 == 0) {
+            lab_step(lab);
+        }
+    }
+    lab_run(lab, 20);
+}
+
+/// A wiped instance takes a snapshot in parts, though the link breaks.
+static void
+test_snapshot_in_parts(void)
+{
+    struct lab *lab = create_lab(3, 19);
+    struct world *world = &lab->world;
+    uint32_t leader = leader_of(lab);
+    uint32_t wiped = (leader + 1) % 3;
+    uint64_t before;
+
+    fill_zones(lab, 800);
+    world_crash(world, wiped);
+    world_wipe(world, wiped);
+    start_node(lab, wiped);
+    before = world->sent_bytes;
+    for (uint32_t i = 0; i < 12; i++) {
+        lab_run(lab, 3);
+        world_unlink(world, leader, wiped);
+    }
+    lab_run(lab, 100);
+    CU_ASSERT(world->sent_bytes - before > 2 * SL_BLOB_CHUNK_BYTES);
+    CU_ASSERT_EQUAL(SlConfig_Count(config_of(lab, wiped), SL_KIND_ZONE), 800);
+    CU_ASSERT_EQUAL(
+        SlVersion_Compare(SlControl_Applied(world->nodes[wiped].control),
+                          SlControl_Applied(world->nodes[leader].control)),
+        0);
+    destroy_lab(lab);
+}
+
+/// What cannot be decoded is refused at the start, whatever its checksum
+/// says.
+static void
+test_undecodable_state(void)
+{
+    static const uint8_t NONSENSE[64] = {1, 2, 3};
+
+    for (uint32_t i = 0; i < 2; i++) {
+        struct SlStorage *storage =
+            SlStorage_CreateMemory(SlNode_Id("control-1"), 5);
+        struct SlLogRecord record = {.term = 1,
+                                     .index = 1,
+                                     .data = NONSENSE,
+                                     .data_bytes = sizeof(NONSENSE)};
+        struct SlControlOptions options = {.core = {.name = "control-1"},
+                                           .storage = storage};
+        struct SlControl *control = NULL;
+        struct SlError error = {.status = SL_OK};
+
+        if (i == 0) {
+            storage->type->append(storage, &record, 1);
+        }
+        else {
+            storage->type->save_snapshot(storage, (struct SlVersion){1, 4},
+                                         NONSENSE, sizeof(NONSENSE), 5);
+        }
+        CU_ASSERT_EQUAL(SlControl_Create(&options, 1, &control, &error),
+                        SL_DAMAGED);
+        CU_ASSERT_EQUAL(error.step, SL_STEP_RECOVER);
+        CU_ASSERT_PTR_NULL(control);
+        SlStorage_Destroy(storage);
+    }
+}
+
+/// Wall clocks that jump back, at one leader and between leaders, never make
+/// a later hold look older.
+static void
+test_clock_jumps(void)
+{
+    struct lab *lab = create_lab(3, 20);
+    struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+    uint64_t since_us = 0;
+
+    ask(lab, &change);
+    for (uint64_t i = 2; i <= SL_HOLDS_MAX; i++) {
+        uint32_t leader = leader_of(lab);
+        const struct SlResult *result;
+
+        lab->world.nodes[leader].wall_offset_us = (20 - i) * 3600 * 1000000;
+        change = change_of(1, i, SL_VERB_HOLD, "ulaan-a");
+        snprintf(change.hold.key, sizeof(change.hold.key), "oyuna-%u",
+                 (unsigned)i);
+        result = ask(lab, &change);
+        CU_ASSERT_EQUAL_FATAL(result->object.holds.count, i - 1);
+        CU_ASSERT(result->object.holds.items[i - 2].since_us > since_us);
+        since_us = result->object.holds.items[i - 2].since_us;
+        if (i % 3 == 0) {
+            world_crash(&lab->world, leader);
+            start_node(lab, leader);
+        }
+    }
+    destroy_lab(lab);
+}
+
+/// What the leader could not log while its disk was full follows when there
+/// is room, without a word from outside.
+static void
+test_announcement_after_full_disk(void)
+{
+    struct lab *lab = create_lab(1, 21);
+
+    lab->world.nodes[0].storage->full = true;
+    connect_agents(lab, 1);
+    CU_ASSERT_EQUAL(SlConfig_Count(config_of(lab, 0), SL_KIND_NODE), 0);
+    lab->world.nodes[0].storage->full = false;
+    lab_run(lab, 60);
+    CU_ASSERT_EQUAL(SlConfig_Count(config_of(lab, 0), SL_KIND_NODE), 1);
+    destroy_lab(lab);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"membership", test_membership},
+        {"removal that loses the majority", test_removal_that_loses_majority},
+        {"second loss after a repair", test_second_loss_after_repair},
+        {"planned stop", test_planned_stop},
+        {"first start", test_first_start},
+        {"a snapshot in parts", test_snapshot_in_parts},
+        {"undecodable state", test_undecodable_state},
+        {"clock jumps", test_clock_jumps},
+        {"announcement after a full disk", test_announcement_after_full_disk},
+    };
+
+    return RUN_SUITE("control members", CASES);
+}
