Confine recordings asked for over a link, and tell of the site in status

Whoever holds the site's key could have had a process overwrite any file it may write to. A recording's name now has no folder and ends in .rec.

--- a/packages/ctl/src/ask.c
+++ b/packages/ctl/src/ask.c
@@ -129,8 +129,11 @@
 {
     fprintf(stderr,
             "savoryledgectl: no control instance gave an answer in time "
-            "(last: %s)\n",
-            SlStatus_Name(status));
+            "(last: %s%s)\n",
+            SlStatus_Name(status),
+            status == SL_CLOSED ? "; a link is closed at once when the key "
+                                  "is not the site's"
+                                : "");
     return SL_EXIT_UNREACHABLE;
 }
 
--- a/packages/daemon/src/shell_links.c
+++ b/packages/daemon/src/shell_links.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -118,14 +119,45 @@
                                            &message);
 }
 
+/// Recordings asked for over a link lie beside the one of the settings, or in
+/// the working folder, and end in ".rec": whoever holds the key may name a
+/// recording, not any other file of the process.
+static enum SlStatus
+recording_path(const struct SlShell *shell, const char *name,
+               char path[SETTINGS_PATH_BYTES], struct SlError *error)
+{
+    const char *known = shell->settings.record.file;
+    const char *slash = strrchr(known, '/');
+    int folder_bytes = slash != NULL ? (int)(slash - known) + 1 : 0;
+    int length;
+
+    if (name[0] == '.' || strchr(name, '/') != NULL) {
+        return SlError_Set(error, SL_INVALID, SL_STEP_RECORD, NULL,
+                           "\"%s\" is not a file name without a folder", name);
+    }
+    length = snprintf(path, SETTINGS_PATH_BYTES, "%.*s%s", folder_bytes, known,
+                      name);
+    return length < SETTINGS_PATH_BYTES
+               ? SL_OK
+               : SlError_Set(error, SL_TOO_LONG, SL_STEP_RECORD, NULL,
+                             "\"%s\" makes the path too long", name);
+}
+
 /// The answer tells what went wrong, in words.
 static enum SlStatus
-switch_recording(struct SlShell *shell, const char *path,
+switch_recording(struct SlShell *shell, const char *name,
                  struct SlBuffer *text)
 {
     struct SlError error = {.status = SL_OK};
-    enum SlStatus status = record_switch(shell, path, &error);
+    char path[SETTINGS_PATH_BYTES] = "";
+    enum SlStatus status = SL_OK;
 
+    if (name[0] != '\0') {
+        status = recording_path(shell, name, path, &error);
+    }
+    if (status == SL_OK) {
+        status = record_switch(shell, path, &error);
+    }
     if (status != SL_OK) {
         (void)SlBuffer_Append(text, error.message, strlen(error.message));
     }
--- a/packages/daemon/src/shell_text.c
+++ b/packages/daemon/src/shell_text.c
@@ -97,6 +97,27 @@
     put_count(out, "limit_exchanges", counters.limit_exchanges);
 }
 
+/// What the configuration says of the whole site.
+static void
+put_site(const struct SlConfig *config, struct SlBuffer *out)
+{
+    uint32_t count = SlConfig_Count(config, SL_KIND_NODE);
+    uint64_t unreachable = 0;
+    uint64_t leaving = 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+        const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
+
+        unreachable += node->node.unreachable;
+        leaving += node->node.leaving;
+    }
+    put_count(out, "nodes", count);
+    put_count(out, "nodes_unreachable", unreachable);
+    put_count(out, "nodes_leaving", leaving);
+    put_count(out, "services", SlConfig_Count(config, SL_KIND_SERVICE));
+    put_count(out, "zones", SlConfig_Count(config, SL_KIND_ZONE));
+}
+
 enum SlStatus
 write_status(struct SlShell *shell, uint64_t now_us, struct SlBuffer *out)
 {
@@ -115,6 +136,7 @@
              SlReplica_CutOff(replica, now_us) ? "yes" : "no");
     put_line(out, "stopping=%s", shell->stopping ? "yes" : "no");
     put_count(out, "links", links.links);
+    put_site(SlReplica_Config(replica), out);
     if (SlNode_Control(shell->node) != NULL) {
         put_control(shell, now_us, out);
     }
@@ -244,5 +266,6 @@
         put_port_counters("upstream", shell->control.upstream, out);
     }
     put_count(out, "log_lost", SlLog_Lost(shell->log));
+    put_count(out, "recording_on", atomic_load(&shell->recording.on));
     return SL_OK;
 }
--- a/scripts/check.d/daemon.sh
+++ b/scripts/check.d/daemon.sh
@@ -62,6 +62,13 @@
 expect 0 ctl -k old.key wait
 expect 0 ctl -k old.key list zone --json
 expect 4 ctl -k new.key -t 500 list zone
+expect 1 ctl -k old.key record on ../elsewhere
+expect 1 ctl -k old.key record on "$folder/absolute.rec"
+expect 1 ctl -k old.key record on old.key
+expect 0 ctl -k old.key record on now.rec
+expect 0 ctl -k old.key create zone d
+expect 0 ctl -k old.key record off
+[ -s now.rec ] || { echo "nothing was recorded"; exit 1; }
 
 reload() { # key file lines
     local before
