--- a/replay/harness/operator.c
+++ b/replay/harness/operator.c
@@ -108,12 +108,37 @@
     SlWorldNode_Give(control, &input);
 }
 
+/// A label may move an upstream to another service.
+static void
+note_moved(struct SlWorld *world, const struct SlChange *change)
+{
+    const char *name = SlLabels_Get(&change->object.labels, "service");
+    uint32_t node = SlWorld_FindNode(world, change->object.name);
+    uint32_t service;
+
+    if (name == NULL || node == WORLD_NODES_MAX) {
+        return;
+    }
+    service = SlWorld_FindService(world, name);
+    if (service != WORLD_SERVICES_MAX) {
+        struct SlWorldUpstream *upstream = &world->nodes[node].upstream;
+
+        upstream->former_service = upstream->service;
+        upstream->service = service;
+        upstream->moved_us = world->now_us;
+    }
+}
+
 /// What an accepted change means for the counts.
 static void
 note_accepted(struct SlWorld *world, const struct SlChange *change)
 {
     bool hold = change->verb == SL_VERB_HOLD;
 
+    if (change->verb == SL_VERB_LABEL && change->object.kind == SL_KIND_NODE) {
+        note_moved(world, change);
+        return;
+    }
     if (change->verb != SL_VERB_HOLD && change->verb != SL_VERB_RELEASE) {
         return;
     }
--- a/replay/harness/world.h
+++ b/replay/harness/world.h
@@ -74,6 +74,9 @@
 /// The upstream beside an agent.
 struct SlWorldUpstream {
     uint32_t service;
+    /// The service before an operator's label moved it; 0 never.
+    uint32_t former_service;
+    uint64_t moved_us;
     uint32_t slots;
     uint32_t capacity_flows;
     uint64_t started_us;
