Keep UDP flows over a zone's leaving and an agent's restart

Faults together on real processes broke 43 flows, all UDP. Causes: an agent of the zone that left told a caller of its flow's end after that flow had come back elsewhere (1); an agent that restarted did not take its own UDP flows back, passed them on because it still counted as draining (42), and its new sockets looked like new flows to the upstream.

Agents tell those of a zone that went out in the last 3 s of each claim, and these end the flow without a word. A UDP flow that an entry's cache shows to be the restarted agent's own, and that nobody else has, is adopted. The socket towards an upstream on loopback takes its address and port from the flow's key. Ruled out: routing (the entries' tables agreed).

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -235,6 +235,22 @@
     }
 }
 
+/// Notes when a zone goes out.
+static void
+note_zones(struct SlAgent *agent, const struct SlRouting *routing,
+           uint64_t now_us)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < SlRouting_NodeCount(routing); i++) {
+        count += SlRouting_NodeAt(routing, i)->zone_out;
+    }
+    if (count > agent->nodes_out) {
+        atomic_store(&agent->left_us, now_us);
+    }
+    agent->nodes_out = count;
+}
+
 void
 SlAgent_SetRouting(struct SlAgent *agent, struct SlSink *sink, uint64_t now_us,
                    struct SlRouting *routing)
@@ -246,6 +262,7 @@
     rcu_xchg_pointer(&agent->routing, routing);
     atomic_store(&agent->behind, false);
     agent_peers_routing(agent, routing);
+    note_zones(agent, routing, now_us);
     note_own_state(&call);
     if (old != NULL) {
         synchronize_rcu();
--- a/packages/coordination/src/agent_answer.c
+++ b/packages/coordination/src/agent_answer.c
@@ -162,6 +162,17 @@
     return probed != NULL;
 }
 
+/// A flow of a zone that is out starts anew at another agent: a reset from
+/// here would hit its successor.
+static bool
+came_back_elsewhere(const struct agent_call *call, const struct SlFlow *flow,
+                    const struct SlTunnel *tunnel)
+{
+    return flow->kind == SL_FLOW_OPEN &&
+           flow->service_id == tunnel->service_id &&
+           atomic_load(&call->agent->zone_out);
+}
+
 void
 agent_handle_locate(const struct agent_call *call,
                     const struct SlTunnel *tunnel)
@@ -172,6 +183,10 @@
     bool claim = tunnel->flags & SL_TUNNEL_CLAIM;
     struct knowledge known;
 
+    if (claim && flow != NULL && came_back_elsewhere(call, flow, tunnel)) {
+        agent_end_flow(call, shard, flow, "came_back");
+        flow = SlFlowShard_Find(shard, &tunnel->flow);
+    }
     look_up(call, flow, tunnel, &known);
     if (!claim) {
         known.probing = ask_upstream(call, shard, flow, tunnel);
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -101,6 +101,31 @@
     }
 }
 
+/// Tells agents whose zone went out a moment ago that the flow came back
+/// here, so that they end it without a word to its caller. Nobody waits for
+/// their answers.
+static void
+tell_left_zones(const struct agent_call *call, const struct SlFlowKey *key,
+                const struct SlRouteService *service)
+{
+    uint64_t left_us = atomic_load(&call->agent->left_us);
+
+    if (left_us == 0 ||
+        agent_elapsed_us(call->now_us, left_us) > AGENT_LEFT_US) {
+        return;
+    }
+    for (uint32_t i = 0; i < service->member_count; i++) {
+        struct SlTunnel locate = {.kind = SL_TUNNEL_LOCATE,
+                                  .flags = SL_TUNNEL_CLAIM,
+                                  .service_id = service->service_id,
+                                  .flow = *key};
+
+        if (service->members[i]->zone_out) {
+            agent_send(call, service->members[i]->node_id, &locate);
+        }
+    }
+}
+
 void
 agent_locate_wait(const struct agent_call *call, struct SlFlow *flow,
                   const struct agent_packet *p)
@@ -234,7 +259,10 @@
     fill_search(call, flow, search, p);
     event.value = search->asked_count;
     agent_event(call, &event);
-    if (!claim) {
+    if (claim) {
+        tell_left_zones(call, &p->key, p->service);
+    }
+    else {
         search->probed = agent_probe(call, &p->key, p->packet.tcp_seq);
     }
     send_round(call, &p->key, search);
@@ -303,6 +331,17 @@
     agent_answer_reset(call, p, "unknown_flow");
 }
 
+/// After a restart an entry's cache is the only word on a UDP flow: it was
+/// accepted here, and no other agent has it.
+static bool
+is_own_udp(const struct agent_call *call, const struct agent_packet *p)
+{
+    return p->packet.kind == SL_PACKET_UDP &&
+           (p->tunnel->flags & SL_TUNNEL_CACHED) &&
+           !atomic_load(&call->agent->zone_out) &&
+           agent_started_within(call, AGENT_SETTLE_US);
+}
+
 /// Nobody has the new flow: it may be placed, unless a copy of a packet
 /// that carries payload may have reached an agent that did not answer.
 static void
@@ -313,6 +352,11 @@
         agent_route(call, shard, p);
         return;
     }
+    if (is_own_udp(call, p) && agent_adopt(call, shard, &p->key, p->service,
+                                           p->tunnel->origin) != NULL) {
+        agent_route(call, shard, p);
+        return;
+    }
     if (agent_has_payload(&p->packet) && !is_complete(search) &&
         !agent_settled(call, p, AGENT_COPY_US)) {
         agent_refuse(call, shard, p, false, "unanswered");
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -60,6 +60,9 @@
     AGENT_DUE_PER_TICK = 4096,
     /// Zone out: the flows are ended over this many ticks.
     AGENT_LEAVE_TICKS = 50,
+    /// After a zone went out its agents are told of flows that came back
+    /// elsewhere.
+    AGENT_LEFT_US = 3 * AGENT_SECOND_US,
 };
 
 enum agent_counter {
@@ -224,6 +227,10 @@
     /// From the routing table: this node's zone is out, it drains.
     atomic_bool zone_out;
     atomic_bool draining;
+    /// From the routing table: members whose zone is out, and when the last
+    /// of them was added. 0: never.
+    uint32_t nodes_out;
+    atomic_uint_fast64_t left_us;
     /// A peer's datagram named a newer version than the routing table's.
     atomic_bool behind;
     /// Zone out: place of the next flow to end. Tick only.
--- a/packages/transport/src/port_udp_upstream.c
+++ b/packages/transport/src/port_udp_upstream.c
@@ -14,6 +14,10 @@
     DEFAULT_IDLE_US = 600 * 1000 * 1000,
     /// Idle sockets closed with one call at most.
     CLOSES_PER_CALL = 8,
+    IPV4_OFFSET = 12,
+    LOOPBACK_NET = 127,
+    UPPER_HALF = 0x80,
+    PORT_MIN = 1024,
 };
 
 /// The connected socket of one flow. Flows stand in a hash chain, and in a
@@ -235,6 +239,32 @@
     port_count(&self->counts.received, batch->count);
 }
 
+/// Gives the flow's socket a loopback address and port that follow from its
+/// key, so that an upstream on this host sees the flow come from the same
+/// place after the agent restarted. Where that is not to be had, the system
+/// chooses.
+static void
+bind_by_key(int descriptor, const struct SlAddress *upstream,
+            const struct SlFlowKey *key)
+{
+    uint64_t hash = SlFlowKey_Hash(key, 0);
+    struct SlAddress from = *upstream;
+    struct sockaddr_storage name;
+    socklen_t name_bytes;
+
+    if (!SlAddress_IsIpv4(upstream) ||
+        upstream->ip[IPV4_OFFSET] != LOOPBACK_NET ||
+        key->caller.port < PORT_MIN) {
+        return;
+    }
+    from.ip[IPV4_OFFSET + 1] = (uint8_t)(UPPER_HALF | (hash >> 16));
+    from.ip[IPV4_OFFSET + 2] = (uint8_t)(hash >> 8);
+    from.ip[IPV4_OFFSET + 3] = (uint8_t)hash;
+    from.port = key->caller.port;
+    name_bytes = SlAddress_ToSockaddr(&from, &name);
+    (void)bind(descriptor, (struct sockaddr *)&name, name_bytes);
+}
+
 static int
 connect_upstream(const struct port_udp_upstream *self,
                  const struct SlFlowKey *key)
@@ -250,6 +280,9 @@
     name_bytes = SlAddress_ToSockaddr(&to, &name);
     descriptor =
         socket(name.ss_family, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (descriptor >= 0) {
+        bind_by_key(descriptor, &to, key);
+    }
     if (descriptor >= 0 &&
         connect(descriptor, (struct sockaddr *)&name, name_bytes) != 0) {
         close(descriptor);
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -603,8 +603,9 @@
 
 /// A caller's datagram.
 static inline void
-fx_udp(struct fixture *fx, uint32_t entry, const struct SlRouting *routing,
-       uint64_t node_id, uint16_t port)
+fx_udp_flagged(struct fixture *fx, uint32_t entry,
+               const struct SlRouting *routing, uint64_t node_id,
+               uint32_t flags, uint16_t port)
 {
     static const uint8_t ORDER[5];
     struct SlAddress source = fx->caller;
@@ -614,7 +615,23 @@
     source.port = port;
     length = SlPacket_BuildUdp(&source, &fx->service, ORDER, sizeof(ORDER),
                                out, sizeof(out));
-    fx_forward(fx, entry, routing, node_id, 0, out, length);
+    fx_forward(fx, entry, routing, node_id, flags, out, length);
+}
+
+static inline void
+fx_udp(struct fixture *fx, uint32_t entry, const struct SlRouting *routing,
+       uint64_t node_id, uint16_t port)
+{
+    fx_udp_flagged(fx, entry, routing, node_id, 0, port);
+}
+
+/// The same through an entry whose cache names the flow's holder.
+static inline void
+fx_udp_cached(struct fixture *fx, uint32_t entry, uint64_t node_id,
+              uint16_t port)
+{
+    fx_udp_flagged(fx, entry, fx->site.routing, node_id, SL_TUNNEL_CACHED,
+                   port);
 }
 
 /* Running. */
