Let upstreams of traces answer segments of no connection

Cause: an agent that restarted asks its upstream's kernel whether it knows a flow; the fakes stayed silent, which a kernel never does, so agents took over flows of others. Change: unknown segments get a reset, out-of-window ones an acknowledgement, in the fakes and in the stand-in.

--- a/example/standin_upstream.c
+++ b/example/standin_upstream.c
@@ -240,7 +240,7 @@
         send_segment(upstream, packet, SL_TCP_SYN | SL_TCP_ACK,
                      packet->tcp_seq ^ 0x5a5a5a5aU, packet->tcp_seq + 1);
     }
-    else if (!known) {
+    else if (flow->port != packet->source.port) {
         upstream->unknown++;
         send_segment(upstream, packet, SL_TCP_RST, packet->tcp_ack, 0);
     }
@@ -249,9 +249,15 @@
         send_segment(upstream, packet, SL_TCP_FIN | SL_TCP_ACK,
                      packet->tcp_ack, packet->tcp_seq + 1);
     }
-    else if (packet->payload_bytes > 0) {
+    else if (known && packet->payload_bytes > 0) {
         read_payload(upstream, packet, flow);
     }
+    else if (packet->tcp_flags == SL_TCP_ACK &&
+             (int32_t)(packet->tcp_seq - flow->answered_seq) < 0) {
+        /* Out of the window: a kernel says again what it awaits. */
+        send_segment(upstream, packet, SL_TCP_ACK, packet->tcp_ack,
+                     flow->answered_seq);
+    }
 }
 
 static void
--- a/replay/harness/upstreams.c
+++ b/replay/harness/upstreams.c
@@ -273,7 +273,19 @@
     }
 }
 
-/// A kernel would answer with a reset.
+/// A kernel answers a segment of no connection with a reset.
+static void
+reject(struct SlWorldNode *node, const struct SlPacket *packet)
+{
+    uint8_t bytes[WORLD_PACKET_BYTES];
+    uint32_t length_bytes = SlPacket_BuildReset(packet, bytes, sizeof(bytes));
+
+    if (length_bytes > 0) {
+        send_packet(node, bytes, length_bytes);
+    }
+}
+
+/// Payload for an upstream that does not hold the flow.
 static void
 note_stray(struct SlWorldNode *node, uint32_t index,
            const struct SlPacket *packet)
@@ -346,6 +358,9 @@
     }
     else if (!mine) {
         note_stray(node, index, packet);
+        if (flow->holder != node->index) {
+            reject(node, packet);
+        }
     }
     else if (packet->tcp_flags & SL_TCP_FIN) {
         if (packet->tcp_seq == flow->upstream_ack) {
@@ -358,6 +373,10 @@
     else if (packet->payload_bytes > 0) {
         take_payload(node, index, packet);
     }
+    else if (packet->tcp_seq != flow->upstream_ack) {
+        /* Out of the window: what is awaited is said again. */
+        send_segment(node, index, SL_TCP_ACK, flow->upstream_seq, NULL);
+    }
 }
 
 static void
