--- a/packages/daemon/src/shell_links.c
+++ b/packages/daemon/src/shell_links.c
@@ -131,9 +131,10 @@
     int folder_bytes = slash != NULL ? (int)(slash - known) + 1 : 0;
     int length;
 
-    if (name[0] == '.' || strchr(name, '/') != NULL) {
+    if (strchr(name, '/') != NULL || name[0] == '.' ||
+        strcmp(name + strcspn(name, "."), ".rec") != 0) {
         return SlError_Set(error, SL_INVALID, SL_STEP_RECORD, NULL,
-                           "\"%s\" is not a file name without a folder", name);
+                           "\"%s\" is not NAME.rec without a folder", name);
     }
     length = snprintf(path, SETTINGS_PATH_BYTES, "%.*s%s", folder_bytes, known,
                       name);
