--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -120,6 +120,40 @@
     fx_close(&fx);
 }
 
+/* An upstream's process ends, which closes its connections, and is back at
+   once: it is cold although nobody said so. */
+static void
+test_restarted_upstream_is_cold(void)
+{
+    struct fixture fx;
+    struct fx_agent *back;
+    uint32_t busy = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 6000, 400);
+    fx_run(&fx, 5 * FX_SECOND_US);
+    back = fx_agent(&fx, "workroom-3");
+    for (uint32_t port = FIRST_PORT; port < FIRST_PORT + 6000; port++) {
+        if (back->connections[port].open) {
+            fx_upstream_closes(back, (uint16_t)port);
+        }
+    }
+    fx_run(&fx, 10000);
+    CU_ASSERT(back->events[SL_EVENT_COLD] >= 1);
+    back->busy_most = 0;
+    for (uint32_t i = 0; i < 900; i++) {
+        fx.callers[12000 + i].asks = true;
+        fx_syn(&fx, i % FX_ENTRIES, (uint16_t)(12000 + i));
+        fx_run(&fx, 500);
+        busy = back->busy_most;
+    }
+    fx_run(&fx, 100000);
+    printf("restarted: busy at most %u in 450 ms\n", busy);
+    CU_ASSERT(busy <= 1);
+    CU_ASSERT_EQUAL(refused(&fx, 12000, 900), 0);
+    fx_close(&fx);
+}
+
 /* All upstreams have all the flows that they can hold: the next one is told
    at once that it was not run. */
 static void
@@ -140,6 +174,38 @@
     fx_close(&fx);
 }
 
+/* Datagrams that no upstream can take: each is told "not run", and it and its
+   copies were delivered nowhere. */
+static void
+test_refused_datagrams_did_not_run(void)
+{
+    struct fixture fx;
+    uint32_t told = 0;
+    uint32_t ran = 0;
+
+    fx_open(&fx, "catalogue");
+    for (uint32_t i = 7; i < FX_AGENTS; i++) {
+        fx.agents[i].upstream_stuck = true;
+    }
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + 300; port++) {
+        fx_udp(&fx, 0, fx.site.routing, 0, port);
+        fx_udp(&fx, 1, fx.site.routing, fx.agents[7 + port % 4].node_id, port);
+        fx_run(&fx, 20000);
+    }
+    for (uint16_t port = FIRST_PORT; port < FIRST_PORT + 300; port++) {
+        uint32_t first = 0;
+        bool refused_one = fx.callers[port].icmp != 0;
+
+        told += refused_one;
+        ran += refused_one && fx_receivers(&fx, port, &first) != 0;
+    }
+    printf("datagrams: %u of 300 flows refused, %u of them ran\n", told, ran);
+    CU_ASSERT(told > 100);
+    CU_ASSERT_EQUAL(ran, 0);
+    CU_ASSERT_EQUAL(FX_TOTAL(&fx, refused_unknown), 0);
+    fx_close(&fx);
+}
+
 /* SYNs of callers that never answer fill no table and push nobody out. */
 static void
 test_syn_flood_is_bounded(void)
@@ -290,9 +356,11 @@
         {"flows spread evenly", test_flows_spread_evenly},
         {"cold upstream ramps up", test_cold_upstream_ramps_up},
         {"sudden cold is noticed", test_sudden_cold_is_noticed},
+        {"restarted upstream is cold", test_restarted_upstream_is_cold},
         {"full service refuses at once", test_full_service_refuses_at_once},
         {"zone leaves and returns", test_zone_leaves_and_returns},
         {"overload spares open flows", test_overload_spares_open_flows},
+        {"refused datagrams did not run", test_refused_datagrams_did_not_run},
         {"SYN flood is bounded", test_syn_flood_is_bounded},
     };
 
