--- a/packages/daemon/src/shell_internal.h
+++ b/packages/daemon/src/shell_internal.h
@@ -14,10 +14,6 @@
 #include "savoryledge/transport/seal.h"
 #include "shell.h"
 
-enum {
-    PEERS_MAX = 8192,
-};
-
 /// Gathers what the cores ask for during a batch of inputs; one for each
 /// thread.
 struct outlet {
@@ -102,6 +98,9 @@
     struct SlBuffer encoded;
     /// The configuration whose addresses the ports know.
     struct SlVersion addresses_version;
+    /// Refused connections logged in the present second.
+    uint64_t link_refusals_us;
+    uint32_t link_refusals;
     uint64_t refused_said;
     uint64_t refused_said_us;
     bool stopping;
--- a/packages/daemon/src/shell_links.c
+++ b/packages/daemon/src/shell_links.c
@@ -4,6 +4,11 @@
 
 #include "shell_internal.h"
 
+enum {
+    REFUSALS_WINDOW_US = 1000 * 1000,
+    REFUSALS_PER_WINDOW = 8,
+};
+
 static struct SlShell *
 shell_of(struct SlLinksOwner *owner)
 {
@@ -249,20 +254,35 @@
     free(peer);
 }
 
+/// A stranger who knocks again and again gets a few lines each second; the
+/// counter has them all.
+static bool
+may_log_refusal(struct SlShell *shell, uint64_t now_us)
+{
+    if (now_us >= shell->link_refusals_us + REFUSALS_WINDOW_US) {
+        shell->link_refusals_us = now_us;
+        shell->link_refusals = 0;
+    }
+    return ++shell->link_refusals <= REFUSALS_PER_WINDOW;
+}
+
 static void
 links_refused(struct SlLinksOwner *owner, const struct SlAddress *remote,
               enum SlStatus reason)
 {
+    struct SlShell *shell = shell_of(owner);
     char text[SL_ADDRESS_TEXT_BYTES];
 
     if (reason != SL_FORBIDDEN && reason != SL_MALFORMED &&
         reason != SL_TOO_LONG) {
         return;
     }
-    log_event(shell_of(owner),
-              (struct SlEvent){.number = SL_EVENT_LINK_REFUSED,
-                               .peer = SlAddress_Format(remote, text),
-                               .reason = SlStatus_Name(reason)});
+    if (may_log_refusal(shell, SlClock_Monotonic())) {
+        log_event(shell,
+                  (struct SlEvent){.number = SL_EVENT_LINK_REFUSED,
+                                   .peer = SlAddress_Format(remote, text),
+                                   .reason = SlStatus_Name(reason)});
+    }
 }
 
 const struct SlLinksOwnerType SHELL_LINKS = {
