Refuse an address that is in use, in place of sharing it silently

Sockets that spread datagrams over packet threads also shared their address with any other process of the same user, and with an encap port set to the tunnel's address: half of the datagrams went astray.

--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -514,6 +514,41 @@
                  "an address of no host");
 }
 
+static void
+check_differ(const struct reading *reading, const char *section,
+             const struct SlPortSettings *port)
+{
+    char key[SETTINGS_TEXT_BYTES];
+
+    if (line_of(reading, section, "port_listen") == 0) {
+        return;
+    }
+    snprintf(key, sizeof(key), "%s.port_listen", section);
+    if (SlAddress_Equal(&port->listen, &reading->settings->node.tunnel)) {
+        SlFaults_Add(reading->faults, line_of(reading, section, "port_listen"),
+                     key, "an address other than node.tunnel",
+                     "the address of node.tunnel");
+    }
+    if (line_of(reading, section, "port_peer") != 0 &&
+        SlAddress_IsIpv4(&port->listen) != SlAddress_IsIpv4(&port->peer)) {
+        SlFaults_Add(reading->faults, line_of(reading, section, "port_listen"),
+                     key, "the IP version of port_peer", "another IP version");
+    }
+}
+
+static void
+check_advertise(const struct reading *reading)
+{
+    const struct SlSettings *settings = reading->settings;
+    uint32_t line = line_of(reading, "node", "advertise");
+
+    if (line != 0 && SlAddress_IsIpv4(&settings->node.advertise) !=
+                         SlAddress_IsIpv4(&settings->node.tunnel)) {
+        SlFaults_Add(reading->faults, line, "node.advertise",
+                     "the IP version of node.tunnel", "another IP version");
+    }
+}
+
 static void
 check_whole(const struct reading *reading)
 {
@@ -531,6 +566,9 @@
                    settings->security.second_key_file);
     check_data_folder(reading);
     check_bootstrap(reading);
+    check_differ(reading, "entry", &settings->entry.port);
+    check_differ(reading, "agent", &settings->agent.port);
+    check_advertise(reading);
     check_reachable(reading, "tunnel", &settings->node.tunnel);
     check_reachable(reading, "link", &settings->node.link);
 }
--- a/packages/daemon/src/shell_threads.c
+++ b/packages/daemon/src/shell_threads.c
@@ -114,6 +114,7 @@
         .side = side,
         .listen = port->listen,
         .peer = port->peer,
+        .shared = settings->node.threads > 1,
         .upstream = port->upstream,
         .max_flows = settings->agent.capacity_flows,
     };
@@ -183,7 +184,8 @@
         return SlError_Set(error, SL_NO_MEMORY, SL_STEP_OPEN, NULL,
                            "no memory for a packet thread");
     }
-    status = SlUdpSocket_Open(&shell->settings.node.tunnel, true,
+    status = SlUdpSocket_Open(&shell->settings.node.tunnel,
+                              shell->settings.node.threads > 1,
                               &thread->outlet.tunnel, error);
     if (status != SL_OK) {
         return status;
@@ -196,11 +198,48 @@
     return open_ports(thread, error);
 }
 
+/// Sockets that share an address would also share it with another process;
+/// an exclusive one tells whether it is free.
+static enum SlStatus
+check_free(const struct SlAddress *address, struct SlError *error)
+{
+    int descriptor;
+    enum SlStatus status =
+        SlUdpSocket_Open(address, false, &descriptor, error);
+
+    if (status == SL_OK) {
+        close(descriptor);
+    }
+    return status;
+}
+
+static enum SlStatus
+check_addresses(const struct SlSettings *settings, struct SlError *error)
+{
+    const struct SlPortSettings *entry = &settings->entry.port;
+    const struct SlPortSettings *agent = &settings->agent.port;
+    uint32_t roles = settings->node.roles;
+    enum SlStatus status = check_free(&settings->node.tunnel, error);
+
+    if (status == SL_OK && (roles & SL_ROLE_ENTRY) &&
+        entry->kind == SL_PORT_ENCAP) {
+        status = check_free(&entry->listen, error);
+    }
+    if (status == SL_OK && (roles & SL_ROLE_AGENT) &&
+        agent->kind == SL_PORT_ENCAP) {
+        status = check_free(&agent->listen, error);
+    }
+    return status;
+}
+
 enum SlStatus
 threads_open(struct SlShell *shell, struct SlError *error)
 {
-    enum SlStatus status;
+    enum SlStatus status = check_addresses(&shell->settings, error);
 
+    if (status != SL_OK) {
+        return status;
+    }
     for (uint32_t i = 0; i < shell->settings.node.threads; i++) {
         shell->threads[i].outlet.tunnel = -1;
         status = open_thread(&shell->threads[i], shell, error);
--- a/packages/transport/include/savoryledge/transport/port.h
+++ b/packages/transport/include/savoryledge/transport/port.h
@@ -82,6 +82,8 @@
     /// from other IP addresses than that are refused.
     struct SlAddress listen;
     struct SlAddress peer;
+    /// ENCAP: several ports of this process have the address listen.
+    bool shared;
     /// UDP beside an upstream: its address; port 0 takes the service's.
     struct SlAddress upstream;
     /// UDP beside an upstream: sockets at most, and the silence after which
--- a/packages/transport/src/port_encap.c
+++ b/packages/transport/src/port_encap.c
@@ -25,8 +25,8 @@
     }
     self->port.type = &PORT_ENCAP;
     self->peer = options->peer;
-    status =
-        SlUdpSocket_Open(&options->listen, true, &self->descriptor, error);
+    status = SlUdpSocket_Open(&options->listen, options->shared,
+                              &self->descriptor, error);
     if (status != SL_OK) {
         free(self);
         return status;
--- a/test/port_test.c
+++ b/test/port_test.c
@@ -127,12 +127,14 @@
     struct SlAddress stranger_address;
     struct SlAddress from;
     uint8_t bytes[64];
+    struct SlPort *second;
     struct SlPort *port;
     int peer = open_socket("127.0.0.1:0", &options.peer);
     int stranger = open_socket("127.0.0.9:0", &stranger_address);
 
     options.listen = free_address("127.0.0.1:0");
     port = open_port(&options);
+    CU_ASSERT_EQUAL(SlPort_Open(&options, &second, NULL), SL_IO);
     send_to(stranger, &options.listen, "forged", 6);
     send_to(peer, &options.listen, "a packet", 8);
     CU_ASSERT_EQUAL(receive(port, batch), 1);
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -152,6 +152,10 @@
          "agent.capacity_flows", 15},
         {"slots", "slots", "syntax", 14},
         {"labels", "labels = app", "agent.labels", 16},
+        {"port_listen", "port_listen = 127.0.0.1:7100", "agent.port_listen",
+         16},
+        {"port_listen", "port_listen = [::1]:9\nport_peer = 127.0.0.1:9",
+         "agent.port_listen", 16},
         {"again", "slots = 4", "agent.slots", 16},
     };
 
