Notice late answers when they are due, not when they come

An upstream that turned cold while it kept its connections was noticed by its second late answer only. The test for it takes 250 times in place of 40, and holds the number in progress to 6.

--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -258,13 +258,17 @@
     admission->limit_exchanges = half < least ? least : half;
 }
 
-static bool
-is_late(const struct agent_admission *admission, uint64_t took_us)
+/// An answer that takes longer is late; UINT64_MAX while too few were seen.
+static uint64_t
+late_after_us(const struct agent_admission *admission)
 {
-    return admission->usual_samples >= SAMPLES_MIN &&
-           took_us > admission->usual_us * 2 &&
-           took_us >
-               admission->usual_us + 4 * admission->spread_us + LATE_SLACK_US;
+    uint64_t usual_us = admission->usual_us;
+    uint64_t spread_us = 4 * admission->spread_us + LATE_SLACK_US;
+
+    if (admission->usual_samples < SAMPLES_MIN) {
+        return UINT64_MAX;
+    }
+    return usual_us + (spread_us > usual_us ? spread_us : usual_us);
 }
 
 /// Jacobson's estimate of mean and mean deviation (RFC 6298).
@@ -320,7 +324,10 @@
 
     admission->exchanges--;
     admission->answered_us = call->now_us;
-    if (measured && is_late(admission, took_us)) {
+    if (measured && took_us > late_after_us(admission)) {
+        if (flow->flags & SL_FLOW_LATE) {
+            return VERDICT_NONE;
+        }
         return judge_bad(admission, call->now_us,
                          flow->queued < admission->slots);
     }
@@ -367,6 +374,36 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
+void
+agent_admission_late(const struct agent_call *call, const struct SlFlow *flow)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    int64_t took_us =
+        (int64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
+    enum verdict verdict;
+
+    pthread_mutex_lock(&admission->lock);
+    verdict =
+        judge_bad(admission, call->now_us, flow->queued < admission->slots);
+    tell(call, verdict, "late", took_us);
+    pthread_mutex_unlock(&admission->lock);
+}
+
+uint32_t
+agent_admission_late_ms(const struct agent_call *call)
+{
+    struct agent_admission *admission = &call->agent->admission;
+    uint64_t late_us;
+
+    pthread_mutex_lock(&admission->lock);
+    late_us = late_after_us(admission);
+    pthread_mutex_unlock(&admission->lock);
+    if (late_us >= (uint64_t)AGENT_STALL_MS * 1000) {
+        return AGENT_STALL_MS;
+    }
+    return (uint32_t)(late_us / 1000) + 1;
+}
+
 void
 agent_admission_failed(const struct agent_call *call, const char *reason)
 {
--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -189,6 +189,7 @@
         queued = agent_admission_begin(call);
         flow->queued = (uint8_t)(queued < UINT8_MAX ? queued : UINT8_MAX);
     }
+    flow->flags &= (uint16_t)~SL_FLOW_LATE;
     flow->flags |= SL_FLOW_EXCHANGE | SL_FLOW_ASKED;
     flow->exchange_ms = call->now_ms;
     agent_admission_asked(call, true);
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -436,6 +436,12 @@
 void
 agent_admission_answered(const struct agent_call *call,
                          const struct SlFlow *flow);
+/// An exchange is in progress for longer than answers usually take.
+void
+agent_admission_late(const struct agent_call *call, const struct SlFlow *flow);
+/// When an exchange that begins now will be late; at most AGENT_STALL_MS.
+uint32_t
+agent_admission_late_ms(const struct agent_call *call);
 /// The upstream failed an exchange or a handshake, or is late without having
 /// answered anybody since since_ms.
 void
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -52,6 +52,17 @@
     return (int32_t)(b_ms - a_ms) < 0 ? b_ms : a_ms;
 }
 
+/// When the exchange in progress is looked at next, after its begin.
+static uint32_t
+exchange_ms(const struct agent_call *call, const struct SlFlow *flow)
+{
+    if (!(flow->flags & SL_FLOW_ASKED)) {
+        return AGENT_EXPECT_MS;
+    }
+    return flow->flags & SL_FLOW_LATE ? AGENT_STALL_MS
+                                      : agent_admission_late_ms(call);
+}
+
 void
 agent_schedule(const struct agent_call *call, struct SlFlowShard *shard,
                struct SlFlow *flow)
@@ -66,10 +77,7 @@
         due = sooner(call, due, flow->upstream_wait_ms + silence);
     }
     if (flow->flags & SL_FLOW_EXCHANGE) {
-        due = sooner(call, due,
-                     flow->exchange_ms + (flow->flags & SL_FLOW_ASKED
-                                              ? AGENT_STALL_MS
-                                              : AGENT_EXPECT_MS));
+        due = sooner(call, due, flow->exchange_ms + exchange_ms(call, flow));
     }
     if (flow->queue == SL_FLOW_QUEUE_WHEEL &&
         (int32_t)(flow->due_ms - due) <= 0) {
@@ -147,6 +155,11 @@
         }
         return;
     }
+    if (!(flow->flags & SL_FLOW_LATE) && took_ms < AGENT_STALL_MS &&
+        took_ms >= agent_admission_late_ms(call)) {
+        flow->flags |= SL_FLOW_LATE;
+        agent_admission_late(call, flow);
+    }
     if (took_ms >= AGENT_STALL_MS && took_ms < 2 * AGENT_STALL_MS &&
         agent_admission_silent_since(call, flow->exchange_ms)) {
         agent_admission_failed(call, "stalled");
--- a/packages/state/include/savoryledge/state/flow_table.h
+++ b/packages/state/include/savoryledge/state/flow_table.h
@@ -65,6 +65,8 @@
     SL_FLOW_HAS_LAST_SEQ = 0x2000,
     /// The state of the flow before this agent's start is not known.
     SL_FLOW_ADOPTED = 0x4000,
+    /// The exchange in progress was already found to be late.
+    SL_FLOW_LATE = 0x8000,
 };
 
 /// Where a flow waits. Times are milliseconds of the caller's clock, cut to
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -91,7 +91,7 @@
     fx_close(&fx);
 }
 
-/* An upstream turns cold without a word: its answers take 40 times as long.
+/* An upstream turns cold without a word: its answers take 250 times as long.
    What is in progress there falls at once. */
 static void
 test_sudden_cold_is_noticed(void)
@@ -107,15 +107,18 @@
     SlAgent_Counters(slow->agent, &counters);
     CU_ASSERT(counters.limit_exchanges > 3);
     passed = counters.passed_on;
-    slow->service_us = 80000;
+    slow->service_us = 500000;
+    slow->busy_most = 0;
     fx_open_flows(&fx, FIRST_PORT + 6000, 500, 400);
     SlAgent_Counters(slow->agent, &counters);
-    printf("suddenly cold: limit %lu, passed on %lu, refused %u\n",
-           (unsigned long)counters.limit_exchanges,
+    printf("suddenly cold: busy at most %u, limit %lu, passed on %lu, "
+           "refused %u\n",
+           slow->busy_most, (unsigned long)counters.limit_exchanges,
            (unsigned long)(counters.passed_on - passed),
            refused(&fx, FIRST_PORT + 6000, 500));
     CU_ASSERT(slow->events[SL_EVENT_COLD] >= 1);
     CU_ASSERT(counters.limit_exchanges <= 3);
+    CU_ASSERT(slow->busy_most <= 6);
     CU_ASSERT_EQUAL(refused(&fx, FIRST_PORT + 6000, 500), 0);
     fx_close(&fx);
 }
