Ask an upstream that a selector moved away for its flows at once

Cause: an agent heard only by gossip, within 500 ms, that an upstream moved to another service still holds flows of the old one; a packet that came earlier reset its flow. Change: members that a service loses in a new table are asked like holders.

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -245,7 +245,7 @@
     SlRouting_Ref(routing);
     rcu_xchg_pointer(&agent->routing, routing);
     atomic_store(&agent->behind, false);
-    agent_peers_routing(agent, routing);
+    agent_peers_routing(agent, old, routing, now_us);
     note_own_state(&call);
     if (old != NULL) {
         synchronize_rcu();
--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -77,8 +77,53 @@
     return count;
 }
 
+/// Notes that a node holds flows of a service without being its member; the
+/// one that was heard longest ago gives way.
+static void
+note_holder(struct agent_peers *peers, uint64_t service_id, uint64_t node_id,
+            uint64_t now_us)
+{
+    struct agent_holder *holder = NULL;
+
+    for (uint32_t i = 0; i < peers->holder_count; i++) {
+        struct agent_holder *other = &peers->holders[i];
+
+        if (other->service_id == service_id && other->node_id == node_id) {
+            other->heard_us = now_us;
+            return;
+        }
+        if (holder == NULL || other->heard_us < holder->heard_us) {
+            holder = other;
+        }
+    }
+    if (peers->holder_count < AGENT_HOLDERS_MAX) {
+        holder = &peers->holders[peers->holder_count++];
+    }
+    *holder = (struct agent_holder){
+        .service_id = service_id, .node_id = node_id, .heard_us = now_us};
+}
+
+/// Members that a service has just lost are likely to hold flows of it; their
+/// own word comes later.
+static void
+note_departed(struct agent_peers *peers, const struct SlRouting *before,
+              const struct SlRouteService *service, uint64_t now_us)
+{
+    const struct SlRouteService *old =
+        SlRouting_FindServiceById(before, service->service_id);
+
+    for (uint32_t i = 0; old != NULL && i < old->member_count; i++) {
+        uint64_t node_id = old->members[i]->node_id;
+
+        if (SlRouteService_IndexOf(service, node_id) == SL_NO_MEMBER) {
+            note_holder(peers, service->service_id, node_id, now_us);
+        }
+    }
+}
+
 void
-agent_peers_routing(struct SlAgent *agent, const struct SlRouting *routing)
+agent_peers_routing(struct SlAgent *agent, const struct SlRouting *before,
+                    const struct SlRouting *routing, uint64_t now_us)
 {
     struct agent_peers *peers = &agent->peers;
     struct agent_peer *items = calloc(AGENT_PEERS_MAX, sizeof(*items));
@@ -108,36 +153,14 @@
     }
     memcpy(peers->items, items, count * sizeof(*items));
     peers->count = count;
+    for (uint32_t i = 0; before != NULL && i < SlRouting_ServiceCount(routing);
+         i++) {
+        note_departed(peers, before, SlRouting_ServiceAt(routing, i), now_us);
+    }
     pthread_mutex_unlock(&peers->lock);
     free(items);
 }
 
-/// Notes that a node holds flows of a service without being its member; the
-/// one that was heard longest ago gives way.
-static void
-note_holder(struct agent_peers *peers, uint64_t service_id, uint64_t node_id,
-            uint64_t now_us)
-{
-    struct agent_holder *holder = NULL;
-
-    for (uint32_t i = 0; i < peers->holder_count; i++) {
-        struct agent_holder *other = &peers->holders[i];
-
-        if (other->service_id == service_id && other->node_id == node_id) {
-            other->heard_us = now_us;
-            return;
-        }
-        if (holder == NULL || other->heard_us < holder->heard_us) {
-            holder = other;
-        }
-    }
-    if (peers->holder_count < AGENT_HOLDERS_MAX) {
-        holder = &peers->holders[peers->holder_count++];
-    }
-    *holder = (struct agent_holder){
-        .service_id = service_id, .node_id = node_id, .heard_us = now_us};
-}
-
 /// True when the sender's datagram tells that it holds flows of a service
 /// that is this agent's but no longer the sender's.
 static bool
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -455,7 +455,8 @@
 bool
 agent_peers_init(struct agent_peers *peers);
 void
-agent_peers_routing(struct SlAgent *agent, const struct SlRouting *routing);
+agent_peers_routing(struct SlAgent *agent, const struct SlRouting *before,
+                    const struct SlRouting *routing, uint64_t now_us);
 /// Notes the load in a datagram from another agent.
 void
 agent_peers_heard(const struct agent_call *call,
