--- a/replay/harness/upstreams.c
+++ b/replay/harness/upstreams.c
@@ -227,6 +227,11 @@
     struct SlWorld *world = node->world;
     struct SlWorldFlow *flow = &world->flows[index];
 
+    /* An upstream that died with the flow runs nothing any more. */
+    if (flow->lost && !flow->established) {
+        flow->lost = false;
+        flow->holder = WORLD_NODES_MAX;
+    }
     if (flow->holder != WORLD_NODES_MAX && flow->holder != node->index) {
         world->counts.double_start++;
         return false;
