--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -101,6 +101,31 @@
     }
 }
 
+/// Tells agents whose zone went out a moment ago that the flow came back
+/// here, so that they end it without a word to its caller. Nobody waits for
+/// their answers.
+static void
+tell_left_zones(const struct agent_call *call, const struct SlFlowKey *key,
+                const struct SlRouteService *service)
+{
+    uint64_t left_us = atomic_load(&call->agent->left_us);
+
+    if (left_us == 0 ||
+        agent_elapsed_us(call->now_us, left_us) > AGENT_LEFT_US) {
+        return;
+    }
+    for (uint32_t i = 0; i < service->member_count; i++) {
+        struct SlTunnel locate = {.kind = SL_TUNNEL_LOCATE,
+                                  .flags = SL_TUNNEL_CLAIM,
+                                  .service_id = service->service_id,
+                                  .flow = *key};
+
+        if (service->members[i]->zone_out) {
+            agent_send(call, service->members[i]->node_id, &locate);
+        }
+    }
+}
+
 void
 agent_locate_wait(const struct agent_call *call, struct SlFlow *flow,
                   const struct agent_packet *p)
@@ -234,7 +259,10 @@
     fill_search(call, flow, search, p);
     event.value = search->asked_count;
     agent_event(call, &event);
-    if (!claim) {
+    if (claim) {
+        tell_left_zones(call, &p->key, p->service);
+    }
+    else {
         search->probed = agent_probe(call, &p->key, p->packet.tcp_seq);
     }
     send_round(call, &p->key, search);
@@ -303,8 +331,31 @@
     agent_answer_reset(call, p, "unknown_flow");
 }
 
-/// Nobody has the new flow: it may be placed, unless a copy of a packet
-/// that carries payload may have reached an agent that did not answer.
+/// After a restart an entry's cache is the only word on a UDP flow: it was
+/// accepted here, and no other agent has it.
+static bool
+is_own_udp(const struct agent_call *call, const struct agent_packet *p)
+{
+    return p->packet.kind == SL_PACKET_UDP &&
+           (p->tunnel->flags & SL_TUNNEL_CACHED) &&
+           !atomic_load(&call->agent->zone_out) &&
+           agent_started_within(call, AGENT_SETTLE_US);
+}
+
+/// True when a packet that carries payload may not be placed: an agent that
+/// lives did not answer, and may hold the flow; or one that seems dead may
+/// have got a copy.
+static bool
+must_not_place(const struct agent_call *call,
+               const struct agent_search *search, const struct agent_packet *p)
+{
+    if (!agent_has_payload(&p->packet) || is_complete(search)) {
+        return false;
+    }
+    return !is_over(search) || !agent_settled(call, p, AGENT_COPY_US);
+}
+
+/// Nobody has the new flow.
 static void
 nobody_has_new(const struct agent_call *call, struct SlFlowShard *shard,
                const struct agent_search *search, struct agent_packet *p)
@@ -313,8 +364,12 @@
         agent_route(call, shard, p);
         return;
     }
-    if (agent_has_payload(&p->packet) && !is_complete(search) &&
-        !agent_settled(call, p, AGENT_COPY_US)) {
+    if (is_own_udp(call, p) && agent_adopt(call, shard, &p->key, p->service,
+                                           p->tunnel->origin) != NULL) {
+        agent_route(call, shard, p);
+        return;
+    }
+    if (must_not_place(call, search, p)) {
         agent_refuse(call, shard, p, false, "unanswered");
         return;
     }
@@ -428,6 +483,13 @@
     search->looking = false;
 }
 
+/// A claim may keep payload from its caller, so it is asked once more.
+static uint32_t
+rounds_of(const struct agent_search *search)
+{
+    return AGENT_LOCATE_ROUNDS + (search->claim ? 1 : 0);
+}
+
 void
 agent_locate_due(const struct agent_call *call, struct SlFlowShard *shard,
                  struct SlFlow *flow)
@@ -441,7 +503,7 @@
     else {
         search->round++;
     }
-    if (search->round >= AGENT_LOCATE_ROUNDS || is_over(search)) {
+    if (search->round >= rounds_of(search) || is_over(search)) {
         finish(call, shard, flow, (struct outcome){.holder = 0});
         return;
     }
