--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -73,17 +73,6 @@
     return flows < exchanges ? flows : exchanges;
 }
 
-uint32_t
-agent_admission_room(struct agent_admission *admission)
-{
-    uint32_t result;
-
-    pthread_mutex_lock(&admission->lock);
-    result = room(admission);
-    pthread_mutex_unlock(&admission->lock);
-    return result;
-}
-
 static void
 hold(struct agent_admission *admission, uint64_t service_id, int change)
 {
--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -9,8 +9,10 @@
 agent_drop(const struct agent_call *call, const struct SlFlowKey *key,
            const char *reason)
 {
-    struct SlEvent event = {
-        .number = SL_EVENT_DROP, .flow = key, .reason = reason};
+    struct SlEvent event = {.number = SL_EVENT_DROP,
+                            .flow = key,
+                            .node = call->agent->options.core.name,
+                            .reason = reason};
 
     agent_count(call->agent, COUNT_DROPPED);
     agent_event(call, &event);
--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -335,12 +335,10 @@
 /// Counts a passed flow in until the peer's next word. Every other agent of
 /// the service may be passing flows to the same peer meanwhile.
 static void
-count_in(const struct agent_call *call, const struct agent_packet *p,
-         struct choice *choice)
+count_in(const struct agent_packet *p, struct choice *choice)
 {
     uint32_t sharing = p->service->member_count;
 
-    (void)call;
     if (choice->peer == NULL) {
         return;
     }
@@ -384,7 +382,7 @@
         best = (struct choice){.rank = RANK_NONE};
     }
     if (best.rank != RANK_NONE) {
-        count_in(call, p, &best);
+        count_in(p, &best);
     }
     pthread_mutex_unlock(&peers->lock);
     return best.rank == RANK_NONE ? 0 : best.node_id;
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -458,9 +458,6 @@
 agent_admission_restart(const struct agent_call *call);
 bool
 agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms);
-/// New flows that would be admitted now.
-uint32_t
-agent_admission_room(struct agent_admission *admission);
 void
 agent_admission_load(struct SlAgent *agent, struct SlTunnel *tunnel);
 
@@ -589,8 +586,5 @@
 void
 agent_schedule(const struct agent_call *call, struct SlFlowShard *shard,
                struct SlFlow *flow);
-/// The service's bounds, or the defaults.
-uint32_t
-agent_silence_ms(const struct agent_call *call, uint64_t service_id);
 
 #endif
--- a/packages/coordination/src/agent_refuse.c
+++ b/packages/coordination/src/agent_refuse.c
@@ -90,6 +90,7 @@
                             .flow = &p->key,
                             .service =
                                 p->service != NULL ? p->service->name : NULL,
+                            .node = call->agent->options.core.name,
                             .peer = agent_node_name(call, p->tunnel->sender),
                             .reason = reason};
     uint32_t length = 0;
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -13,8 +13,9 @@
     RECHECK_MS = 1000,
 };
 
-uint32_t
-agent_silence_ms(const struct agent_call *call, uint64_t service_id)
+/// The service's bound, or the default.
+static uint32_t
+silence_ms_of(const struct agent_call *call, uint64_t service_id)
 {
     const struct SlRouteService *service =
         SlRouting_FindServiceById(call->routing, service_id);
@@ -68,7 +69,7 @@
                struct SlFlow *flow)
 {
     uint32_t due = flow->last_ms + idle_ms(call, flow);
-    uint32_t silence = agent_silence_ms(call, flow->service_id);
+    uint32_t silence = silence_ms_of(call, flow->service_id);
 
     if (flow->caller_wait_ms != 0) {
         due = sooner(call, due, flow->caller_wait_ms + silence);
@@ -174,7 +175,7 @@
 open_due(const struct agent_call *call, struct SlFlowShard *shard,
          struct SlFlow *flow)
 {
-    uint32_t silence = agent_silence_ms(call, flow->service_id);
+    uint32_t silence = silence_ms_of(call, flow->service_id);
 
     if (is_silent(call, flow, silence)) {
         end_silent(call, shard, flow, silence);
