Tell the entry of a refusal, so that it does not suspect the agent

Cause: answers leave through the entries of the agent's return path. An entry that is none of them heard nothing of an agent that only refuses, took it for silent after 500 ms, and had the second choice ask all others for each new flow, just when all were full. Change: the hint "nobody holds it" goes to the entry that the packet came by. agent_admission_test, full service refuses at once, failed before and holds now. Metrics show the entry's fragments.

--- a/packages/coordination/src/agent_flow.c
+++ b/packages/coordination/src/agent_flow.c
@@ -163,9 +163,9 @@
     return flow;
 }
 
-static void
-send_hint(const struct agent_call *call, const struct agent_packet *p,
-          uint64_t holder)
+void
+agent_hint(const struct agent_call *call, const struct agent_packet *p,
+           uint64_t holder)
 {
     struct SlTunnel hint = {
         .kind = SL_TUNNEL_HINT, .flow = p->key, .holder = holder};
@@ -252,7 +252,7 @@
     }
     deliver_bytes(call, p);
     if (!(p->tunnel->flags & SL_TUNNEL_CACHED)) {
-        send_hint(call, p, call->agent->node_id);
+        agent_hint(call, p, call->agent->node_id);
     }
     if (resets) {
         agent_end_flow(call, shard, flow, "caller_reset");
@@ -278,7 +278,7 @@
     }
     if (!agent_plausible(flow, &p->packet)) {
         if (p->tunnel->flags & SL_TUNNEL_CACHED) {
-            send_hint(call, p, 0);
+            agent_hint(call, p, 0);
         }
         agent_drop(call, &p->key, "implausible");
         return;
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -357,6 +357,10 @@
               uint64_t bound_us);
 
 /* agent_flow.c */
+/// Tells the entry that took the packet who has its flow, 0 for nobody.
+void
+agent_hint(const struct agent_call *call, const struct agent_packet *p,
+           uint64_t holder);
 /// Opens a flow for the upstream and delivers its first packet.
 bool
 agent_open_flow(const struct agent_call *call, struct SlFlowShard *shard,
--- a/packages/coordination/src/agent_refuse.c
+++ b/packages/coordination/src/agent_refuse.c
@@ -12,6 +12,9 @@
     uint64_t service_id = p->service != NULL ? p->service->service_id : 0;
 
     if (length_bytes != 0) {
+        /* The answer may leave through another entry than the packet came
+           by, which would take this agent for silent. */
+        agent_hint(call, p, 0);
         agent_return(call, service_id, p->tunnel->origin, bytes, length_bytes);
     }
 }
--- a/packages/daemon/src/shell_text.c
+++ b/packages/daemon/src/shell_text.c
@@ -161,6 +161,7 @@
     put_count(out, "entry_malformed", counters.malformed);
     put_count(out, "entry_too_big", counters.too_big);
     put_count(out, "entry_skipped", counters.skipped);
+    put_count(out, "entry_fragments", counters.fragments);
     put_count(out, "entry_cache_bytes", counters.cache_bytes);
 }
 
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -161,12 +161,16 @@
 {
     struct fixture fx;
     uint32_t first = 0;
+    uint64_t hints;
 
     fx_open(&fx, "workroom");
     fx_open_flows(&fx, FIRST_PORT, FLOWS, 200);
     CU_ASSERT_EQUAL(FX_TOTAL(&fx, open_flows), FLOWS);
+    hints = fx.hints;
     fx_syn(&fx, 0, 30000);
     fx_run(&fx, 100000);
+    /* The entry hears of it too, else it would take the home for dead. */
+    CU_ASSERT_EQUAL(fx.hints, hints + 1);
     CU_ASSERT(fx.callers[30000].refused);
     CU_ASSERT_EQUAL(fx_receivers(&fx, 30000, &first), 0);
     CU_ASSERT_PTR_NULL(fx_holder(&fx, 30000));
