Explain flows, upstreams, zones and processes out of logs and recordings

savoryledgectl explain tells each decision in a sentence with its time, reason and version; with recordings of a zone's agents also who still sent after the zone was taken out and for how long.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -57,6 +57,14 @@
     return values[count / 2];
 }
 
+/// The lower quartile: what a measurement costs when little disturbs it.
+static inline double
+bench_quartile(double *values, size_t count)
+{
+    qsort(values, count, sizeof(*values), bench_compare);
+    return values[count / 4];
+}
+
 static inline struct SlAddress
 bench_address(const char *text)
 {
--- a/packages/ctl/src/ctl.h
+++ b/packages/ctl/src/ctl.h
@@ -167,6 +167,14 @@
 SlCtl_RecordOff(struct SlCtl *ctl);
 int
 SlCtl_KeyNew(struct SlCtl *ctl);
+int
+SlCtl_ExplainFlow(struct SlCtl *ctl);
+int
+SlCtl_ExplainUpstream(struct SlCtl *ctl);
+int
+SlCtl_ExplainZone(struct SlCtl *ctl);
+int
+SlCtl_ExplainProcess(struct SlCtl *ctl);
 
 /* Output. */
 void
