--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Front door: each target installs what it needs and builds first.
 
-.PHONY: all setup build demo check replay bench fuzz lint report install clean
+.PHONY: all setup build demo check replay bench fuzz lint report faults \
+	kill-rounds install clean
 
 all: build
 
@@ -29,6 +30,12 @@
 report: build
 	@scripts/report.sh build
 
+faults: build
+	@scripts/faults-together.sh build
+
+kill-rounds: build
+	@scripts/kill-rounds.sh build 200
+
 lint: build
 	@scripts/lint.sh build
 
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -4,13 +4,13 @@
 #include <fcntl.h>
 #include <inttypes.h>
 #include <malloc.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "bench.h"
 #include "control_world.h"
 #include "fault_files.h"
 #include "savoryledge/coordination/replica.h"
+#include "savoryledge/transport/loop.h"
 
 enum {
     BATCHES = 400,
@@ -36,10 +36,7 @@
 static double
 seconds(void)
 {
-    struct timespec time;
-
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    return (double)time.tv_sec + (double)time.tv_nsec / 1e9;
+    return (double)SlClock_Monotonic() / 1e6;
 }
 
 static void
--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -14,8 +14,9 @@
 enum {
     RING_LINES = 8192,
     /// The writer looks at the ring at least this often.
-    WRITE_PAUSE_NS = 10 * 1000 * 1000,
-    NS_PER_SECOND = 1000 * 1000 * 1000,
+    WRITE_PAUSE_US = 10 * 1000,
+    US_PER_SECOND = 1000 * 1000,
+    NS_PER_US = 1000,
     CHUNK_BYTES = 64 * 1024,
     /// What a pipe that polls as writable takes without waiting.
     WRITE_BYTES = 4096,
@@ -119,14 +120,11 @@
 static void
 wait_for_lines(struct SlLog *log)
 {
-    struct timespec until;
+    uint64_t until_us = SlClock_Monotonic() + WRITE_PAUSE_US;
+    struct timespec until = {.tv_sec = (time_t)(until_us / US_PER_SECOND),
+                             .tv_nsec = (long)(until_us % US_PER_SECOND) *
+                                        NS_PER_US};
 
-    clock_gettime(CLOCK_REALTIME, &until);
-    until.tv_nsec += WRITE_PAUSE_NS;
-    if (until.tv_nsec >= NS_PER_SECOND) {
-        until.tv_nsec -= NS_PER_SECOND;
-        until.tv_sec++;
-    }
     pthread_cond_timedwait(&log->filled, &log->lock, &until);
 }
 
@@ -152,6 +150,19 @@
     return NULL;
 }
 
+/// Waits go by the monotonic clock: a jump of the wall clock must not hold
+/// lines back.
+static void
+init_condition(pthread_cond_t *condition)
+{
+    pthread_condattr_t attributes;
+
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(condition, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
+
 struct SlLog *
 SlLog_Create(int descriptor, enum SlLevel level)
 {
@@ -164,7 +175,7 @@
     atomic_init(&log->level, (int)level);
     log->ring = calloc(RING_LINES, sizeof(*log->ring));
     pthread_mutex_init(&log->lock, NULL);
-    pthread_cond_init(&log->filled, NULL);
+    init_condition(&log->filled);
     if (log->ring == NULL ||
         pthread_create(&log->writer, NULL, run_writer, log) != 0) {
         free(log->ring);
