Take the threaded test's ports at an address of its own

A landing failed: the free port that the test had found on 127.0.0.1 was taken by a connection's own end before the process listened there.

--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -122,8 +122,8 @@
 {
     uint64_t until_us = SlClock_Monotonic() + WRITE_PAUSE_US;
     struct timespec until = {.tv_sec = (time_t)(until_us / US_PER_SECOND),
-                             .tv_nsec = (long)(until_us % US_PER_SECOND) *
-                                        NS_PER_US};
+                             .tv_nsec =
+                                 (long)(until_us % US_PER_SECOND) * NS_PER_US};
 
     pthread_cond_timedwait(&log->filled, &log->lock, &until);
 }
--- a/test/shell_thread_test.c
+++ b/test/shell_thread_test.c
@@ -44,11 +44,17 @@
     return descriptor;
 }
 
+/// A free port at a loopback address of this process alone: on 127.0.0.1 it
+/// could be taken before it is used, by any connection's own end.
 static struct SlAddress
-free_address(const char *text)
+free_address(void)
 {
     struct SlAddress address;
+    char text[SL_ADDRESS_TEXT_BYTES];
+    unsigned pid = (unsigned)getpid();
 
+    snprintf(text, sizeof(text), "127.%u.%u.%u:0", 64 + (pid >> 16) % 64,
+             (pid >> 8) % 256, 1 + pid % 254);
     close(open_socket(text, &address));
     return address;
 }
@@ -73,9 +79,9 @@
                   .capacity_flows = 100},
         .keyring = {.count = 1},
     };
-    settings->node.tunnel = free_address("127.0.0.1:0");
-    settings->node.link = free_address("127.0.0.1:0");
-    process->service = free_address("127.0.0.1:0");
+    settings->node.tunnel = free_address();
+    settings->node.link = free_address();
+    process->service = free_address();
     process->upstream =
         open_socket("127.0.0.1:0", &settings->agent.port.upstream);
     snprintf(settings->control.data_folder, SETTINGS_PATH_BYTES, "%s",
