--- a/packages/state/include/savoryledge/state/files.h
+++ b/packages/state/include/savoryledge/state/files.h
@@ -16,7 +16,8 @@
     /// openat(2), with mode 0600.
     int (*open)(struct SlFiles *files, int folder, const char *name,
                 int flags);
-    /// flock(2), exclusive and without waiting.
+    /// flock(2), exclusive. Waits at most two seconds: a process that was
+    /// killed may still be on its way out.
     int (*lock)(struct SlFiles *files, int fd);
     ssize_t (*read)(struct SlFiles *files, int fd, void *bytes,
                     size_t length_bytes);
--- a/packages/state/src/files.c
+++ b/packages/state/src/files.c
@@ -1,10 +1,17 @@
 #include "savoryledge/state/files.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <sys/file.h>
+#include <time.h>
 #include <unistd.h>
 
+enum {
+    LOCK_TRIES = 100,
+    LOCK_PAUSE_NS = 20 * 1000 * 1000,
+};
+
 static int
 files_open_system(struct SlFiles *files, int folder, const char *name,
                   int flags)
@@ -16,8 +23,16 @@
 static int
 files_lock_system(struct SlFiles *files, int fd)
 {
+    struct timespec pause = {.tv_nsec = LOCK_PAUSE_NS};
+
     (void)files;
-    return flock(fd, LOCK_EX | LOCK_NB);
+    for (int i = 1; flock(fd, LOCK_EX | LOCK_NB) != 0; i++) {
+        if (errno != EWOULDBLOCK || i == LOCK_TRIES) {
+            return -1;
+        }
+        nanosleep(&pause, NULL);
+    }
+    return 0;
 }
 
 static ssize_t
--- a/test/fault_files.h
+++ b/test/fault_files.h
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -54,7 +55,7 @@
 lock_fault(struct SlFiles *files, int fd)
 {
     (void)files;
-    return SlFiles_System()->type->lock(SlFiles_System(), fd);
+    return flock(fd, LOCK_EX | LOCK_NB);
 }
 
 static ssize_t
--- a/test/storage_test.c
+++ b/test/storage_test.c
@@ -1,6 +1,9 @@
 /* Durable state: what was acknowledged is found again after a crash at any
  * file call; damage is refused and left as it is. */
 
+#include <pthread.h>
+#include <time.h>
+
 #include "fault_files.h"
 #include "savoryledge/state/storage.h"
 #include "test.h"
@@ -268,16 +271,45 @@
 {
     struct SlStorage *storage;
     struct SlStorage *other = NULL;
+    struct fault_files files;
     struct SlError error;
 
     write_three_batches();
     storage = open_storage();
-    CU_ASSERT_EQUAL(open_with(SlFiles_System(), &other, &error), SL_IO);
+    fault_files_init(&files, 0, 0);
+    CU_ASSERT_EQUAL(open_with(&files.files, &other, &error), SL_IO);
     SlStorage_Destroy(storage);
     CU_ASSERT_EQUAL(SlStorage_OpenFolder(path, NODE + 1, 1, &other, &error),
                     SL_INVALID);
 }
 
+static void *
+close_later(void *storage)
+{
+    struct timespec pause = {.tv_nsec = 100 * 1000 * 1000};
+
+    nanosleep(&pause, NULL);
+    SlStorage_Destroy(storage);
+    return NULL;
+}
+
+/// A process that is killed and started again at once finds its folder busy
+/// for a moment; the start waits for it.
+static void
+test_folder_busy_for_a_moment(void)
+{
+    struct SlStorage *storage;
+    pthread_t thread;
+
+    write_three_batches();
+    CU_ASSERT_EQUAL_FATAL(
+        pthread_create(&thread, NULL, close_later, open_storage()), 0);
+    storage = open_storage();
+    pthread_join(thread, NULL);
+    CU_ASSERT_EQUAL(last_of(storage), 6);
+    SlStorage_Destroy(storage);
+}
+
 /// What a run of the script was told to be durable.
 struct promise {
     uint64_t synced;
@@ -482,6 +514,7 @@
         {"damage is refused", test_damage_is_refused},
         {"a missing file is refused", test_missing_file_is_refused},
         {"a foreign or busy folder is refused", test_foreign_and_busy_folder},
+        {"a folder busy for a moment", test_folder_busy_for_a_moment},
         {"crash at any call", test_crash_at_any_call},
         {"crash at the first start", test_crash_at_first_start},
         {"full disk", test_full_disk},
