--- a/packages/ctl/src/ctl.h
+++ b/packages/ctl/src/ctl.h
@@ -25,7 +25,7 @@
 
 enum {
     SL_CTL_ADDRESSES_MAX = 16,
-    SL_CTL_WORDS_MAX = 24,
+    SL_CTL_WORDS_MAX = 256,
 };
 
 struct SlCtlOptions {
--- a/replay/harness/measure.c
+++ b/replay/harness/measure.c
@@ -247,6 +247,35 @@
     return worst;
 }
 
+/// The imbalance that rendezvous hashing alone gives for the same flows.
+static double
+rendezvous_imbalance(const struct SlWorld *world)
+{
+    double worst = 0.0;
+
+    for (uint32_t s = 0; s < world->service_count; s++) {
+        uint32_t flows[WORLD_NODES_MAX + 1] = {0};
+        uint32_t most = 0;
+        uint32_t used = 0;
+        uint64_t sum = 0;
+
+        for (uint32_t i = 0; i < world->flow_count; i++) {
+            if (world->flows[i].service == s) {
+                flows[world->flows[i].rendezvous]++;
+            }
+        }
+        for (uint32_t i = 0; i < WORLD_NODES_MAX; i++) {
+            most = flows[i] > most ? flows[i] : most;
+            sum += flows[i];
+            used += flows[i] > 0;
+        }
+        if (sum > 0 && (double)most * used / (double)sum > worst) {
+            worst = (double)most * used / (double)sum;
+        }
+    }
+    return worst;
+}
+
 struct figure {
     const char *name;
     double value;
@@ -283,6 +312,7 @@
         {"silent_found", (double)counts->silent_found},
         {"silent_reset", (double)counts->silent_reset},
         {"imbalance", worst_of(world)},
+        {"rendezvous_imbalance", rendezvous_imbalance(world)},
         {"worst_window", worst_window(world)},
         {"back_to_normal_s", back_to_normal_s(world)},
         {"open", (double)open_flows(world)},
