--- a/packages/coordination/src/control_seen.c
+++ b/packages/coordination/src/control_seen.c
@@ -49,7 +49,8 @@
     }
     if (table->count == table->room) {
         uint32_t room = table->room ? table->room * 2 : SEEN_FIRST_ROOM;
-        struct SlSeen **items = realloc(table->items, room * sizeof(*items));
+        struct SlSeen **items =
+            realloc(table->items, room * sizeof(struct SlSeen *));
 
         if (items == NULL) {
             return NULL;
