--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -5,9 +5,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
-#include <unistd.h>
 
+#include "settings_check.h"
 #include "settings_value.h"
 
 enum {
@@ -88,15 +87,8 @@
     KEY_COUNT = sizeof(KEYS) / sizeof(KEYS[0]),
 };
 
-/// What is known while a file is read.
-struct reading {
-    const char *text;
-    uint32_t line;
-    struct SlSettings *settings;
-    struct SlFaults *faults;
-    /// The line of each key that was given, 0 if none.
-    uint32_t given[KEY_COUNT];
-};
+_Static_assert((int)KEY_COUNT <= (int)SETTINGS_KEYS_MAX,
+               "every key has a place for its line");
 
 void
 SlFaults_Add(struct SlFaults *faults, uint32_t line, const char *key,
@@ -372,207 +364,15 @@
     }
 }
 
-static uint32_t
-line_of(const struct reading *reading, const char *section, const char *name)
+uint32_t
+settings_line(const struct reading *reading, const char *section,
+              const char *name)
 {
     const struct key *key = find_key(section, name);
 
     return reading->given[key - KEYS];
 }
 
-static void
-need_port_key(const struct reading *reading, const char *section,
-              const char *name, const char *kind)
-{
-    char key[SETTINGS_TEXT_BYTES];
-    char allowed[SETTINGS_TEXT_BYTES];
-
-    if (line_of(reading, section, name) == 0) {
-        snprintf(key, sizeof(key), "%s.%s", section, name);
-        snprintf(allowed, sizeof(allowed), "a value, as %s.port is %s",
-                 section, kind);
-        SlFaults_Add(reading->faults, 0, key, allowed, "nothing");
-    }
-}
-
-static void
-check_port(const struct reading *reading, const char *section,
-           const struct SlPortSettings *port)
-{
-    if (line_of(reading, section, "port") == 0) {
-        return;
-    }
-    switch (port->kind) {
-    case SL_PORT_ENCAP:
-        need_port_key(reading, section, "port_listen", "encap");
-        need_port_key(reading, section, "port_peer", "encap");
-        break;
-    case SL_PORT_TUN:
-        need_port_key(reading, section, "tun_device", "tun");
-        break;
-    case SL_PORT_UDP:
-        if (strcmp(section, "agent") == 0) {
-            need_port_key(reading, section, "upstream", "udp");
-        }
-        break;
-    case SL_PORT_KIND_COUNT:
-        break;
-    }
-}
-
-static void
-check_key_file(const struct reading *reading, const char *name,
-               const char *path)
-{
-    struct SlKeyring *keyring = &reading->settings->keyring;
-    struct SlError error;
-    char key[SETTINGS_TEXT_BYTES];
-
-    if (path[0] == '\0') {
-        return;
-    }
-    if (SlKey_Load(path, &keyring->items[keyring->count], &error) == SL_OK) {
-        keyring->count++;
-        return;
-    }
-    snprintf(key, sizeof(key), "security.%s", name);
-    SlFaults_Add(reading->faults, line_of(reading, "security", name), key,
-                 "a file of 64 hexadecimal digits with mode 0600 or 0400",
-                 "that %s", error.message);
-}
-
-static void
-check_data_folder(const struct reading *reading)
-{
-    const char *path = reading->settings->control.data_folder;
-    struct stat info;
-
-    if (path[0] == '\0' ||
-        !(reading->settings->node.roles & SL_ROLE_CONTROL)) {
-        return;
-    }
-    if (stat(path, &info) != 0 || !S_ISDIR(info.st_mode) ||
-        access(path, R_OK | W_OK | X_OK) != 0) {
-        SlFaults_Add(reading->faults,
-                     line_of(reading, "control", "data_folder"),
-                     "control.data_folder",
-                     "an existing folder that the process may write to",
-                     "\"%s\"", path);
-    }
-}
-
-static bool
-is_member(const struct SlSettings *settings)
-{
-    for (uint32_t i = 0; i < settings->control.members.count; i++) {
-        if (strcmp(settings->control.members.items[i].name,
-                   settings->node.name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-check_bootstrap(const struct reading *reading)
-{
-    const struct SlSettings *settings = reading->settings;
-
-    if (settings->control.bootstrap && !is_member(settings)) {
-        SlFaults_Add(reading->faults, line_of(reading, "control", "bootstrap"),
-                     "control.bootstrap",
-                     "yes only where control.members names this process",
-                     "yes");
-    }
-}
-
-static bool
-is_any(const struct SlAddress *address)
-{
-    struct SlAddress any4;
-    struct SlAddress any6;
-
-    SlAddress_Parse("0.0.0.0", &any4);
-    SlAddress_Parse("[::]", &any6);
-    return memcmp(address->ip, any4.ip, sizeof(any4.ip)) == 0 ||
-           memcmp(address->ip, any6.ip, sizeof(any6.ip)) == 0;
-}
-
-static void
-check_reachable(const struct reading *reading, const char *name,
-                const struct SlAddress *address)
-{
-    char key[SETTINGS_TEXT_BYTES];
-
-    if (line_of(reading, "node", name) == 0 ||
-        line_of(reading, "node", "advertise") != 0 || !is_any(address)) {
-        return;
-    }
-    snprintf(key, sizeof(key), "node.%s", name);
-    SlFaults_Add(reading->faults, line_of(reading, "node", name), key,
-                 "an address that others reach, or node.advertise",
-                 "an address of no host");
-}
-
-static void
-check_differ(const struct reading *reading, const char *section,
-             const struct SlPortSettings *port)
-{
-    char key[SETTINGS_TEXT_BYTES];
-
-    if (line_of(reading, section, "port_listen") == 0) {
-        return;
-    }
-    snprintf(key, sizeof(key), "%s.port_listen", section);
-    if (SlAddress_Equal(&port->listen, &reading->settings->node.tunnel)) {
-        SlFaults_Add(reading->faults, line_of(reading, section, "port_listen"),
-                     key, "an address other than node.tunnel",
-                     "the address of node.tunnel");
-    }
-    if (line_of(reading, section, "port_peer") != 0 &&
-        SlAddress_IsIpv4(&port->listen) != SlAddress_IsIpv4(&port->peer)) {
-        SlFaults_Add(reading->faults, line_of(reading, section, "port_listen"),
-                     key, "the IP version of port_peer", "another IP version");
-    }
-}
-
-static void
-check_advertise(const struct reading *reading)
-{
-    const struct SlSettings *settings = reading->settings;
-    uint32_t line = line_of(reading, "node", "advertise");
-
-    if (line != 0 && SlAddress_IsIpv4(&settings->node.advertise) !=
-                         SlAddress_IsIpv4(&settings->node.tunnel)) {
-        SlFaults_Add(reading->faults, line, "node.advertise",
-                     "the IP version of node.tunnel", "another IP version");
-    }
-}
-
-static void
-check_whole(const struct reading *reading)
-{
-    const struct SlSettings *settings = reading->settings;
-
-    find_missing(reading);
-    if (settings->node.roles & SL_ROLE_ENTRY) {
-        check_port(reading, "entry", &settings->entry.port);
-    }
-    if (settings->node.roles & SL_ROLE_AGENT) {
-        check_port(reading, "agent", &settings->agent.port);
-    }
-    check_key_file(reading, "key_file", settings->security.key_file);
-    check_key_file(reading, "second_key_file",
-                   settings->security.second_key_file);
-    check_data_folder(reading);
-    check_bootstrap(reading);
-    check_differ(reading, "entry", &settings->entry.port);
-    check_differ(reading, "agent", &settings->agent.port);
-    check_advertise(reading);
-    check_reachable(reading, "tunnel", &settings->node.tunnel);
-    check_reachable(reading, "link", &settings->node.link);
-}
-
 static void
 set_defaults(struct SlSettings *settings)
 {
@@ -601,6 +401,7 @@
     find_broken_lines(text, faults);
     reading.text = text;
     ini_parse_stream(next_line, &reading, handle_pair, &reading);
-    check_whole(&reading);
+    find_missing(&reading);
+    settings_check(&reading);
     free(text);
 }
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -267,7 +267,7 @@
                   .number = SL_EVENT_STOPPING,
                   .now_us = now_us,
                   .reason = "signal",
-                  .limit = (int64_t)shell->settings.node.stop_timeout_ms *
+                  .value = (int64_t)shell->settings.node.stop_timeout_ms *
                            US_PER_MS});
     give_control_input(shell, SL_INPUT_STOP, now_us);
     shell->has_inputs = true;
