Return an upstream's fragments to the caller

The agent dropped them. The first fragment of a UDP datagram names the flow and counts as its answer; those that follow within 2 s go the same way as they are. Bounded: the last 64 datagrams. Fragments of TCP stay dropped.

--- a/packages/coordination/src/agent.c
+++ b/packages/coordination/src/agent.c
@@ -163,7 +163,9 @@
     if (!agent_admission_init(&agent->admission, options, now_us) ||
         !agent_peers_init(&agent->peers) ||
         !agent_searches_init(&agent->searches) ||
-        !agent_paths_init(&agent->paths) || !init_table(agent, now_us)) {
+        !agent_paths_init(&agent->paths) ||
+        !agent_fragments_init(&agent->fragments) ||
+        !init_table(agent, now_us)) {
         SlAgent_Destroy(agent);
         return NULL;
     }
@@ -183,6 +185,7 @@
     pthread_mutex_destroy(&agent->peers.lock);
     pthread_mutex_destroy(&agent->searches.lock);
     pthread_mutex_destroy(&agent->paths.lock);
+    pthread_mutex_destroy(&agent->fragments.lock);
     free(agent);
 }
 
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -57,6 +57,7 @@
     AGENT_PEERS_MAX = 512,
     AGENT_HOLDERS_MAX = 64,
     AGENT_SERVICES_MAX = 64,
+    AGENT_FRAGMENTS = 64,
     AGENT_DUE_PER_TICK = 4096,
     /// Zone out: the flows are ended over this many ticks.
     AGENT_LEAVE_TICKS = 50,
@@ -213,6 +214,24 @@
     uint32_t offset;
 };
 
+/// A datagram of the upstream whose first fragment was returned.
+struct agent_fragmented {
+    struct SlFlowKey flow;
+    uint32_t id;
+    uint64_t service_id;
+    /// The entry that forwarded last for the flow.
+    uint64_t entry;
+    /// 0: a free place.
+    uint64_t seen_us;
+};
+
+/// The latest of them.
+struct agent_fragments {
+    pthread_mutex_t lock;
+    uint32_t next;
+    struct agent_fragmented items[AGENT_FRAGMENTS];
+};
+
 struct SlAgent {
     struct SlAgentOptions options;
     uint64_t node_id;
@@ -226,6 +245,7 @@
     struct agent_peers peers;
     struct agent_searches searches;
     struct agent_paths paths;
+    struct agent_fragments fragments;
     atomic_bool stopping;
     /// From the routing table: this node's zone is out, it drains.
     atomic_bool zone_out;
@@ -553,6 +573,21 @@
 void
 agent_handle_locate(const struct agent_call *call,
                     const struct SlTunnel *tunnel);
+/* agent_fragment.c */
+bool
+agent_fragments_init(struct agent_fragments *fragments);
+/// Turns the first fragment of a UDP datagram into a view with ports, as far
+/// as it goes; false for any other fragment.
+bool
+agent_fragment_opens(struct SlPacket *packet);
+/// Notes a first fragment that is being returned for an open flow.
+void
+agent_fragments_note(const struct agent_call *call,
+                     const struct SlPacket *packet, const struct SlFlow *flow);
+/// Returns a later fragment after its first.
+void
+agent_fragments_return(const struct agent_call *call,
+                       const struct SlPacket *fragment);
 /* agent_refuse.c */
 /// Refuses a new flow. not_run: nothing was delivered anywhere.
 void
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -171,15 +171,19 @@
     struct SlFlowKey key;
 
     if (call->routing == NULL ||
-        SlPacket_Parse(bytes, length_bytes, &packet) != SL_OK ||
-        packet.kind == SL_PACKET_FRAGMENT) {
+        SlPacket_Parse(bytes, length_bytes, &packet) != SL_OK) {
         agent_drop(call, NULL, "upstream_packet");
         return;
     }
+    if (packet.kind == SL_PACKET_FRAGMENT && !agent_fragment_opens(&packet)) {
+        agent_fragments_return(call, &packet);
+        return;
+    }
     SlPacket_UpstreamKey(&packet, &key);
     shard = SlFlowTable_Lock(call->agent->table, &key);
     flow = SlFlowShard_Find(shard, &key);
     if (flow != NULL && flow->kind == SL_FLOW_OPEN) {
+        agent_fragments_note(call, &packet, flow);
         upstream_open(call, shard, flow, &packet);
     }
     else if (flow != NULL && flow->kind == SL_FLOW_ENDED) {
