--- a/packages/protocol/src/tunnel.c
+++ b/packages/protocol/src/tunnel.c
@@ -65,6 +65,33 @@
     bool full;
 };
 
+/// Numbers come as 1, 2, 3, 5 or 9 bytes: copies of a known length are much
+/// cheaper than calls, and this is done for each field of each datagram.
+static void
+copy_field(uint8_t *to, const char *from, size_t length_bytes)
+{
+    switch (length_bytes) {
+    case 1:
+        *to = (uint8_t)*from;
+        break;
+    case 2:
+        memcpy(to, from, 2);
+        break;
+    case 3:
+        memcpy(to, from, 3);
+        break;
+    case 5:
+        memcpy(to, from, 5);
+        break;
+    case 9:
+        memcpy(to, from, 9);
+        break;
+    default:
+        memcpy(to, from, length_bytes);
+        break;
+    }
+}
+
 static int
 write_to_room(void *data, const char *bytes, size_t length_bytes)
 {
@@ -74,7 +101,7 @@
         room->full = true;
         return -1;
     }
-    memcpy(room->bytes + room->used_bytes, bytes, length_bytes);
+    copy_field(room->bytes + room->used_bytes, bytes, length_bytes);
     room->used_bytes += (uint32_t)length_bytes;
     return 0;
 }
