Let datagrams of an entry say that it is cut off

Agents already asked each other about new flows from such an entry, but nothing ever set the flag. SlEntry_SetCutOff is new; SlNode calls it on each tick.

--- a/packages/coordination/include/savoryledge/coordination/entry.h
+++ b/packages/coordination/include/savoryledge/coordination/entry.h
@@ -58,6 +58,11 @@
 SlEntry_SetRouting(struct SlEntry *entry, struct SlSink *sink, uint64_t now_us,
                    struct SlRouting *routing);
 
+/// Tells whether the process is cut off from control: then its datagrams say
+/// so, and agents ask each other before they admit what it sends. Any thread.
+void
+SlEntry_SetCutOff(struct SlEntry *entry, bool cut_off);
+
 /// Handles CALLER_PACKET, TUNNEL (RETURN, HINT, PING, FRAGMENT) and TICK;
 /// ignores the rest. Any number of threads, each registered with liburcu, each
 /// with its own sink.
--- a/packages/coordination/src/entry.c
+++ b/packages/coordination/src/entry.c
@@ -93,11 +93,23 @@
     }
 }
 
+void
+SlEntry_SetCutOff(struct SlEntry *entry, bool cut_off)
+{
+    atomic_store(&entry->cut_off, cut_off);
+}
+
 struct SlTunnel
 entry_tunnel(const struct entry_call *call, enum SlTunnelKind kind)
 {
+    uint32_t flags =
+        atomic_load_explicit(&call->entry->cut_off, memory_order_relaxed)
+            ? SL_TUNNEL_CUT_OFF
+            : 0;
+
     return (struct SlTunnel){.kind = kind,
                              .sender = call->entry->node_id,
+                             .flags = flags,
                              .version =
                                  SlRouting_Version(call->view->routing)};
 }
--- a/packages/coordination/src/entry_internal.h
+++ b/packages/coordination/src/entry_internal.h
@@ -54,6 +54,7 @@
     _Atomic(struct entry_view *) view;
     /// Stands for the grace periods of view.
     char grace;
+    atomic_bool cut_off;
     pthread_mutex_t reassembly_lock;
     struct SlReassembly *reassembly;
     /// Failures reported in the present second; the rest is only counted.
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -340,6 +340,8 @@
     run_local_link(node, sink, input);
     refresh_routing(node, sink, input->now_us);
     if (input->kind == SL_INPUT_TICK && node->entry != NULL) {
+        SlEntry_SetCutOff(node->entry,
+                          SlReplica_CutOff(node->replica, input->now_us));
         SlEntry_Handle(node->entry, sink, input);
     }
     if (node->agent != NULL &&
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -178,6 +178,25 @@
     close_bench(&bench);
 }
 
+static void
+test_cut_off_entry_says_so(void)
+{
+    struct bench bench;
+
+    open_bench(&bench);
+    SlEntry_SetCutOff(bench.entry, true);
+    give_tcp(&bench, 4000, SL_TCP_SYN);
+    CU_ASSERT_EQUAL(bench.out.tunnel.flags, SL_TUNNEL_CUT_OFF);
+    give_hint(&bench, 4000, "workroom-3", "workroom-3");
+    give_tcp(&bench, 4000, SL_TCP_ACK);
+    CU_ASSERT_EQUAL(bench.out.tunnel.flags,
+                    SL_TUNNEL_CUT_OFF | SL_TUNNEL_CACHED);
+    SlEntry_SetCutOff(bench.entry, false);
+    give_tcp(&bench, 4000, SL_TCP_SYN);
+    CU_ASSERT_EQUAL(bench.out.tunnel.flags, 0);
+    close_bench(&bench);
+}
+
 static void
 test_cache_follows_hints_alone(void)
 {
@@ -637,6 +656,7 @@
 {
     static const struct test_case CASES[] = {
         {"new flow goes home", test_new_flow_goes_home},
+        {"cut off entry says so", test_cut_off_entry_says_so},
         {"cache follows hints alone", test_cache_follows_hints_alone},
         {"drained holder keeps its flow", test_drained_holder_keeps_its_flow},
         {"zone out gets nothing", test_zone_out_gets_nothing},
