Give processes of a dead control instance time to find another

Cause: processes that only a dead instance had heard counted as silent from its last word on, and after a link's end had but half the bound to reconnect; a replica may need one and a half seconds, so a slow one was marked unreachable although it never was. Change: such processes have one more bound; a lost link counts from its report. What is not heard counts as suspect when a mass loss is judged. The fault schedules now also stop leaders, change the membership, and run seven members.

--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -96,7 +96,7 @@
 
     if (seen != NULL && seen->heard && seen->via == via) {
         seen->heard = false;
-        seen->at_us = control->now_us - suspect_us(control);
+        seen->at_us = control->now_us;
     }
 }
 
@@ -262,7 +262,9 @@
     }
 }
 
-/// How long nobody has heard from the process.
+/// How long nobody has heard from the process. One that another instance
+/// heard, and that instance fell silent, has the time of one more bound to
+/// find a third.
 static uint64_t
 silent_us(struct SlControl *control, const struct SlSeen *seen)
 {
@@ -272,8 +274,9 @@
     if (seen->heard && seen->via != 0) {
         via = SlRaft_Progress(&control->raft, seen->via);
         at_us = via != NULL ? via->heard_us : seen->at_us;
+        at_us += control->options.unreachable_us;
     }
-    return control->now_us - at_us;
+    return at_us < control->now_us ? control->now_us - at_us : 0;
 }
 
 static void
@@ -343,15 +346,27 @@
 /// What one look at all processes found.
 struct reach_count {
     uint32_t known;
+    uint32_t suspect;
     uint32_t silent;
     uint32_t marked_lately;
 };
 
 static bool
 is_silent(struct SlControl *control, const struct SlObject *node,
-          const struct SlSeen *seen, uint64_t limit_us)
+          const struct SlSeen *seen)
+{
+    return !node->node.unreachable &&
+           silent_us(control, seen) > control->options.unreachable_us;
+}
+
+/// True for what may be lost: counted before it is judged, so that a loss of
+/// many is seen as one though their silence is noticed one by one.
+static bool
+is_suspect(struct SlControl *control, const struct SlObject *node,
+           const struct SlSeen *seen)
 {
-    return !node->node.unreachable && silent_us(control, seen) > limit_us;
+    return !node->node.unreachable &&
+           (!seen->heard || silent_us(control, seen) > suspect_us(control));
 }
 
 /// The entry of a process of the configuration; one that this leader has not
@@ -389,7 +404,8 @@
         lately = node->node.unreachable && seen->marked_us != 0 &&
                  control->now_us - seen->marked_us < LOSS_WINDOW_US;
         count.known += !node->node.unreachable || lately;
-        count.silent += is_silent(control, node, seen, suspect_us(control));
+        count.suspect += is_suspect(control, node, seen);
+        count.silent += is_silent(control, node, seen);
         count.marked_lately += lately;
     }
     return count;
@@ -399,7 +415,7 @@
 static bool
 hold_loss(struct SlControl *control, const struct reach_count *count)
 {
-    uint32_t lost = count->silent + count->marked_lately;
+    uint32_t lost = count->suspect + count->marked_lately;
     bool held = count->silent > 0 && lost > LOSS_HELD_NODES &&
                 lost * 100 > count->known * LOSS_HELD_PERCENT;
     struct SlEvent event = {.number = SL_EVENT_LOSS_HELD,
@@ -428,8 +444,7 @@
         silent <= control->options.unreachable_us) {
         propose_reach(control, seen, false, silent);
     }
-    else if (is_silent(control, node, seen, control->options.unreachable_us) &&
-             (!held || node->node.leaving)) {
+    else if (is_silent(control, node, seen) && (!held || node->node.leaving)) {
         propose_reach(control, seen, true, silent);
     }
 }
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -277,6 +277,35 @@
     destroy_lab(lab);
 }
 
+/// A control instance dies: the few processes that it alone heard have time
+/// to find another before they count as lost.
+static void
+test_control_takes_no_process_along(void)
+{
+    struct lab *lab = create_lab(3, 22);
+    uint32_t leader = leader_of(lab);
+    uint32_t dies = (leader + 1) % 3;
+
+    lab->agent_count = 20;
+    for (uint32_t i = 0; i < 20; i++) {
+        snprintf(lab->agents[i].name, SL_NAME_BYTES, "workroom-%u", i);
+        lab->agents[i].at = i < 4 ? dies : leader;
+        connect_agent(lab, i);
+    }
+    lab_run(lab, JUDGED_STEPS);
+    world_crash(&lab->world, dies);
+    lab_run(lab, 3 * UNREACHABLE_US / 2 / WORLD_STEP_US);
+    CU_ASSERT_EQUAL(count_reachable(lab), 20);
+    for (uint32_t i = 0; i < 4; i++) {
+        lab->agents[i].at = leader;
+        connect_agent(lab, i);
+    }
+    lab_run(lab, JUDGED_STEPS);
+    CU_ASSERT_EQUAL(count_reachable(lab), 20);
+    CU_ASSERT_EQUAL(lab->world.events[SL_EVENT_UNREACHABLE], 0);
+    destroy_lab(lab);
+}
+
 /// Many at once are kept, also when a new leader finds them gone.
 static void
 test_mass_loss_is_held(void)
@@ -420,6 +449,8 @@
         {"a forgotten request", test_forgotten_request_is_refused},
         {"announcements never shrink", test_announcements_never_shrink},
         {"a silent process", test_silent_process},
+        {"control takes no process along",
+         test_control_takes_no_process_along},
         {"mass loss is held", test_mass_loss_is_held},
         {"deltas", test_deltas},
         {"cut-off control", test_cut_off_control_gives_nothing_out},
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -13,6 +13,8 @@
     TERMS_MAX = 1000,
     RECORDS_MAX = 2000,
     CLIENT = 7,
+    /// Asks for membership changes.
+    MEMBER_CLIENT = 9,
     /// Steps after which no instance may pass an older state off as current:
     /// the leader's lease and the follower's.
     FRESH_STEPS = 2 * WORLD_ELECTION_US / WORLD_STEP_US,
@@ -44,6 +46,9 @@
     uint32_t wiped;
     struct SlVersion wiped_at;
     uint64_t wipes;
+    /// Membership changes take the place of wiped folders.
+    bool changes_members;
+    uint64_t member_requests;
     const char *violation;
 };
 
@@ -240,6 +245,85 @@
     start_node(schedule, at);
 }
 
+static bool
+is_member(const struct world *world, uint32_t leader, uint32_t at,
+          uint32_t *count)
+{
+    struct SlControlMember members[SL_MEMBERS_CONTROL_MAX];
+
+    *count = SlControl_Members(world->nodes[leader].control, members,
+                               SL_MEMBERS_CONTROL_MAX);
+    for (uint32_t i = 0; i < *count; i++) {
+        if (members[i].node_id == world->nodes[at].node_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+ask_member(struct schedule *schedule, uint32_t leader, enum SlVerb verb,
+           uint32_t at)
+{
+    struct world *world = &schedule->world;
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_CHANGE,
+        .change = {.client = MEMBER_CLIENT,
+                   .request = ++schedule->member_requests,
+                   .base = schedule->newest_accepted,
+                   .verb = verb,
+                   .object = {.kind = SL_KIND_NODE}}};
+
+    memcpy(message.change.object.name, world->nodes[at].name,
+           sizeof(message.change.object.name));
+    world_give(world, leader, schedule->operator_link[leader], &message);
+}
+
+/// Removes a member, or adds one that was removed. Two members stay.
+static void
+change_members(struct schedule *schedule, uint32_t at)
+{
+    struct world *world = &schedule->world;
+    uint32_t leader = world_leader(world);
+    uint32_t count;
+
+    if (leader == world->count) {
+        return;
+    }
+    if (!is_member(world, leader, at, &count)) {
+        ask_member(schedule, leader, SL_VERB_MEMBER_ADD, at);
+    }
+    else if (count > 2) {
+        ask_member(schedule, leader, SL_VERB_MEMBER_REMOVE, at);
+    }
+}
+
+/// Adds what was removed; true when all are voters.
+static bool
+restore_members(struct schedule *schedule)
+{
+    struct world *world = &schedule->world;
+    uint32_t leader = world_leader(world);
+    struct SlControlMember members[SL_MEMBERS_CONTROL_MAX];
+    uint32_t voters = 0;
+    uint32_t count;
+
+    if (leader == world->count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < world->count; i++) {
+        if (!is_member(world, leader, i, &count)) {
+            ask_member(schedule, leader, SL_VERB_MEMBER_ADD, i);
+        }
+    }
+    count = SlControl_Members(world->nodes[leader].control, members,
+                              SL_MEMBERS_CONTROL_MAX);
+    for (uint32_t i = 0; i < count; i++) {
+        voters += members[i].voter;
+    }
+    return voters == world->count;
+}
+
 /// One random fault, or none.
 static void
 disturb(struct schedule *schedule)
@@ -273,7 +357,17 @@
         node->wall_offset_us = world_random(world, 1u << 30);
         break;
     case 8:
-        wipe(schedule, at);
+        if (schedule->changes_members) {
+            change_members(schedule, at);
+        }
+        else {
+            wipe(schedule, at);
+        }
+        break;
+    case 12:
+        world_input(world, at, (struct SlInput){.kind = SL_INPUT_STOP});
+        world_run(world, 2);
+        world_crash(world, at);
         break;
     case 9:
     case 10:
@@ -294,7 +388,8 @@
     struct SlVersion version;
 
     if (world_leader(world) == world->count ||
-        (schedule->wipes > 0 && !is_repaired(schedule))) {
+        (schedule->wipes > 0 && !is_repaired(schedule)) ||
+        !restore_members(schedule)) {
         return false;
     }
     version = SlControl_Applied(world->nodes[world_leader(world)].control);
@@ -358,13 +453,14 @@
 static struct schedule *
 run_schedule(uint64_t seed, enum fault_lie lie)
 {
-    static const uint32_t SIZES[] = {3, 3, 5, 1};
+    static const uint32_t SIZES[] = {3, 7, 5, 1};
     struct schedule *schedule = calloc(1, sizeof(*schedule));
     struct world *world = &schedule->world;
 
     world_create(world, SIZES[seed % 4], seed);
     world->outside = on_outside;
     world->context = schedule;
+    schedule->changes_members = seed / 4 % 2 == 1;
     for (uint32_t i = 0; i < world->count; i++) {
         world->nodes[i].storage->lie = lie;
         start_node(schedule, i);
@@ -418,6 +514,7 @@
     uint64_t wipes = 0;
     uint64_t elections = 0;
     uint64_t snapshots = 0;
+    uint64_t member_requests = 0;
 
     for (uint64_t seed = first; seed <= last; seed++) {
         struct schedule *schedule = run_schedule(seed, FAULT_HONEST);
@@ -431,12 +528,14 @@
         wipes += schedule->wipes;
         elections += schedule->world.events[SL_EVENT_ELECTED];
         snapshots += schedule->world.events[SL_EVENT_SNAPSHOT];
+        member_requests += schedule->member_requests;
         free_schedule(schedule);
     }
     printf("schedules: %llu accepted, %llu wiped folders, %llu elections, "
-           "%llu snapshots\n",
+           "%llu snapshots, %llu membership requests\n",
            (unsigned long long)accepted, (unsigned long long)wipes,
-           (unsigned long long)elections, (unsigned long long)snapshots);
+           (unsigned long long)elections, (unsigned long long)snapshots,
+           (unsigned long long)member_requests);
     CU_ASSERT(only != NULL || accepted > 20u * SCHEDULES);
     CU_ASSERT(only != NULL || wipes > SCHEDULES / 10);
 }
