--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -219,7 +219,6 @@
             struct agent_search *search, const struct agent_packet *p)
 {
     search->service_id = p->service->service_id;
-    search->started_us = call->now_us;
     search->has_last_seq = p->has_last_seq;
     search->last_seq = p->last_seq;
     search->seq = p->packet.tcp_seq;
@@ -240,7 +239,8 @@
     struct SlFlow *flow;
     uint64_t slot = 0;
 
-    search = agent_search_start(&call->agent->searches, &slot);
+    search =
+        agent_search_start(&call->agent->searches, claim, call->now_us, &slot);
     if (search == NULL) {
         agent_drop(call, &p->key, "searches_full");
         return;
@@ -255,7 +255,6 @@
     }
     flow->holder = slot;
     flow->service_id = p->service->service_id;
-    search->claim = claim;
     fill_search(call, flow, search, p);
     event.value = search->asked_count;
     agent_event(call, &event);
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -51,6 +51,9 @@
     /// How far sequence numbers may lie from those seen.
     AGENT_WINDOW_BYTES = 1 << 26,
     AGENT_SEARCHES_MAX = 1024,
+    /// Searches of each kind, with a claim and without, in a window.
+    AGENT_SEARCHES_PER_WINDOW = 200,
+    AGENT_SEARCH_WINDOW_US = 100 * 1000,
     AGENT_SEARCH_PACKETS = 4,
     AGENT_SEARCH_BYTES_MAX = 4 * 1024 * 1024,
     AGENT_SEARCH_ASKED_MAX = 80,
@@ -191,6 +194,9 @@
 struct agent_searches {
     pthread_mutex_t lock;
     uint32_t waiting_bytes;
+    /// Searches begun in the present window: without and with a claim.
+    uint64_t window_us;
+    uint32_t started[2];
     uint32_t free_count;
     uint16_t free[AGENT_SEARCHES_MAX];
     struct agent_search *slots[AGENT_SEARCHES_MAX];
@@ -497,7 +503,8 @@
 agent_searches_release(struct agent_searches *searches);
 /// NULL when there are too many, or without memory.
 struct agent_search *
-agent_search_start(struct agent_searches *searches, uint64_t *slot);
+agent_search_start(struct agent_searches *searches, bool claim,
+                   uint64_t now_us, uint64_t *slot);
 struct agent_search *
 agent_search_of(struct agent_searches *searches, const struct SlFlow *flow);
 /// Takes a search out of its slot; the caller releases it.
--- a/packages/coordination/src/agent_search.c
+++ b/packages/coordination/src/agent_search.c
@@ -36,23 +36,47 @@
     }
 }
 
+/// Takes one search out of the window's budget for its kind. Lock held.
+static bool
+take_budget(struct agent_searches *searches, bool claim, uint64_t now_us)
+{
+    if (agent_elapsed_us(now_us, searches->window_us) >=
+        AGENT_SEARCH_WINDOW_US) {
+        searches->window_us = now_us;
+        searches->started[0] = 0;
+        searches->started[1] = 0;
+    }
+    if (searches->free_count == 0 ||
+        searches->started[claim] == AGENT_SEARCHES_PER_WINDOW) {
+        return false;
+    }
+    searches->started[claim]++;
+    return true;
+}
+
 struct agent_search *
-agent_search_start(struct agent_searches *searches, uint64_t *slot)
+agent_search_start(struct agent_searches *searches, bool claim,
+                   uint64_t now_us, uint64_t *slot)
 {
     struct agent_search *search = calloc(1, sizeof(*search));
+    bool allowed;
 
     if (search == NULL) {
         return NULL;
     }
+    search->claim = claim;
+    search->started_us = now_us;
     pthread_mutex_lock(&searches->lock);
-    if (searches->free_count == 0) {
-        pthread_mutex_unlock(&searches->lock);
+    allowed = take_budget(searches, claim, now_us);
+    if (allowed) {
+        *slot = searches->free[--searches->free_count];
+        searches->slots[*slot] = search;
+    }
+    pthread_mutex_unlock(&searches->lock);
+    if (!allowed) {
         free(search);
         return NULL;
     }
-    *slot = searches->free[--searches->free_count];
-    searches->slots[*slot] = search;
-    pthread_mutex_unlock(&searches->lock);
     return search;
 }
 
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -356,6 +356,41 @@
     fx_close(&fx);
 }
 
+/* Acknowledgements of flows that do not exist set off a bounded number of
+   questions, and flows that do exist are found meanwhile. */
+static void
+test_ack_flood_is_bounded(void)
+{
+    struct fixture fx;
+    uint64_t datagrams;
+    uint32_t answered = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 2000, 400);
+    datagrams = fx.datagrams;
+    for (uint32_t i = 0; i < 20000; i++) {
+        uint16_t port = (uint16_t)(10000 + i);
+
+        fx.callers[port].sent = 5000;
+        fx_tcp(&fx, i % FX_ENTRIES, port, SL_TCP_ACK, 0);
+        if (i % 10 == 0) {
+            fx_ask(&fx, 0, (uint16_t)(FIRST_PORT + i / 10));
+        }
+        fx_run(&fx, 50);
+    }
+    fx_run(&fx, 2000000);
+    for (uint32_t i = 0; i < 2000; i++) {
+        answered += fx.callers[FIRST_PORT + i].answers == 2;
+    }
+    datagrams = fx.datagrams - datagrams;
+    printf("ACK flood: %.1f datagrams for each of 20000 in 1 s, %u of 2000 "
+           "requests answered\n",
+           (double)datagrams / 20000, answered);
+    CU_ASSERT_EQUAL(answered, 2000);
+    CU_ASSERT(datagrams < 7 * 2200 * 30);
+    fx_close(&fx);
+}
+
 int
 main(void)
 {
@@ -368,6 +403,7 @@
         {"zone leaves and returns", test_zone_leaves_and_returns},
         {"overload spares open flows", test_overload_spares_open_flows},
         {"refused datagrams did not run", test_refused_datagrams_did_not_run},
+        {"ACK flood is bounded", test_ack_flood_is_bounded},
         {"SYN flood is bounded", test_syn_flood_is_bounded},
     };
 
