Dial each control instance from one side, and name undecodable state

Cause: two instances dialled each other at once and kept two links; the error for state that holds its checksums but cannot be decoded named no cause. Change: the lower id dials, the other only every fourth time; the error says what was found.

--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -11,7 +11,8 @@
 enum {
     SL_CONTROL_HEARTBEAT_US = 500 * 1000,
     SL_CONTROL_REACH_US = 200 * 1000,
-    SL_CONTROL_DIAL_US = 1000 * 1000,
+    SL_CONTROL_DIAL_US = 500 * 1000,
+    SL_CONTROL_DIAL_BACK_ROUNDS = 4,
     /// Events of the start, kept until there is a sink.
     SL_CONTROL_EARLY_EVENTS = 8,
     /// Touched objects remembered, for deltas.
@@ -97,6 +98,7 @@
     uint32_t link_room;
     struct SlControlLink *links;
     uint64_t dial_due_us;
+    uint32_t dial_rounds;
     struct SlRaftMembers dialled;
 
     uint32_t waiter_count;
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -128,6 +128,18 @@
     control->dialled = *members;
 }
 
+/// One link serves two instances: the one with the lower id dials, and the
+/// other only now and then, in case the first cannot.
+static bool
+is_ours_to_dial(const struct SlControl *control, uint64_t node_id)
+{
+    if (node_id == control->node_id) {
+        return false;
+    }
+    return control->node_id < node_id ||
+           control->dial_rounds % SL_CONTROL_DIAL_BACK_ROUNDS == 0;
+}
+
 void
 SlControl_DialMembers(struct SlControl *control)
 {
@@ -140,10 +152,11 @@
     if (members->count == 0) {
         members = &control->raft.options.first_members;
     }
+    control->dial_rounds++;
     for (uint32_t i = 0; i < members->count; i++) {
         const struct SlRaftMember *member = &members->items[i];
 
-        if (member->node_id != control->node_id &&
+        if (is_ours_to_dial(control, member->node_id) &&
             SlControl_MemberLink(control, member->node_id) == NULL) {
             control->sink->type->dial(control->sink, member->node_id,
                                       &member->link);
--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -39,6 +39,11 @@
     /* A lease granted before a restart may still run. */
     raft->leader_heard_us = now_us;
     status = load(raft);
+    if (status == SL_DAMAGED) {
+        return SlError_Set(error, status, SL_STEP_RECOVER, NULL,
+                           "snapshot or log cannot be decoded, though its "
+                           "checksums hold");
+    }
     if (status != SL_OK) {
         return SlError_Set(error, status, SL_STEP_RECOVER, NULL,
                            "durable state cannot be used: %s",
