--- a/scripts/check.d/daemon.sh
+++ b/scripts/check.d/daemon.sh
@@ -70,6 +70,16 @@
 expect 0 ctl -k old.key record off
 [ -s now.rec ] || { echo "nothing was recorded"; exit 1; }
 
+# Bytes of strangers are counted and refused.
+for bytes in 1 23 24 40 41 600 9000; do
+    head -c "$bytes" /dev/urandom >"/dev/udp/$address/7000"
+    head -c "$bytes" /dev/urandom >"/dev/tcp/$address/7001" 2>/dev/null || true
+done
+expect 0 ctl -k old.key metrics
+for counter in datagrams_malformed links_refused_malformed; do
+    grep -q "^$counter=[1-9]" out.txt || { cat out.txt; exit 1; }
+done
+
 reload() { # key file lines
     local before
     before=$(grep -c 'reason=taken' log.txt || true)
--- a/test/shell_thread_test.c
+++ b/test/shell_thread_test.c
@@ -18,9 +18,14 @@
     PAUSE_US = 25 * 1000,
     PATIENCE_US = 20 * 1000 * 1000,
     TEXT_BYTES = 64,
+    FIRST_PORT = 12000,
+    PORTS = 20000,
+    PORTS_EACH = 8,
 };
 
 struct process {
+    /// Every address of the case.
+    bool is_ipv6;
     char folder[64];
     struct SlSettings settings;
     struct SlAddress service;
@@ -44,17 +49,25 @@
     return descriptor;
 }
 
-/// A free port at a loopback address of this process alone: on 127.0.0.1 it
-/// could be taken before it is used, by any connection's own end.
+/// A free port: over IPv4 at a loopback address of this process alone, over
+/// IPv6 below the ports that connections take for their own ends. Any other
+/// could be taken before it is used.
 static struct SlAddress
-free_address(void)
+free_address(const struct process *process)
 {
+    static unsigned next;
     struct SlAddress address;
     char text[SL_ADDRESS_TEXT_BYTES];
     unsigned pid = (unsigned)getpid();
 
-    snprintf(text, sizeof(text), "127.%u.%u.%u:0", 64 + (pid >> 16) % 64,
-             (pid >> 8) % 256, 1 + pid % 254);
+    if (process->is_ipv6) {
+        snprintf(text, sizeof(text), "[::1]:%u",
+                 FIRST_PORT + (pid * PORTS_EACH + next++) % PORTS);
+    }
+    else {
+        snprintf(text, sizeof(text), "127.%u.%u.%u:0", 64 + (pid >> 16) % 64,
+                 (pid >> 8) % 256, 1 + pid % 254);
+    }
     close(open_socket(text, &address));
     return address;
 }
@@ -79,11 +92,12 @@
                   .capacity_flows = 100},
         .keyring = {.count = 1},
     };
-    settings->node.tunnel = free_address();
-    settings->node.link = free_address();
-    process->service = free_address();
+    settings->node.tunnel = free_address(process);
+    settings->node.link = free_address(process);
+    process->service = free_address(process);
     process->upstream =
-        open_socket("127.0.0.1:0", &settings->agent.port.upstream);
+        open_socket(process->is_ipv6 ? "[::1]:0" : "127.0.0.1:0",
+                    &settings->agent.port.upstream);
     snprintf(settings->control.data_folder, SETTINGS_PATH_BYTES, "%s",
              process->folder);
     snprintf(settings->control.members.items[0].name, SL_NAME_BYTES, "all-1");
@@ -249,7 +263,8 @@
              "/tmp/shell_test.XXXXXX");
     CU_ASSERT_PTR_NOT_NULL_FATAL(mkdtemp(process->folder));
     fill_settings(process);
-    process->caller = open_socket("127.0.0.1:0", &caller);
+    process->caller =
+        open_socket(process->is_ipv6 ? "[::1]:0" : "127.0.0.1:0", &caller);
     process->log = SlLog_Create(STDOUT_FILENO, SL_LEVEL_WARNING);
     CU_ASSERT_PTR_NOT_NULL_FATAL(process->log);
     pthread_create(&process->thread, NULL, run_process, process);
@@ -275,11 +290,12 @@
 }
 
 static void
-test_requests_pass_and_a_stop_cuts_none(void)
+test_requests_pass_and_a_stop_cuts_none(bool is_ipv6)
 {
     static struct process process;
     struct SlAddress flow;
 
+    process = (struct process){.is_ipv6 = is_ipv6};
     start_process(&process);
     create_objects(&process);
     ask_until_delivered(&process, "first", &flow);
@@ -294,6 +310,18 @@
     CU_ASSERT_EQUAL(process.exit_code, 0);
 }
 
+static void
+test_requests_over_ipv4(void)
+{
+    test_requests_pass_and_a_stop_cuts_none(false);
+}
+
+static void
+test_requests_over_ipv6(void)
+{
+    test_requests_pass_and_a_stop_cuts_none(true);
+}
+
 static void
 test_client_with_another_key_is_refused(void)
 {
@@ -317,8 +345,10 @@
 main(void)
 {
     static const struct test_case CASES[] = {
-        {"requests pass, and a planned stop cuts none",
-         test_requests_pass_and_a_stop_cuts_none},
+        {"requests pass and a planned stop cuts none, over IPv4",
+         test_requests_over_ipv4},
+        {"requests pass and a planned stop cuts none, over IPv6",
+         test_requests_over_ipv6},
         {"a client with another key is refused",
          test_client_with_another_key_is_refused},
     };
