--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -51,12 +51,16 @@
     /// How far sequence numbers may lie from those seen.
     AGENT_WINDOW_BYTES = 1 << 26,
     AGENT_SEARCHES_MAX = 1024,
+    /// Searches of each kind, with a claim and without, in a window.
+    AGENT_SEARCHES_PER_WINDOW = 200,
+    AGENT_SEARCH_WINDOW_US = 100 * 1000,
     AGENT_SEARCH_PACKETS = 4,
     AGENT_SEARCH_BYTES_MAX = 4 * 1024 * 1024,
     AGENT_SEARCH_ASKED_MAX = 80,
     AGENT_PEERS_MAX = 512,
     AGENT_HOLDERS_MAX = 64,
     AGENT_SERVICES_MAX = 64,
+    AGENT_FRAGMENTS = 64,
     AGENT_DUE_PER_TICK = 4096,
     /// Zone out: the flows are ended over this many ticks.
     AGENT_LEAVE_TICKS = 50,
@@ -191,6 +195,9 @@
 struct agent_searches {
     pthread_mutex_t lock;
     uint32_t waiting_bytes;
+    /// Searches begun in the present window: without and with a claim.
+    uint64_t window_us;
+    uint32_t started[2];
     uint32_t free_count;
     uint16_t free[AGENT_SEARCHES_MAX];
     struct agent_search *slots[AGENT_SEARCHES_MAX];
@@ -213,6 +220,24 @@
     uint32_t offset;
 };
 
+/// A datagram of the upstream whose first fragment was returned.
+struct agent_fragmented {
+    struct SlFlowKey flow;
+    uint32_t id;
+    uint64_t service_id;
+    /// The entry that forwarded last for the flow.
+    uint64_t entry;
+    /// 0: a free place.
+    uint64_t seen_us;
+};
+
+/// The latest of them.
+struct agent_fragments {
+    pthread_mutex_t lock;
+    uint32_t next;
+    struct agent_fragmented items[AGENT_FRAGMENTS];
+};
+
 struct SlAgent {
     struct SlAgentOptions options;
     uint64_t node_id;
@@ -226,6 +251,7 @@
     struct agent_peers peers;
     struct agent_searches searches;
     struct agent_paths paths;
+    struct agent_fragments fragments;
     atomic_bool stopping;
     /// From the routing table: this node's zone is out, it drains.
     atomic_bool zone_out;
@@ -497,7 +523,8 @@
 agent_searches_release(struct agent_searches *searches);
 /// NULL when there are too many, or without memory.
 struct agent_search *
-agent_search_start(struct agent_searches *searches, uint64_t *slot);
+agent_search_start(struct agent_searches *searches, bool claim,
+                   uint64_t now_us, uint64_t *slot);
 struct agent_search *
 agent_search_of(struct agent_searches *searches, const struct SlFlow *flow);
 /// Takes a search out of its slot; the caller releases it.
@@ -553,6 +580,21 @@
 void
 agent_handle_locate(const struct agent_call *call,
                     const struct SlTunnel *tunnel);
+/* agent_fragment.c */
+bool
+agent_fragments_init(struct agent_fragments *fragments);
+/// Turns the first fragment of a UDP datagram into a view with ports, as far
+/// as it goes; false for any other fragment.
+bool
+agent_fragment_opens(struct SlPacket *packet);
+/// Notes a first fragment that is being returned for an open flow.
+void
+agent_fragments_note(const struct agent_call *call,
+                     const struct SlPacket *packet, const struct SlFlow *flow);
+/// Returns a later fragment after its first.
+void
+agent_fragments_return(const struct agent_call *call,
+                       const struct SlPacket *fragment);
 /* agent_refuse.c */
 /// Refuses a new flow. not_run: nothing was delivered anywhere.
 void
