--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,7 +4,8 @@
 # packets over both entries, and callers on UDP sockets and TCP stand-ins. A
 # zone leaves and returns, an upstream drains and returns, an entry is killed.
 # Ends with a table; exit 1 when a promise was broken. First argument: the
-# build folder. DEMO_RECORD=yes records every process.
+# build folder. DEMO_RECORD=yes records every process; DEMO_SHARE is the
+# percentage of the usual flows.
 set -u
 cd "$(dirname "$0")/.."
 build=$1
@@ -15,6 +16,7 @@
 record=${DEMO_RECORD:-no}
 seconds=${DEMO_SECONDS:-38}
 seed=${DEMO_SEED:-7}
+share=${DEMO_SHARE:-100}
 # shellcheck source=scripts/site.sh
 . scripts/site.sh
 
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -187,9 +187,9 @@
     start callers "$build/example/standin_callers" --seed "$1" \
         --seconds "$2" --encap "$net.10.2:7000" --fabric "$net.10.1:7000" \
         --zone c --windows "$run/windows.txt" \
-        --udp "workroom=$net.20.1:5001=500" \
-        --udp "catalogue=$net.20.2:5002=180" \
-        --tcp "orders=$net.20.3:5003=180"
+        --udp "workroom=$net.20.1:5001=$((500 * ${share:-100} / 100))" \
+        --udp "catalogue=$net.20.2:5002=$((180 * ${share:-100} / 100))" \
+        --tcp "orders=$net.20.3:5003=$((180 * ${share:-100} / 100))"
     begin_s=$SECONDS
 }
 
