--- a/packages/state/include/savoryledge/state/flow_table.h
+++ b/packages/state/include/savoryledge/state/flow_table.h
@@ -82,7 +82,7 @@
 
 struct SlFlow {
     struct SlFlowKey key;
-    /// enum SlFlowKind and enum SlFlowQueue; queue is the table's own.
+    /// SlFlowKind and SlFlowQueue; queue is the table's own.
     uint8_t kind : 4;
     uint8_t queue : 4;
     /// Exchanges in progress at the upstream when this one began, at most
@@ -98,6 +98,7 @@
     uint32_t last_ms;
     uint64_t service_id;
     /// OPEN: the entry that forwarded last. MARK, PROMISED: who has it.
+    /// PENDING: the search.
     uint64_t holder;
     uint32_t opened_s;
     /// Set of SlFlowFlag.
@@ -108,7 +109,7 @@
     /// Lowest sequence number that the caller's packets may have.
     uint32_t caller_min;
     /// One past the highest sequence number sent, and acknowledged by the
-    /// other side. PENDING: caller_next is the number of the search.
+    /// other side.
     uint32_t caller_next;
     uint32_t caller_acked;
     uint32_t upstream_next;
