Tell callers that poll from an upstream that is cold

Half of the callers ask for news and are answered after 30 s. The usual share of late answers is learnt now, and a late exchange no longer counts where that is usual.

--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -5,7 +5,9 @@
 /// A cold upstream starts with one exchange and few flows. Each answer in the
 /// usual time lets it hold one flow more; the exchanges grow in steps of
 /// time. Answers that come late while the upstream had free slots, or
-/// failures, make it cold again.
+/// failures, make it cold again; where late answers are usual, because
+/// callers poll, only a row of them that is no chance does, and an exchange
+/// that is late is no longer counted.
 
 #include "agent_private.h"
 
@@ -21,8 +23,20 @@
     /// Samples before answers are called late.
     SAMPLES_MIN = 8,
     SAMPLE_SHARE = 16,
+    /// What takes longer waits for news rather than for the upstream.
+    SAMPLE_MAX_US = 1000 * 1000,
     LATE_SLACK_US = 20 * 1000,
     BAD_IN_A_ROW = 2,
+    /// The share of late answers is a moving mean over about so many. From
+    /// the first bound on they are usual, from the second on the rule.
+    LATE_SHARE = 64,
+    WHOLE_PERMILLE = 1000,
+    USUAL_PERMILLE = 100,
+    MOST_PERMILLE = 500,
+    SLOWER_FACTOR = 4,
+    /// How unlikely a row of late answers must be.
+    CHANCE_PPM = 1000,
+    LATE_IN_A_ROW_MAX = 64,
     /// So many connections given up within the window, and this share of
     /// those that were open, make an upstream cold.
     LOST_MIN = 3,
@@ -232,19 +246,22 @@
     admission->cut_us = now_us;
 }
 
-/// Halves what may be in progress, at most once in a while.
-static void
+/// Halves what may be in progress, at most once in a while. True when that
+/// changed it.
+static bool
 cut(struct agent_admission *admission, uint64_t now_us, uint32_t least)
 {
-    uint32_t half = admission->limit_exchanges / 2;
+    uint32_t before = admission->limit_exchanges;
+    uint32_t half = before / 2 < least ? least : before / 2;
 
     if (agent_elapsed_us(now_us, admission->cut_us) < CUT_INTERVAL_US) {
-        return;
+        return false;
     }
     admission->cut_us = now_us;
     admission->grown_us = now_us;
     admission->good_answers = 0;
-    admission->limit_exchanges = half < least ? least : half;
+    admission->limit_exchanges = half < before ? half : before;
+    return half < before;
 }
 
 /// An answer that takes longer is late; UINT64_MAX while too few were seen.
@@ -265,7 +282,10 @@
 learn(struct agent_admission *admission, uint64_t took_us)
 {
     uint64_t usual = admission->usual_us;
-    uint64_t off = took_us > usual ? took_us - usual : usual - took_us;
+    uint64_t off;
+
+    took_us = took_us < SAMPLE_MAX_US ? took_us : SAMPLE_MAX_US;
+    off = took_us > usual ? took_us - usual : usual - took_us;
 
     if (admission->usual_samples++ == 0) {
         admission->usual_us = took_us;
@@ -284,23 +304,87 @@
     VERDICT_COLD,
 };
 
+/// So many late answers in a row are no chance, given the usual share of late
+/// ones.
+static uint32_t
+late_in_a_row(const struct agent_admission *admission)
+{
+    uint64_t share = admission->late_permille;
+    uint64_t chance = share * share;
+    uint32_t needed = BAD_IN_A_ROW;
+
+    while (chance > CHANCE_PPM && needed < LATE_IN_A_ROW_MAX) {
+        chance = chance * share / WHOLE_PERMILLE;
+        needed++;
+    }
+    return needed;
+}
+
+/// Late answers are nothing unusual: callers poll, or wait for news.
+static bool
+is_late_usual(const struct agent_admission *admission)
+{
+    return admission->late_permille >= USUAL_PERMILLE;
+}
+
 /// One bad answer or failure. alone: the upstream had a free slot, so that
 /// a queue does not explain it.
 static enum verdict
-judge_bad(struct agent_admission *admission, uint64_t now_us, bool alone)
+judge_bad(struct agent_admission *admission, uint64_t now_us, bool alone,
+          uint32_t needed)
 {
-    if (!alone) {
-        cut(admission, now_us, admission->slots);
-        return VERDICT_LIMIT;
-    }
+    uint32_t least = alone ? COLD_EXCHANGES : admission->slots;
+
     admission->bad_answers++;
-    if (admission->bad_answers >= BAD_IN_A_ROW &&
+    if (admission->bad_answers < needed && is_late_usual(admission)) {
+        return VERDICT_NONE;
+    }
+    if (admission->bad_answers >= needed && alone &&
         admission->limit_exchanges > COLD_EXCHANGES) {
         turn_cold(admission, now_us);
         return VERDICT_COLD;
     }
-    cut(admission, now_us, COLD_EXCHANGES);
-    return VERDICT_LIMIT;
+    return cut(admission, now_us, least) ? VERDICT_LIMIT : VERDICT_NONE;
+}
+
+static enum verdict
+judge_late(struct agent_admission *admission, uint64_t now_us, bool alone)
+{
+    uint32_t needed = late_in_a_row(admission);
+    enum verdict verdict = judge_bad(admission, now_us, alone, needed);
+
+    admission->late_permille +=
+        (WHOLE_PERMILLE - admission->late_permille) / LATE_SHARE;
+    return verdict;
+}
+
+/// One flow is no longer among those that wait for their first answer.
+static void
+allow_one_more(struct agent_admission *admission)
+{
+    if (admission->limit_flows < admission->capacity_flows) {
+        admission->limit_flows++;
+    }
+}
+
+/// An answer in usual time.
+static enum verdict
+judge_good(struct agent_admission *admission, uint64_t now_us)
+{
+    admission->late_permille -= admission->late_permille / LATE_SHARE;
+    admission->bad_answers = 0;
+    admission->good_answers++;
+    allow_one_more(admission);
+    return grow(admission, now_us) ? VERDICT_LIMIT : VERDICT_NONE;
+}
+
+/// A late answer that shows a service that became slower, rather than a
+/// caller that waits for news.
+static bool
+is_slower(const struct agent_admission *admission, uint64_t took_us)
+{
+    return admission->late_permille >= MOST_PERMILLE &&
+           took_us / SLOWER_FACTOR < late_after_us(admission);
 }
 
 static enum verdict
@@ -310,25 +394,18 @@
     uint64_t took_us =
         (uint64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
     bool measured = flow->flags & SL_FLOW_ASKED;
+    bool late = flow->flags & SL_FLOW_LATE;
 
-    admission->exchanges--;
+    admission->exchanges -= flow->flags & SL_FLOW_EXCHANGE ? 1 : 0;
     admission->answered_us = call->now_us;
-    if (measured && took_us > late_after_us(admission)) {
-        if (flow->flags & SL_FLOW_LATE) {
-            return VERDICT_NONE;
-        }
-        return judge_bad(admission, call->now_us,
-                         flow->queued < admission->slots);
+    if (measured && !late && took_us > late_after_us(admission)) {
+        return judge_late(admission, call->now_us,
+                          flow->queued < admission->slots);
     }
-    if (measured) {
+    if (measured && (!late || is_slower(admission, took_us))) {
         learn(admission, took_us);
     }
-    admission->bad_answers = 0;
-    admission->good_answers++;
-    if (admission->limit_flows < admission->capacity_flows) {
-        admission->limit_flows++;
-    }
-    return grow(admission, call->now_us) ? VERDICT_LIMIT : VERDICT_NONE;
+    return late ? VERDICT_NONE : judge_good(admission, call->now_us);
 }
 
 static void
@@ -363,19 +440,46 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
-void
+/// Too few answers were seen to call one late: it counts when the upstream
+/// has answered nobody since.
+static enum verdict
+judge_stalled(struct agent_admission *admission, const struct agent_call *call,
+              uint64_t took_us)
+{
+    if (agent_elapsed_us(call->now_us, admission->answered_us) < took_us) {
+        return VERDICT_NONE;
+    }
+    return judge_bad(admission, call->now_us, true, BAD_IN_A_ROW);
+}
+
+bool
 agent_admission_late(const struct agent_call *call, const struct SlFlow *flow)
 {
     struct agent_admission *admission = &call->agent->admission;
-    int64_t took_us =
-        (int64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
+    uint64_t took_us =
+        (uint64_t)agent_elapsed_ms(call->now_ms, flow->exchange_ms) * 1000;
     enum verdict verdict;
+    bool parked = true;
 
     pthread_mutex_lock(&admission->lock);
-    verdict =
-        judge_bad(admission, call->now_us, flow->queued < admission->slots);
-    tell(call, verdict, "late", took_us);
+    if (late_after_us(admission) == UINT64_MAX) {
+        verdict = judge_stalled(admission, call, took_us);
+    }
+    else {
+        verdict = judge_late(admission, call->now_us,
+                             flow->queued < admission->slots);
+        parked = is_late_usual(admission);
+    }
+    if (parked) {
+        admission->exchanges--;
+        allow_one_more(admission);
+    }
+    if (admission->late_permille >= MOST_PERMILLE) {
+        admission->good_answers++;
+    }
+    tell(call, verdict, "late", (int64_t)took_us);
     pthread_mutex_unlock(&admission->lock);
+    return parked;
 }
 
 uint32_t
@@ -387,7 +491,7 @@
     pthread_mutex_lock(&admission->lock);
     late_us = late_after_us(admission);
     pthread_mutex_unlock(&admission->lock);
-    if (late_us >= (uint64_t)AGENT_STALL_MS * 1000) {
+    if (late_us == UINT64_MAX) {
         return AGENT_STALL_MS;
     }
     return (uint32_t)(late_us / 1000) + 1;
@@ -400,7 +504,7 @@
     enum verdict verdict;
 
     pthread_mutex_lock(&admission->lock);
-    verdict = judge_bad(admission, call->now_us, true);
+    verdict = judge_bad(admission, call->now_us, true, BAD_IN_A_ROW);
     tell(call, verdict, reason, 0);
     pthread_mutex_unlock(&admission->lock);
 }
@@ -452,22 +556,6 @@
     pthread_mutex_unlock(&admission->lock);
 }
 
-bool
-agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms)
-{
-    struct agent_admission *admission = &call->agent->admission;
-    uint64_t waited_us =
-        (uint64_t)agent_elapsed_ms(call->now_ms, since_ms) * 1000;
-    bool silent;
-
-    pthread_mutex_lock(&admission->lock);
-    silent =
-        agent_elapsed_us(call->now_us, admission->answered_us) >= waited_us &&
-        waited_us > admission->usual_us + 4 * admission->spread_us;
-    pthread_mutex_unlock(&admission->lock);
-    return silent;
-}
-
 void
 agent_admission_load(struct SlAgent *agent, struct SlTunnel *tunnel)
 {
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -42,7 +42,6 @@
     /// A caller that asks nothing for this long after its handshake is not
     /// expected to ask at once.
     AGENT_EXPECT_MS = 250,
-    AGENT_EXCHANGE_MS = 10 * 1000,
     AGENT_STALL_MS = 1000,
     AGENT_DEFAULT_SILENCE_MS = 15 * 1000,
     AGENT_DEFAULT_UDP_IDLE_MS = 60 * 1000,
@@ -111,6 +110,7 @@
     uint32_t good_answers;
     /// Answers that took too long, or failed, in a row.
     uint32_t bad_answers;
+    uint32_t late_permille;
     uint32_t usual_samples;
     uint64_t usual_us;
     uint64_t spread_us;
@@ -466,14 +466,14 @@
 void
 agent_admission_answered(const struct agent_call *call,
                          const struct SlFlow *flow);
-/// An exchange is in progress for longer than answers usually take.
-void
+/// An exchange is in progress for longer than answers usually take. True
+/// when it no longer counts as one.
+bool
 agent_admission_late(const struct agent_call *call, const struct SlFlow *flow);
-/// When an exchange that begins now will be late; at most AGENT_STALL_MS.
+/// When an exchange will be late, after its begin.
 uint32_t
 agent_admission_late_ms(const struct agent_call *call);
-/// The upstream failed an exchange or a handshake, or is late without having
-/// answered anybody since since_ms.
+/// The upstream failed an exchange or a handshake.
 void
 agent_admission_failed(const struct agent_call *call, const char *reason);
 /// The upstream closed or reset a connection that was idle or had a request
@@ -486,8 +486,6 @@
 /// The upstream returns after its zone was out or it drained.
 void
 agent_admission_restart(const struct agent_call *call);
-bool
-agent_admission_silent_since(const struct agent_call *call, uint32_t since_ms);
 void
 agent_admission_load(struct SlAgent *agent, struct SlTunnel *tunnel);
 
--- a/packages/coordination/src/agent_timer.c
+++ b/packages/coordination/src/agent_timer.c
@@ -156,16 +156,15 @@
         }
         return;
     }
-    if (!(flow->flags & SL_FLOW_LATE) && took_ms < AGENT_STALL_MS &&
+    if (!(flow->flags & SL_FLOW_LATE) &&
         took_ms >= agent_admission_late_ms(call)) {
         flow->flags |= SL_FLOW_LATE;
-        agent_admission_late(call, flow);
-    }
-    if (took_ms >= AGENT_STALL_MS && took_ms < 2 * AGENT_STALL_MS &&
-        agent_admission_silent_since(call, flow->exchange_ms)) {
-        agent_admission_failed(call, "stalled");
+        if (agent_admission_late(call, flow)) {
+            flow->flags &= (uint16_t)~SL_FLOW_EXCHANGE;
+            return;
+        }
     }
-    if (took_ms >= AGENT_EXCHANGE_MS) {
+    if ((flow->flags & SL_FLOW_LATE) && took_ms >= AGENT_STALL_MS) {
         agent_admission_cancel(call);
         flow->flags &= (uint16_t)~SL_FLOW_EXCHANGE;
     }
--- a/packages/coordination/src/agent_upstream.c
+++ b/packages/coordination/src/agent_upstream.c
@@ -18,7 +18,7 @@
         return;
     }
     flow->flags |= SL_FLOW_ANSWERED;
-    if (flow->flags & SL_FLOW_EXCHANGE) {
+    if (flow->flags & (SL_FLOW_EXCHANGE | SL_FLOW_ASKED)) {
         agent_admission_answered(call, flow);
     }
     if (flow->flags & SL_FLOW_ASKED) {
--- a/test/agent_admission_test.c
+++ b/test/agent_admission_test.c
@@ -391,6 +391,32 @@
     fx_close(&fx);
 }
 
+/* Half of the callers poll: their requests are answered after 30 s, when there
+   is news. That is no sign of a cold or busy upstream. */
+static void
+test_polling_takes_no_room(void)
+{
+    struct fixture fx;
+    uint32_t colds = 0;
+
+    fx_open(&fx, "workroom");
+    fx_open_flows(&fx, FIRST_PORT, 2000, 400);
+    fx.poll_us = 30 * FX_SECOND_US;
+    for (uint32_t k = 0; k < 4; k++) {
+        fx_open_flows(&fx, (uint16_t)(FIRST_PORT + 2000 + k * 2000), 2000,
+                      100);
+        printf("polling: %u refused, imbalance %.3f\n",
+               refused(&fx, FIRST_PORT, 4000 + k * 2000), imbalance(&fx));
+    }
+    for (uint32_t i = 0; i < 7; i++) {
+        colds += (uint32_t)fx.agents[i].events[SL_EVENT_COLD];
+    }
+    printf("polling: taken for cold %u times\n", colds);
+    CU_ASSERT_EQUAL(refused(&fx, FIRST_PORT, 10000), 0);
+    CU_ASSERT(imbalance(&fx) <= 1.05);
+    fx_close(&fx);
+}
+
 int
 main(void)
 {
@@ -403,6 +429,7 @@
         {"zone leaves and returns", test_zone_leaves_and_returns},
         {"overload spares open flows", test_overload_spares_open_flows},
         {"refused datagrams did not run", test_refused_datagrams_did_not_run},
+        {"polling takes no room", test_polling_takes_no_room},
         {"ACK flood is bounded", test_ack_flood_is_bounded},
         {"SYN flood is bounded", test_syn_flood_is_bounded},
     };
--- a/test/agent_fixture.h
+++ b/test/agent_fixture.h
@@ -114,6 +114,9 @@
     uint64_t numbers;
     /// The table before the last one.
     struct SlRouting *old;
+    /// Requests of even ports are answered after this time, and asked again
+    /// at once; 0: they are like the others.
+    uint64_t poll_us;
     /// Tunnel datagrams lost, of 100, and the state of the random numbers.
     uint32_t loss_percent;
     uint64_t random;
@@ -335,6 +338,13 @@
     }
 }
 
+/// True when the port's caller polls for news.
+static inline bool
+fx_polls(const struct fixture *fx, uint16_t port)
+{
+    return fx->poll_us != 0 && port % 2 == 0;
+}
+
 /* The upstreams. */
 
 static inline void
@@ -412,11 +422,13 @@
         packet->tcp_seq == connection->received && !agent->upstream_stuck) {
         connection->received += packet->payload_bytes;
         connection->payloads++;
-        agent->busy++;
+        agent->busy += fx_polls(agent->fx, packet->source.port) ? 0 : 1;
         agent->busy_most =
             agent->busy > agent->busy_most ? agent->busy : agent->busy_most;
         fx_post(agent->fx, FX_ANSWER, (uint32_t)(agent - agent->fx->agents),
-                NULL, packet->bytes, packet->length_bytes, agent->service_us);
+                NULL, packet->bytes, packet->length_bytes,
+                fx_polls(agent->fx, packet->source.port) ? agent->fx->poll_us
+                                                         : agent->service_us);
     }
     if (packet->tcp_flags & SL_TCP_FIN) {
         connection->received++;
@@ -483,8 +495,8 @@
 {
     struct SlPacket packet;
 
-    agent->busy--;
     SlPacket_Parse(message->bytes, message->length_bytes, &packet);
+    agent->busy -= fx_polls(agent->fx, packet.source.port) ? 0 : 1;
     if (agent->connections[packet.source.port].open) {
         agent->connections[packet.source.port].answers++;
         fx_upstream_sends(agent, &packet, SL_TCP_ACK | SL_TCP_PSH, 100, 0);
@@ -604,7 +616,12 @@
     if (packet->payload_bytes != 0 && packet->tcp_seq == caller->received) {
         caller->received += packet->payload_bytes;
         caller->answers++;
-        fx_tcp(fx, port % FX_ENTRIES, port, SL_TCP_ACK, 0);
+        if (fx_polls(fx, port)) {
+            fx_ask(fx, port % FX_ENTRIES, port);
+        }
+        else {
+            fx_tcp(fx, port % FX_ENTRIES, port, SL_TCP_ACK, 0);
+        }
     }
     if (packet->tcp_flags & SL_TCP_FIN) {
         caller->received++;
