--- a/packages/coordination/src/control_host.c
+++ b/packages/coordination/src/control_host.c
@@ -219,11 +219,10 @@
     return reader->length_bytes == 0 ? SL_OK : SL_DAMAGED;
 }
 
+/// Reads a whole configuration with its remembered results.
 static enum SlStatus
-restore_host(void *host, struct SlVersion last, const uint8_t *bytes,
-             size_t length_bytes)
+load_config(const uint8_t *bytes, size_t length_bytes, struct SlConfig **out)
 {
-    struct SlControl *control = host;
     struct reader reader = {.bytes = bytes, .length_bytes = length_bytes};
     struct SlConfig *config = SlConfig_Create();
     enum SlStatus status = SL_NO_MEMORY;
@@ -238,6 +237,32 @@
         SlConfig_Destroy(config);
         return status;
     }
+    *out = config;
+    return SL_OK;
+}
+
+static enum SlStatus
+check_host(void *host, const uint8_t *bytes, size_t length_bytes)
+{
+    struct SlConfig *config = NULL;
+    enum SlStatus status = load_config(bytes, length_bytes, &config);
+
+    (void)host;
+    SlConfig_Destroy(config);
+    return status;
+}
+
+static enum SlStatus
+restore_host(void *host, struct SlVersion last, const uint8_t *bytes,
+             size_t length_bytes)
+{
+    struct SlControl *control = host;
+    struct SlConfig *config = NULL;
+    enum SlStatus status = load_config(bytes, length_bytes, &config);
+
+    if (status != SL_OK) {
+        return status;
+    }
     SlConfig_SetVersion(config, last);
     SlConfig_Destroy(control->config);
     control->config = config;
@@ -268,6 +293,7 @@
     .send = send_host,
     .apply = apply_host,
     .save = save_host,
+    .check = check_host,
     .restore = restore_host,
     .refused = refused_host,
     .event = event_host,
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -80,6 +80,9 @@
                   const struct SlChange *change);
     /// Appends the state after the last applied change.
     enum SlStatus (*save)(void *host, struct SlBuffer *buffer);
+    /// Tells whether restore could read the bytes, and changes nothing.
+    enum SlStatus (*check)(void *host, const uint8_t *bytes,
+                           size_t length_bytes);
     /// Replaces the state. Errors: SL_DAMAGED, SL_NO_MEMORY; then the state
     /// is as before.
     enum SlStatus (*restore)(void *host, struct SlVersion last,
--- a/packages/coordination/src/raft_snapshot.c
+++ b/packages/coordination/src/raft_snapshot.c
@@ -271,16 +271,38 @@
     }
 }
 
+/// True when the gathered snapshot can be read.
+static bool
+incoming_is_sound(struct SlRaft *raft)
+{
+    struct reader reader = {.bytes = raft->incoming.bytes,
+                            .length_bytes = raft->incoming.length_bytes};
+    struct SlRaftMembers members;
+    uint64_t time_us;
+
+    return read_bytes(&reader, &time_us, sizeof(time_us)) &&
+           read_members(&reader, &members) &&
+           raft->options.host_type->check(raft->options.host, reader.bytes,
+                                          reader.length_bytes) == SL_OK;
+}
+
 /// Puts the gathered snapshot in storage and in force.
 static enum SlStatus
 take_snapshot(struct SlRaft *raft)
 {
     struct SlStorage *storage = raft->options.storage;
     struct SlVersion last = raft->incoming_last;
-    enum SlStatus status = storage->type->save_snapshot(
-        storage, last, raft->incoming.bytes, raft->incoming.length_bytes,
-        last.index + 1);
+    enum SlStatus status;
 
+    if (!incoming_is_sound(raft)) {
+        raft->options.host_type->event(raft->options.host, SL_EVENT_FAILED,
+                                       NULL, SlStatus_Name(SL_MALFORMED),
+                                       (int64_t)last.index, 0);
+        return SL_MALFORMED;
+    }
+    status = storage->type->save_snapshot(storage, last, raft->incoming.bytes,
+                                          raft->incoming.length_bytes,
+                                          last.index + 1);
     if (status == SL_OK) {
         status = SlRaft_LoadSnapshot(raft, last, raft->incoming.bytes,
                                      raft->incoming.length_bytes);
--- a/test/control_member_test.c
+++ b/test/control_member_test.c
@@ -249,6 +249,53 @@
     }
 }
 
+/// A leader that sends nonsense harms nobody: records and snapshots that
+/// cannot be read are not taken, and the instance lives on.
+static void
+test_nonsense_from_a_leader(void)
+{
+    static const uint8_t NONSENSE[64] = {1, 2, 3};
+    struct lab *lab = create_lab(3, 23);
+    struct world *world = &lab->world;
+    uint32_t at = (leader_of(lab) + 1) % 3;
+    struct SlVersion applied = SlControl_Applied(world->nodes[at].control);
+    struct SlLogEntry entry = {.term = 90,
+                               .index = applied.index + 1,
+                               .data = NONSENSE,
+                               .data_bytes = sizeof(NONSENSE)};
+    struct SlMessage append = {.kind = SL_MESSAGE_APPEND,
+                               .append = {.term = 90,
+                                          .previous = applied,
+                                          .commit = applied.index + 1,
+                                          .entry_count = 1,
+                                          .entries = &entry}};
+    struct SlMessage install = {
+        .kind = SL_MESSAGE_INSTALL,
+        .install = {.term = 90,
+                    .last = {.term = 90, .index = applied.index + 50},
+                    .done = true,
+                    .data = NONSENSE,
+                    .data_bytes = sizeof(NONSENSE)}};
+    uint64_t link = world_connect(world, at, "control-9", SL_ROLE_CONTROL);
+
+    world_give(world, at, link, &append);
+    world_give(world, at, link, &install);
+    world_flush(world, at);
+    CU_ASSERT_EQUAL(world->events[SL_EVENT_FAILED], 2);
+    CU_ASSERT_EQUAL(SlVersion_Compare(
+                        SlControl_Applied(world->nodes[at].control), applied),
+                    0);
+    world_crash(world, at);
+    start_node(lab, at);
+    lab_run(lab, 100);
+    CU_ASSERT_EQUAL(
+        SlVersion_Compare(
+            SlControl_Applied(world->nodes[at].control),
+            SlControl_Applied(world->nodes[leader_of(lab)].control)),
+        0);
+    destroy_lab(lab);
+}
+
 /// Wall clocks that jump back, at one leader and between leaders, never make
 /// a later hold look older.
 static void
@@ -306,6 +353,7 @@
         {"first start", test_first_start},
         {"a snapshot in parts", test_snapshot_in_parts},
         {"undecodable state", test_undecodable_state},
+        {"nonsense from a leader", test_nonsense_from_a_leader},
         {"clock jumps", test_clock_jumps},
         {"announcement after a full disk", test_announcement_after_full_disk},
     };
