--- a/packages/ctl/src/command_change.c
+++ b/packages/ctl/src/command_change.c
@@ -71,6 +71,8 @@
     change->expected = ctl->options.expect;
     while (change->client == 0) {
         randombytes_buf(&change->client, sizeof(change->client));
+        /* Events show it as a signed number. */
+        change->client >>= 1;
     }
     if (ctl->options.has_base) {
         change->base = ctl->options.base;
--- a/scripts/tour.sh
+++ b/scripts/tour.sh
@@ -69,6 +69,8 @@
 say savoryledgectl zone in a
 say savoryledgectl wait
 echo
+say savoryledgectl explain zone a ./*.log
+echo
 echo "what the processes decided:"
 grep -hE ' (route|admit|refuse|zone_left|committed) ' ./*.log |
     sed 's/^<.>//' | sort -t= -k2,2n | tail -20
