Let upstreams of traces tell a caller's flows apart by their ports

Cause, by its events: the trace's new upstream stayed silent towards flows of the one that had died, where a system answers with a reset; the agent adopted them, and 15 s later reset them towards the upstream, whose stand-in let the reset for the old port close the caller's new flow. The upstream now answers such segments with a reset, and takes one only for the flow's present port and exact number (RFC 5961).

--- a/replay/harness/upstreams.c
+++ b/replay/harness/upstreams.c
@@ -336,6 +336,18 @@
     }
 }
 
+/// False for a packet of an earlier flow of the caller, from another port.
+static bool
+is_present(const struct SlWorld *world, uint32_t index,
+           const struct SlPacket *packet)
+{
+    struct SlAddress address;
+
+    SlWorldFlow_Address(
+        index, world->reuse ? 0 : world->flows[index].generation, &address);
+    return address.port == packet->source.port;
+}
+
 static void
 take_segment(struct SlWorldNode *node, uint32_t index,
              const struct SlPacket *packet)
@@ -344,8 +356,13 @@
     struct SlWorldFlow *flow = &world->flows[index];
     bool mine = flow->upstream_open && flow->holder == node->index;
 
-    if (packet->tcp_flags & SL_TCP_RST) {
-        if (mine) {
+    if (!is_present(world, index, packet)) {
+        if (!(packet->tcp_flags & SL_TCP_RST)) {
+            reject(node, packet);
+        }
+    }
+    else if (packet->tcp_flags & SL_TCP_RST) {
+        if (mine && packet->tcp_seq == flow->upstream_ack) {
             close_flow(world, flow);
         }
     }
@@ -363,7 +380,7 @@
     }
     else if (!mine) {
         note_stray(node, index, packet);
-        if (flow->holder != node->index) {
+        if (flow->holder != node->index || flow->lost) {
             reject(node, packet);
         }
     }
