Load a flow's place in the cache while its service is looked up

The place follows from the flow's hash alone; the service's id only goes into the tag. One counter less for cached packets.

--- a/packages/coordination/src/entry.c
+++ b/packages/coordination/src/entry.c
@@ -384,7 +384,8 @@
 {
     *counters = (struct SlEntryCounters){
         .packets = sum(entry, COUNT_PACKETS),
-        .forwarded = sum(entry, COUNT_FORWARDED),
+        .forwarded =
+            sum(entry, COUNT_FORWARDED) + sum(entry, COUNT_CACHE_HITS),
         .returned = sum(entry, COUNT_RETURNED),
         .cache_hits = sum(entry, COUNT_CACHE_HITS),
         .no_service = sum(entry, COUNT_NO_SERVICE),
--- a/packages/coordination/src/entry_internal.h
+++ b/packages/coordination/src/entry_internal.h
@@ -20,6 +20,7 @@
 
 enum entry_counter {
     COUNT_PACKETS,
+    /// Those that were not cached.
     COUNT_FORWARDED,
     COUNT_RETURNED,
     COUNT_CACHE_HITS,
--- a/packages/coordination/src/entry_route.c
+++ b/packages/coordination/src/entry_route.c
@@ -24,12 +24,25 @@
     const char *reason;
 };
 
+static uint64_t
+flow_hash(const struct SlEntry *entry, const struct SlFlowKey *flow)
+{
+    return SlFlowKey_Hash(flow, entry->options.core.hash_seed);
+}
+
+/// A service that takes over an address does not take over its flows. The
+/// upper half, which places the flow in the cache, is that of the flow alone.
+static uint64_t
+with_service(uint64_t hash, uint64_t service_id)
+{
+    return hash ^ (service_id & UINT32_MAX);
+}
+
 uint64_t
 entry_cache_hash(const struct SlEntry *entry, uint64_t service_id,
                  const struct SlFlowKey *flow)
 {
-    /* A service that takes over an address does not take over its flows. */
-    return SlFlowKey_Hash(flow, entry->options.core.hash_seed ^ service_id);
+    return with_service(flow_hash(entry, flow), service_id);
 }
 
 static void
@@ -218,7 +231,6 @@
         tunnel.packet = entry_clamp_mss(call->entry, tunnel.packet,
                                         tunnel.packet_bytes, copy);
     }
-    entry_count(call, COUNT_FORWARDED);
     call->sink->type->send_tunnel(call->sink, route->node->node_id,
                                   &route->node->tunnel, &tunnel);
 }
@@ -253,6 +265,7 @@
     }
     report_route(call, route);
     note_waiting(call, route);
+    entry_count(call, COUNT_FORWARDED);
     forward(call, route);
 }
 
@@ -261,8 +274,7 @@
 {
     const struct SlPacket *packet = route->packet;
 
-    route->hash = entry_cache_hash(call->entry, route->service->service_id,
-                                   &route->flow);
+    route->hash = with_service(route->hash, route->service->service_id);
     route->starts_flow =
         packet->kind == SL_PACKET_TCP &&
         (packet->tcp_flags & (SL_TCP_SYN | SL_TCP_ACK | SL_TCP_RST)) ==
@@ -289,6 +301,8 @@
     struct route route = {.packet = packet};
 
     SlPacket_CallerKey(packet, &route.flow);
+    route.hash = flow_hash(call->entry, &route.flow);
+    flow_cache_prefetch(call->entry->cache, route.hash);
     route.service = SlRouting_FindService(
         call->view->routing, &route.flow.service, route.flow.protocol);
     if (route.service == NULL) {
--- a/packages/coordination/src/flow_cache.c
+++ b/packages/coordination/src/flow_cache.c
@@ -156,12 +156,17 @@
     return (uint32_t)((hash >> 32) * cache->set_count >> 32);
 }
 
+void
+flow_cache_prefetch(const struct flow_cache *cache, uint64_t hash)
+{
+    __builtin_prefetch(&cache->sets[set_number(cache, hash)]);
+}
+
 static struct set *
 lock_set(struct flow_cache *cache, uint64_t hash)
 {
     uint32_t number = set_number(cache, hash);
 
-    __builtin_prefetch(&cache->sets[number]);
     pthread_mutex_lock(&cache->shards[number % SHARDS].lock);
     return &cache->sets[number];
 }
--- a/packages/coordination/src/flow_cache.h
+++ b/packages/coordination/src/flow_cache.h
@@ -17,6 +17,11 @@
 void
 flow_cache_destroy(struct flow_cache *cache);
 
+/// Starts loading the flow's place, of which only the upper half of the hash
+/// has to be known.
+void
+flow_cache_prefetch(const struct flow_cache *cache, uint64_t hash);
+
 /// Any number of threads. Returns 0 when the flow is not known.
 uint64_t
 flow_cache_get(struct flow_cache *cache, uint64_t hash, uint64_t now_us);
