--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -14,7 +14,7 @@
 enum {
     RING_LINES = 8192,
     /// The writer looks at the ring at least this often.
-    WRITE_PAUSE_US = 10 * 1000,
+    WRITE_PAUSE_US = 50 * 1000,
     US_PER_SECOND = 1000 * 1000,
     NS_PER_US = 1000,
     CHUNK_BYTES = 64 * 1024,
