--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -226,36 +226,52 @@
     agent_locate_wait(call, flow, p);
 }
 
-void
-agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
-             struct agent_packet *p, bool claim)
+/// Puts a search in place of what was not known of the flow; NULL and the
+/// packet dropped when a bound is reached.
+static struct SlFlow *
+begin_search(const struct agent_call *call, struct SlFlowShard *shard,
+             const struct agent_packet *p, bool claim)
 {
-    struct SlEvent event = {.number = SL_EVENT_LOCATE,
-                            .flow = &p->key,
-                            .service = p->service->name,
-                            .peer = agent_node_name(call, p->tunnel->sender),
-                            .reason = claim ? "claim" : "unknown_flow"};
+    struct agent_searches *searches = &call->agent->searches;
     struct agent_search *search;
     struct SlFlow *flow;
     uint64_t slot = 0;
 
-    search =
-        agent_search_start(&call->agent->searches, claim, call->now_us, &slot);
+    search = agent_search_start(searches, claim, call->now_us, &slot);
     if (search == NULL) {
         agent_drop(call, &p->key, "searches_full");
-        return;
+        return NULL;
     }
     flow = agent_insert_soft(call, shard, &p->key, SL_FLOW_PENDING);
     if (flow == NULL) {
         struct SlFlow none = {.holder = slot};
 
-        agent_search_release(agent_search_take(&call->agent->searches, &none));
+        agent_search_release(agent_search_take(searches, &none));
         agent_drop(call, &p->key, "table_full");
-        return;
+        return NULL;
     }
     flow->holder = slot;
     flow->service_id = p->service->service_id;
     fill_search(call, flow, search, p);
+    return flow;
+}
+
+void
+agent_locate(const struct agent_call *call, struct SlFlowShard *shard,
+             struct agent_packet *p, bool claim)
+{
+    struct SlEvent event = {.number = SL_EVENT_LOCATE,
+                            .flow = &p->key,
+                            .service = p->service->name,
+                            .peer = agent_node_name(call, p->tunnel->sender),
+                            .reason = claim ? "claim" : "unknown_flow"};
+    struct SlFlow *flow = begin_search(call, shard, p, claim);
+    struct agent_search *search;
+
+    if (flow == NULL) {
+        return;
+    }
+    search = agent_search_of(&call->agent->searches, flow);
     event.value = search->asked_count;
     agent_event(call, &event);
     if (claim) {
