Tell followers how much of the lease is left

Cause: a follower took itself for current for a whole lease after a leader's word, even if that leader's lease was nearly over: half an election timeout longer than the leader itself. Change: SlAppend.lease_us in place of a flag; a new term or a resignation ends what the former leader gave.

--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -149,20 +149,28 @@
            raft->commit >= raft->term_start;
 }
 
-bool
-SlRaft_Fresh(const struct SlRaft *raft, uint64_t now_us)
+uint64_t
+SlRaft_LeaseLeft(const struct SlRaft *raft, uint64_t now_us)
 {
     uint64_t lease_us = raft->options.election_us / 4 * 3;
-    uint64_t since_us = raft->fresh_us;
+    uint64_t until_us = raft->fresh_until_us;
 
     if (raft->broken) {
-        return false;
+        return 0;
     }
     if (raft->state == SL_CONTROL_LEADER) {
-        if (!SlRaft_Ready(raft)) {
-            return false;
+        uint64_t acked_us = SlRaft_QuorumAckedAt(raft);
+
+        if (!SlRaft_Ready(raft) || acked_us == 0) {
+            return 0;
         }
-        since_us = SlRaft_QuorumAckedAt(raft);
+        until_us = acked_us + lease_us;
     }
-    return since_us != 0 && now_us - since_us <= lease_us;
+    return until_us > now_us ? until_us - now_us : 0;
+}
+
+bool
+SlRaft_Fresh(const struct SlRaft *raft, uint64_t now_us)
+{
+    return SlRaft_LeaseLeft(raft, now_us) > 0;
 }
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -126,8 +126,8 @@
     uint64_t now_us;
     uint64_t election_due_us;
     uint64_t leader_heard_us;
-    /// The last word of a leader that held its lease; 0 none.
-    uint64_t fresh_us;
+    /// Follower: until then the leader's lease was said to last.
+    uint64_t fresh_until_us;
     uint64_t leading_since_us;
     uint64_t heartbeat_due_us;
     uint64_t repair_due_us;
@@ -151,7 +151,7 @@
     struct SlAppended ack;
     uint64_t leader_commit;
     uint64_t fresh_commit;
-    uint64_t fresh_heard_us;
+    uint64_t fresh_offer_us;
     /// A snapshot on its way to this instance.
     struct SlBuffer incoming;
     struct SlVersion incoming_last;
@@ -202,6 +202,9 @@
 /// leader that held one spoke within it.
 bool
 SlRaft_Fresh(const struct SlRaft *raft, uint64_t now_us);
+/// How long this instance is current from now on; 0 it is not.
+uint64_t
+SlRaft_LeaseLeft(const struct SlRaft *raft, uint64_t now_us);
 /// True when a leader has also committed a record of its own term.
 bool
 SlRaft_Ready(const struct SlRaft *raft);
--- a/packages/coordination/src/raft_election.c
+++ b/packages/coordination/src/raft_election.c
@@ -50,6 +50,8 @@
     if (new_term) {
         raft->hard.term = term;
         raft->hard.voted_for = 0;
+        raft->fresh_until_us = 0;
+        raft->fresh_offer_us = 0;
         SlRaft_SaveHardState(raft);
     }
     if (led) {
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -128,6 +128,8 @@
 {
     raft->leader = 0;
     raft->leader_heard_us = 0;
+    raft->fresh_until_us = 0;
+    raft->fresh_offer_us = 0;
     raft->election_due_us =
         raft->now_us + SlRaft_Random(raft) % raft->options.heartbeat_us;
 }
@@ -162,9 +164,9 @@
         raft->known_commit = commit;
     }
     raft->leader_commit = append->commit;
-    if (append->fresh) {
+    if (append->lease_us > 0) {
         raft->fresh_commit = append->commit;
-        raft->fresh_heard_us = raft->now_us;
+        raft->fresh_offer_us = raft->now_us + append->lease_us;
     }
 }
 
@@ -179,7 +181,7 @@
     }
     SlRaft_ApplyCommitted(raft);
     if (raft->applied.index >= raft->fresh_commit) {
-        raft->fresh_us = raft->fresh_heard_us;
+        raft->fresh_until_us = raft->fresh_offer_us;
     }
 }
 
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -190,7 +190,7 @@
         .append = {.term = raft->hard.term,
                    .commit = raft->commit,
                    .round = raft->round,
-                   .fresh = SlRaft_Fresh(raft, raft->now_us),
+                   .lease_us = SlRaft_LeaseLeft(raft, raft->now_us),
                    .entries = entries}};
     struct SlAppend *append = &message.append;
 
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -150,8 +150,9 @@
     uint64_t commit;
     /// Number of this heartbeat round, echoed; grants the leader's lease.
     uint64_t round;
-    /// The leader holds its lease: commit is current.
-    bool fresh;
+    /// For so long from its sending on the leader holds its lease, and commit
+    /// is current; 0 it holds none.
+    uint64_t lease_us;
     /// The leader stops: its lease is over, elect another at once.
     bool resigns;
     uint32_t entry_count;
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -200,7 +200,7 @@
     PART(SlAppend, previous, VERSION),
     U64(SlAppend, commit),
     U64(SlAppend, round),
-    BOOL(SlAppend, fresh),
+    U64(SlAppend, lease_us),
     BOOL(SlAppend, resigns),
     SL_FIELD_POINTER(SlAppend, entries, entry_count, APPEND_ENTRIES_MAX,
                      LOG_ENTRY),
--- a/test/control_world.h
+++ b/test/control_world.h
@@ -14,6 +14,8 @@
 enum {
     WORLD_NODES_MAX = 7,
     WORLD_STEP_US = 30 * 1000,
+    /// Longest way of a message.
+    WORLD_DELAY_US = 2 * WORLD_STEP_US,
     WORLD_HEARTBEAT_US = 60 * 1000,
     WORLD_ELECTION_US = 300 * 1000,
 };
@@ -157,7 +159,7 @@
 {
     struct world_message *queued = calloc(1, sizeof(*queued));
     uint64_t due_us =
-        world->now_us + world_random(world, 2 * WORLD_STEP_US) + 1000;
+        world->now_us + world_random(world, WORLD_DELAY_US) + 1000;
 
     if (due_us < world->link_due_us[from][to]) {
         due_us = world->link_due_us[from][to];
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -16,8 +16,9 @@
     /// Asks for membership changes.
     MEMBER_CLIENT = 9,
     /// Steps after which no instance may pass an older state off as current:
-    /// the leader's lease and the follower's.
-    FRESH_STEPS = 2 * WORLD_ELECTION_US / WORLD_STEP_US,
+    /// the leader's lease, and the longest way of a message.
+    FRESH_STEPS =
+        (WORLD_ELECTION_US * 3 / 4 + WORLD_DELAY_US) / WORLD_STEP_US + 2,
 };
 
 /// A change that an operator asked for.
