Tell the leader of all processes again when a link to it is renewed

A change of keys closes the links made under the old key. They were back after 0.1 to 0.2 s, but the leader had taken their end for the loss of the other control instances, and a follower reports once in a term: after 2 s two of six live processes were marked unreachable. The test fails without the change.

--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -71,6 +71,16 @@
     return true;
 }
 
+/// What was reported on an earlier link between two instances may be lost,
+/// and the leader may have taken the end of that link for a loss.
+static void
+report_all_again(struct SlControl *control)
+{
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        control->links[i].reported_term = 0;
+    }
+}
+
 void
 SlControl_LinkUp(struct SlControl *control, const struct SlInput *input)
 {
@@ -89,6 +99,7 @@
     if ((link->peer.roles & SL_ROLE_CONTROL) &&
         link->peer.node_id != control->node_id) {
         SlRaft_LinkUp(&control->raft, input->now_us, link->peer.node_id);
+        report_all_again(control);
     }
 }
 
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -157,7 +157,7 @@
     SlStorage_Destroy(storage);
 }
 
-static void
+static uint64_t
 announce(struct world *world, uint32_t at, const char *name)
 {
     uint64_t link = world_connect(world, at, name, SL_ROLE_ENTRY);
@@ -169,6 +169,7 @@
         .node_id = SlNode_Id(name), .roles = SL_ROLE_ENTRY, .zone = "a"};
     world_give(world, at, link, &message);
     world_flush(world, at);
+    return link;
 }
 
 /// A follower tells the leader of its processes as soon as it knows of the
@@ -198,6 +199,45 @@
     }
 }
 
+/// Runs while every process sends its heartbeats.
+static void
+run_with_heartbeats(struct world *world, const uint64_t *links, uint32_t steps)
+{
+    struct SlMessage heartbeat = {.kind = SL_MESSAGE_HEARTBEAT};
+
+    for (uint32_t i = 0; i < steps; i++) {
+        for (uint32_t at = 0; at < world->count; at++) {
+            world_give(world, at, links[at], &heartbeat);
+        }
+        world_step(world);
+    }
+}
+
+/// A control process announces itself through its own control instance; the
+/// leader must hear of it again after a link between the two was renewed.
+static void
+test_renewed_link_to_the_leader_loses_nobody(void)
+{
+    static struct world world;
+    uint64_t links[3];
+    uint32_t leader;
+
+    world_create(&world, 3, 5);
+    world.unreachable_us = 2 * SECONDS_US;
+    world_start_all(&world);
+    for (uint32_t i = 0; i < world.count; i++) {
+        links[i] = announce(&world, i, world.nodes[i].name);
+    }
+    run_with_heartbeats(&world, links, 400);
+    CU_ASSERT_EQUAL(world.events[SL_EVENT_UNREACHABLE], 0);
+    leader = world_leader(&world);
+    CU_ASSERT_TRUE_FATAL(leader < world.count);
+    world_unlink(&world, leader, (leader + 1) % 3);
+    run_with_heartbeats(&world, links, 400);
+    CU_ASSERT_EQUAL(world.events[SL_EVENT_UNREACHABLE], 0);
+    world_destroy(&world);
+}
+
 int
 main(void)
 {
@@ -208,6 +248,8 @@
          test_process_takes_the_configuration_of_its_own_control},
         {"reports to a leader just elected count",
          test_reports_to_a_leader_just_elected_count},
+        {"a renewed link to the leader loses nobody",
+         test_renewed_link_to_the_leader_loses_nobody},
     };
     int code;
 
