Let upstreams of traces tell connections apart by port

Cause: a reset of a flow that had ended closed its successor in the fake, and a replaced upstream stayed silent about connections it never had.

--- a/replay/harness/upstreams.c
+++ b/replay/harness/upstreams.c
@@ -363,7 +363,7 @@
     }
     else if (!mine) {
         note_stray(node, index, packet);
-        if (flow->holder != node->index) {
+        if (flow->holder != node->index || flow->lost) {
             reject(node, packet);
         }
     }
@@ -477,6 +477,18 @@
                             &packet->destination);
 }
 
+/// False for a connection that the caller has left behind.
+static bool
+is_present_port(const struct SlWorld *world, uint32_t index,
+                const struct SlAddress *caller)
+{
+    struct SlAddress present;
+
+    SlWorldFlow_Address(
+        index, world->reuse ? 0 : world->flows[index].generation, &present);
+    return present.port == caller->port;
+}
+
 void
 SlWorldUpstream_Take(struct SlWorldNode *node, const uint8_t *bytes,
                      uint32_t length_bytes)
@@ -502,6 +514,10 @@
     if (index >= world->flow_count) {
         take_unknown(node, &packet);
     }
+    else if (packet.kind == SL_PACKET_TCP &&
+             !is_present_port(world, index, &packet.source)) {
+        reject(node, &packet);
+    }
     else if (packet.kind == SL_PACKET_TCP) {
         take_segment(node, index, &packet);
     }
