Compare service with what callers ask while a zone leaves and returns

The time back to normal compared answers with those before the zone left. Flows that come back together think together, so callers ask in waves for 20 s; a dip in what is asked counted as a dip in service. Ruled out: agents (windows show that every request asked from 43.5 s on was answered).

--- a/replay/harness/callers.c
+++ b/replay/harness/callers.c
@@ -164,6 +164,10 @@
         flow->upstream_open = false;
     }
     world->counts.flows++;
+    if (!flow->wanted) {
+        SlWorld_Window(world)->asked++;
+    }
+    flow->wanted = false;
     flow->generation++;
     flow->established = false;
     flow->lost = false;
@@ -238,6 +242,8 @@
                     flow->state, silent);
         }
     }
+    SlWorld_Window(world)->asked++;
+    flow->wanted = true;
     end_flow(world, index);
 }
 
@@ -267,6 +273,7 @@
             return;
         }
         flow->request++;
+        SlWorld_Window(world)->asked++;
         enter(world, index, FLOW_ASKING);
     }
     else if (flow->resends == resends_max) {
--- a/replay/harness/measure.c
+++ b/replay/harness/measure.c
@@ -128,9 +128,18 @@
     /// Windows before the first step that count as usual, and windows in a
     /// row that count as normal again.
     USUAL_WINDOWS = 30,
-    NORMAL_WINDOWS = 10,
+    NORMAL_WINDOWS = 5,
 };
 
+static const double NORMAL_PART = 0.95;
+
+/// True for steps other than new callers and the reset of the counts.
+static bool
+is_disturbance(const char *step)
+{
+    return strcmp(step, "flows") != 0 && strcmp(step, "clear") != 0;
+}
+
 static uint32_t
 first_step_window(const struct SlWorld *world)
 {
@@ -139,7 +148,7 @@
     for (uint32_t i = 0; i < world->step_count; i++) {
         uint32_t at = (uint32_t)(world->steps[i].time_us / WORLD_WINDOW_US);
 
-        if (strcmp(world->steps[i].words[0], "flows") != 0 && at < window) {
+        if (is_disturbance(world->steps[i].words[0]) && at < window) {
             window = at;
         }
     }
@@ -174,8 +183,31 @@
     return worst;
 }
 
-/// Seconds from the first step to the last second that served less than 95
-/// percent of the usual.
+/// Requests wanted in a row of windows, on average.
+static double
+asked_in(const struct SlWorld *world, uint32_t from, uint32_t to)
+{
+    uint64_t sum = 0;
+
+    for (uint32_t i = from; i < to; i++) {
+        sum += world->windows[i].asked;
+    }
+    return to > from ? (double)sum / (to - from) : 0.0;
+}
+
+/// True when the windows served nearly all that was asked in them or, where
+/// more than usual was asked, nearly the usual.
+static bool
+is_normal(const struct SlWorld *world, uint32_t from, uint32_t to,
+          double usual)
+{
+    double asked = asked_in(world, from, to);
+    double due = asked < usual ? asked : usual;
+
+    return usual_served(world, from, to) >= NORMAL_PART * due;
+}
+
+/// Seconds from the first step to the last half second that was not normal.
 static double
 back_to_normal_s(const struct SlWorld *world)
 {
@@ -188,7 +220,7 @@
     }
     usual = usual_served(world, first - USUAL_WINDOWS, first);
     for (uint32_t i = first; i + NORMAL_WINDOWS < last_window(world); i++) {
-        if (usual_served(world, i, i + NORMAL_WINDOWS) < 0.95 * usual) {
+        if (!is_normal(world, i, i + NORMAL_WINDOWS, usual)) {
             back_s = (i + NORMAL_WINDOWS - first) / 10.0;
         }
     }
--- a/replay/harness/world.h
+++ b/replay/harness/world.h
@@ -143,6 +143,8 @@
     bool forever;
     /// Packets of the flow's upstream are lost for good.
     bool muted;
+    /// The flow failed: its caller wants it back.
+    bool wanted;
     /// The caller never sends anything after its first answer.
     bool idle;
     bool established;
@@ -173,6 +175,9 @@
 };
 
 struct SlWorldWindow {
+    /// Requests that callers began to want: after thinking, or because a
+    /// flow failed.
+    uint32_t asked;
     uint32_t served;
     uint32_t refused;
     uint32_t reset;
--- a/replay/trace_run.c
+++ b/replay/trace_run.c
@@ -64,9 +64,9 @@
         return;
     }
     for (uint64_t i = 0; i < last && i < WORLD_WINDOWS_MAX; i++) {
-        fprintf(file, "%.1f %u %u %u\n", (double)i / 10.0,
+        fprintf(file, "%.1f %u %u %u %u\n", (double)i / 10.0,
                 world->windows[i].served, world->windows[i].refused,
-                world->windows[i].reset);
+                world->windows[i].reset, world->windows[i].asked);
     }
     fclose(file);
 }
