Send fewer probes and load words, and build fewer tables

Pings reached 9.5 KB/s at an entry: the entry that stands by is now probed each second in place of four times. Load words reached 4.4 KB/s at an agent: they go out twice a second only while the load moves by 1/256 of the capacity or runs out of room, else once. A zone that dies made 564 routing tables at each process, 25 s of processor: one table now serves for the versions of 100 ms.

--- a/packages/coordination/src/agent_path.c
+++ b/packages/coordination/src/agent_path.c
@@ -6,7 +6,10 @@
 #include <string.h>
 
 enum {
+    /// The entry in use is probed more often than the one that stands by.
     ALIVE_US = 1000 * 1000,
+    STANDBY_ALIVE_US = 3000 * 1000,
+    STANDBY_PING_US = 1000 * 1000,
     RANKED_MAX = 64,
 };
 
@@ -74,11 +77,19 @@
     return count;
 }
 
+static bool
+is_standby(const struct agent_paths *paths, uint32_t i)
+{
+    return paths->current != 0 && paths->nodes[i] != paths->current;
+}
+
 static bool
 is_alive(const struct agent_paths *paths, uint32_t i, uint64_t now_us)
 {
+    uint64_t bound_us = is_standby(paths, i) ? STANDBY_ALIVE_US : ALIVE_US;
+
     return paths->pong_us[i] != 0 &&
-           agent_elapsed_us(now_us, paths->pong_us[i]) < ALIVE_US;
+           agent_elapsed_us(now_us, paths->pong_us[i]) < bound_us;
 }
 
 static bool
@@ -102,9 +113,11 @@
     for (uint32_t i = 0; i < paths->count; i++) {
         paths->nodes[i] = ranked[(paths->offset + i) % count].node_id;
         paths->pong_us[i] = 0;
+        paths->pinged_us[i] = 0;
         for (uint32_t j = 0; j < old.count; j++) {
             if (old.nodes[j] == paths->nodes[i]) {
                 paths->pong_us[i] = old.pong_us[j];
+                paths->pinged_us[i] = old.pinged_us[j];
             }
         }
     }
@@ -129,6 +142,13 @@
     pthread_mutex_unlock(&paths->lock);
 }
 
+static bool
+is_ping_due(const struct agent_paths *paths, uint32_t i, uint64_t now_us)
+{
+    return !is_standby(paths, i) || paths->pinged_us[i] == 0 ||
+           now_us - paths->pinged_us[i] >= STANDBY_PING_US;
+}
+
 void
 agent_paths_tick(const struct agent_call *call)
 {
@@ -144,6 +164,10 @@
         struct SlTunnel ping = {.kind = SL_TUNNEL_PING,
                                 .ping_us = call->now_us};
 
+        if (!is_ping_due(paths, i, call->now_us)) {
+            continue;
+        }
+        paths->pinged_us[i] = call->now_us;
         agent_send(call, paths->nodes[i], &ping);
     }
 }
--- a/packages/coordination/src/agent_peers.c
+++ b/packages/coordination/src/agent_peers.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 enum {
+    /// A change of the load by a step of the capacity is told at once.
+    LOAD_STEPS = 256,
     /// A peer must be this much emptier before a flow is passed on for
     /// balance alone.
     MARGIN_PERCENT = 2,
@@ -416,6 +418,30 @@
     }
 }
 
+/// True when the peers' last word on this agent's load misleads them, or is
+/// old.
+static bool
+is_word_due(const struct agent_call *call)
+{
+    struct agent_peers *peers = &call->agent->peers;
+    struct SlTunnel load = {.kind = SL_TUNNEL_LOAD};
+    uint32_t moved;
+
+    agent_admission_load(call->agent, &load);
+    moved = load.load_flows > peers->told_flows
+                ? load.load_flows - peers->told_flows
+                : peers->told_flows - load.load_flows;
+    if (moved <= load.load_capacity / LOAD_STEPS &&
+        (load.load_room == 0) == (peers->told_room == 0) &&
+        call->now_us - peers->told_us < AGENT_GOSSIP_MAX_US) {
+        return false;
+    }
+    peers->told_flows = load.load_flows;
+    peers->told_room = load.load_room;
+    peers->told_us = call->now_us;
+    return true;
+}
+
 void
 agent_peers_tick(const struct agent_call *call)
 {
@@ -426,6 +452,9 @@
         return;
     }
     peers->gossip_us = call->now_us;
+    if (!is_word_due(call)) {
+        return;
+    }
     for (uint32_t i = 0; i < peers->count; i++) {
         struct SlTunnel load = {.kind = SL_TUNNEL_LOAD,
                                 .service_id = peers->items[i].service_id};
--- a/packages/coordination/src/agent_private.h
+++ b/packages/coordination/src/agent_private.h
@@ -27,7 +27,9 @@
     /// A peer that fell silent may be restarting for this long.
     AGENT_PEER_RESTART_US = 5 * AGENT_SECOND_US,
     AGENT_DEFAULT_ADOPT_S = 24 * 3600,
+    /// Load is told this often while it moves, else at the longer interval.
     AGENT_GOSSIP_US = 500 * 1000,
+    AGENT_GOSSIP_MAX_US = 1000 * 1000,
     AGENT_PING_US = 250 * 1000,
     AGENT_LOCATE_ROUND_MS = 100,
     AGENT_LOCATE_ROUNDS = 2,
@@ -150,6 +152,10 @@
     uint32_t holder_count;
     struct agent_holder holders[AGENT_HOLDERS_MAX];
     uint64_t gossip_us;
+    /// The last word to the peers on this agent's load.
+    uint64_t told_us;
+    uint32_t told_flows;
+    uint32_t told_room;
     /// Flows passed to agents that told to be full, in the present window.
     uint64_t tries_us;
     uint32_t tries;
@@ -213,6 +219,7 @@
     uint32_t count;
     uint64_t nodes[AGENT_PATHS];
     uint64_t pong_us[AGENT_PATHS];
+    uint64_t pinged_us[AGENT_PATHS];
     uint64_t chosen_us;
     uint64_t ping_us;
     uint64_t current;
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -10,6 +10,9 @@
 enum {
     /// Rounds of messages over the local link within one input.
     LOCAL_ROUNDS_MAX = 1000,
+    /// While versions follow each other quickly, one table serves for those
+    /// of this much time.
+    ROUTING_BUILD_US = 100 * 1000,
 };
 
 /// The newest version that a datagram showed, until the next tick.
@@ -27,6 +30,7 @@
     struct SlControl *control;
     struct SlRouting *routing;
     uint64_t routing_generation;
+    uint64_t routing_built_us;
     struct sighting sighting;
     struct SlLocalLink local;
 };
@@ -268,7 +272,8 @@
     }
 }
 
-/// Builds the routing table of a newer configuration and puts it in use.
+/// Builds the routing table of a newer configuration and puts it in use; a
+/// tick comes back to what was put off.
 static void
 refresh_routing(struct SlNode *node, struct SlSink *sink, uint64_t now_us)
 {
@@ -280,11 +285,15 @@
         (node->entry == NULL && node->agent == NULL)) {
         return;
     }
+    if (old != NULL && now_us - node->routing_built_us < ROUTING_BUILD_US) {
+        return;
+    }
     routing = SlRouting_Build(SlReplica_Config(node->replica), old, now_us);
     if (routing == NULL) {
         return;
     }
     node->routing_generation = generation;
+    node->routing_built_us = now_us;
     if (node->entry != NULL) {
         SlEntry_SetRouting(node->entry, sink, now_us, routing);
     }
