--- a/packages/coordination/src/agent_admission.c
+++ b/packages/coordination/src/agent_admission.c
@@ -19,6 +19,8 @@
     /// Exchanges that may queue at a warm upstream, for each slot.
     QUEUE_FACTOR = 16,
     STEP_US = 500 * 1000,
+    /// The step once as many exchanges as slots are allowed.
+    QUEUE_STEP_US = 1000 * 1000,
     CUT_INTERVAL_US = 200 * 1000,
     /// Samples before answers are called late.
     SAMPLES_MIN = 8,
@@ -220,7 +222,8 @@
     uint64_t raised = cold ? flows : (uint64_t)flows * 2;
 
     if (admission->good_answers < needed ||
-        agent_elapsed_us(now_us, admission->grown_us) < STEP_US) {
+        agent_elapsed_us(now_us, admission->grown_us) <
+            (cold ? STEP_US : QUEUE_STEP_US)) {
         return false;
     }
     admission->good_answers = 0;
--- a/packages/coordination/src/agent_forward.c
+++ b/packages/coordination/src/agent_forward.c
@@ -135,6 +135,7 @@
     }
     return flow->kind == SL_FLOW_PROMISED ||
            (flow->holder == tunnel->sender &&
+            !(flow->flags & SL_FLOW_GIVEN_BACK) &&
             call->agent->node_id < tunnel->sender);
 }
 
--- a/packages/coordination/src/agent_locate.c
+++ b/packages/coordination/src/agent_locate.c
@@ -306,22 +306,18 @@
     return false;
 }
 
-/// The upstream was asked and is silent, but the flow is likely to be its
-/// own: an entry's cache says so, or it is the home of the flow's bucket.
+/// The upstream was asked and is silent, but an entry's cache says that the
+/// flow is its own, and it has room.
 static bool
 is_likely_own(const struct agent_call *call, const struct agent_search *search,
               const struct agent_packet *p)
 {
-    const struct SlRouteService *service = p->service;
-    uint32_t bucket = SlRouting_BucketOf(service->service_id, &p->key);
-    uint16_t home = service->buckets[bucket].choice[0];
+    struct agent_admission *admission = &call->agent->admission;
 
-    if (!search->probed || search->denied || p->packet.kind != SL_PACKET_TCP) {
-        return false;
-    }
-    return (p->tunnel->flags & SL_TUNNEL_CACHED) ||
-           (is_complete(search) && home != SL_NO_MEMBER &&
-            service->members[home]->node_id == call->agent->node_id);
+    return search->probed && !search->denied &&
+           p->packet.kind == SL_PACKET_TCP &&
+           (p->tunnel->flags & SL_TUNNEL_CACHED) &&
+           admission->open_flows < admission->capacity_flows;
 }
 
 /// Nobody has the flow, and the packet is not its first.
--- a/packages/coordination/src/agent_place.c
+++ b/packages/coordination/src/agent_place.c
@@ -81,9 +81,18 @@
                             .reason = reason,
                             .value = call->agent->admission.open_flows};
 
-    if (node_id == 0 || agent_mark(call, shard, p, node_id) == NULL) {
+    struct SlFlow *mark;
+
+    if (node_id == 0) {
+        return false;
+    }
+    mark = agent_mark(call, shard, p, node_id);
+    if (mark == NULL) {
         return false;
     }
+    if (agent_visited(p->tunnel, node_id)) {
+        mark->flags |= SL_FLOW_GIVEN_BACK;
+    }
     if (!agent_send_on(call, p, node_id, SL_TUNNEL_LOCATED_FLOW)) {
         return false;
     }
--- a/packages/state/include/savoryledge/state/flow_table.h
+++ b/packages/state/include/savoryledge/state/flow_table.h
@@ -65,6 +65,9 @@
     SL_FLOW_HAS_LAST_SEQ = 0x2000,
     /// The state of the flow before this agent's start is not known.
     SL_FLOW_ADOPTED = 0x4000,
+    /// MARK: given back to an agent that had passed the flow here, and that
+    /// decides alone. Shares its bit with OPEN flows' ADOPTED.
+    SL_FLOW_GIVEN_BACK = 0x4000,
     /// The exchange in progress was already found to be late.
     SL_FLOW_LATE = 0x8000,
 };
