--- a/packages/common/include/savoryledge/common/packet.h
+++ b/packages/common/include/savoryledge/common/packet.h
@@ -71,7 +71,8 @@
 /// Parses one whole IP packet.
 ///
 /// Errors: SL_MALFORMED (cut short, bad lengths, checksum of the IPv4 header
-/// wrong), SL_INVALID (neither TCP, UDP, an ICMP error nor a fragment).
+/// wrong), SL_INVALID (neither TCP, UDP, an ICMP error nor a fragment; or an
+/// IPv6 packet with an IPv4-mapped address).
 enum SlStatus
 SlPacket_Parse(const uint8_t *bytes, uint32_t length_bytes,
                struct SlPacket *packet);
--- a/packages/common/src/packet_parse.c
+++ b/packages/common/src/packet_parse.c
@@ -137,6 +137,12 @@
     memcpy(&header, bytes, sizeof(header));
     memcpy(view->source.ip, &header.ip6_src, 16);
     memcpy(view->destination.ip, &header.ip6_dst, 16);
+    if (SlAddress_IsIpv4(&view->source) ||
+        SlAddress_IsIpv4(&view->destination)) {
+        /* Else it could pass for a packet of the IPv4 address (RFC 4291,
+           2.5.5.2 gives these no use on the wire). */
+        return SL_INVALID;
+    }
     view->protocol = header.ip6_nxt;
     view->dont_fragment = true;
     view->transport_offset = sizeof(header);
--- a/test/packet_test.c
+++ b/test/packet_test.c
@@ -312,6 +312,23 @@
     CU_ASSERT(SlPacket_ChecksumOk(&packet));
 }
 
+/* An IPv6 packet must not pass for one of an IPv4 service. */
+static void
+test_mapped_addresses_on_the_wire(void)
+{
+    uint8_t bytes[ROOM_BYTES];
+    struct SlAddress mapped = address("198.51.100.7:80");
+    struct SlPacket packet;
+    uint32_t length = build_udp(1, 3, bytes);
+
+    CU_ASSERT_EQUAL(SlPacket_Parse(bytes, length, &packet), SL_OK);
+    memcpy(bytes + 24, mapped.ip, 16);
+    CU_ASSERT_EQUAL(SlPacket_Parse(bytes, length, &packet), SL_INVALID);
+    length = build_udp(1, 3, bytes);
+    memcpy(bytes + 8, mapped.ip, 16);
+    CU_ASSERT_EQUAL(SlPacket_Parse(bytes, length, &packet), SL_INVALID);
+}
+
 static void
 test_endless_extension_headers(void)
 {
@@ -342,6 +359,7 @@
         {"mss clamped", test_mss_clamped},
         {"mss at odd place", test_mss_at_odd_place},
         {"fragments", test_fragments},
+        {"mapped addresses on the wire", test_mapped_addresses_on_the_wire},
         {"endless extension headers", test_endless_extension_headers},
     };
 
