--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -11,11 +11,14 @@
     ANNOUNCE_US = 5 * 1000 * 1000,
     /// Time for a control instance to answer before the next is tried.
     CONTROL_PATIENCE_US = 1000 * 1000,
+    /// Each instance that was reached in vain doubles the time for the next,
+    /// so that a slow network only delays the configuration.
+    PATIENCE_DOUBLINGS_MAX = 3,
     /// Part of the patience that differs between processes.
     JITTER_US = 500 * 1000,
     /// Time for control to bring a version that a peer already holds.
     PULL_DELAY_US = 200 * 1000,
-    PULL_PATIENCE_US = 1000 * 1000,
+    PULL_PATIENCE_US = 3000 * 1000,
 };
 
 /// A link on which a configuration may come.
@@ -35,6 +38,7 @@
     struct source control;
     uint32_t control_index;
     uint64_t patience_us;
+    uint32_t patience_doublings;
     /// A peer that holds a newer version; node_id 0 when none is asked.
     struct source peer;
     struct SlVersion peer_version;
@@ -161,6 +165,24 @@
     sink->type->send_message(sink, replica->control.link, &message);
 }
 
+/// Time for the next control instance, by how the last one did.
+static void
+set_patience(struct SlReplica *replica)
+{
+    const struct source *last = &replica->control;
+
+    if (replica->last_fresh_us >= last->since_us) {
+        replica->patience_doublings = 0;
+    }
+    else if (last->link != 0 &&
+             replica->patience_doublings < PATIENCE_DOUBLINGS_MAX) {
+        replica->patience_doublings++;
+    }
+    replica->patience_us =
+        ((uint64_t)CONTROL_PATIENCE_US << replica->patience_doublings) +
+        next_random(&replica->options.core.seed) % JITTER_US;
+}
+
 /// Goes on to the next control instance of the list.
 static void
 dial_control(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
@@ -175,13 +197,11 @@
         replica->control_index =
             (replica->control_index + 1) % options->control_count;
     }
+    set_patience(replica);
     SlConfigGather_Release(&replica->control.gather);
     replica->control =
         (struct source){.node_id = options->control_id[replica->control_index],
                         .since_us = now_us};
-    replica->patience_us =
-        CONTROL_PATIENCE_US +
-        next_random(&replica->options.core.seed) % JITTER_US;
     sink->type->dial(sink, replica->control.node_id,
                      &options->control[replica->control_index]);
 }
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -214,6 +214,32 @@
     SlReplica_Destroy(replica);
 }
 
+/* Answers take 3 s: the replica must wait longer in the end, or it leaves
+   each instance just before the configuration arrives. */
+static void
+test_slow_network_only_delays(void)
+{
+    struct fake_sink sink = {.sink = {.type = &FAKE_SINK}};
+    struct SlReplica *replica = make_replica();
+    uint64_t link = 100;
+    uint64_t up_us = 0;
+    uint64_t left = 0;
+
+    for (uint64_t now_us = 20 * MS; now_us < 20000 * MS; now_us += 20 * MS) {
+        tick(replica, &sink, now_us);
+        if (sink.dialled != left) {
+            left = sink.dialled;
+            up_us = now_us;
+            link_up(replica, &sink, now_us, ++link, sink.dialled);
+        }
+        if (now_us == up_us + 3000 * MS) {
+            offer(replica, &sink, now_us, link, 0, 5);
+        }
+    }
+    CU_ASSERT_EQUAL(held(replica), 5);
+    SlReplica_Destroy(replica);
+}
+
 static void
 test_newer_peer_is_asked(void)
 {
@@ -310,6 +336,7 @@
     static const struct test_case CASES[] = {
         {"versions only grow", test_versions_only_grow},
         {"silent control is left", test_silent_control_is_left},
+        {"slow network only delays", test_slow_network_only_delays},
         {"newer peer is asked", test_newer_peer_is_asked},
         {"parts cut off change nothing", test_parts_cut_off_change_nothing},
         {"peer is answered and stop is told",
