Read the return path under its lock, and publish tables by exchange

The thread sanitizer found the tick reading which entry is in use while a packet thread changed it (since pings depend on it), and the node's table published by a plain store.

--- a/packages/coordination/src/agent_path.c
+++ b/packages/coordination/src/agent_path.c
@@ -149,10 +149,29 @@
            now_us - paths->pinged_us[i] >= STANDBY_PING_US;
 }
 
+/// Notes and lists the entries whose ping is due; returns how many.
+static uint32_t
+take_due(struct agent_paths *paths, uint64_t now_us, uint64_t due[AGENT_PATHS])
+{
+    uint32_t count = 0;
+
+    pthread_mutex_lock(&paths->lock);
+    for (uint32_t i = 0; i < paths->count; i++) {
+        if (is_ping_due(paths, i, now_us)) {
+            paths->pinged_us[i] = now_us;
+            due[count++] = paths->nodes[i];
+        }
+    }
+    pthread_mutex_unlock(&paths->lock);
+    return count;
+}
+
 void
 agent_paths_tick(const struct agent_call *call)
 {
     struct agent_paths *paths = &call->agent->paths;
+    uint64_t due[AGENT_PATHS];
+    uint32_t count;
 
     if (call->routing == NULL ||
         call->now_us - paths->ping_us < AGENT_PING_US) {
@@ -160,15 +179,12 @@
     }
     paths->ping_us = call->now_us;
     refresh(call);
-    for (uint32_t i = 0; i < paths->count; i++) {
+    count = take_due(paths, call->now_us, due);
+    for (uint32_t i = 0; i < count; i++) {
         struct SlTunnel ping = {.kind = SL_TUNNEL_PING,
                                 .ping_us = call->now_us};
 
-        if (!is_ping_due(paths, i, call->now_us)) {
-            continue;
-        }
-        paths->pinged_us[i] = call->now_us;
-        agent_send(call, paths->nodes[i], &ping);
+        agent_send(call, due[i], &ping);
     }
 }
 
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -300,7 +300,7 @@
     if (node->agent != NULL) {
         SlAgent_SetRouting(node->agent, sink, now_us, routing);
     }
-    rcu_assign_pointer(node->routing, routing);
+    rcu_xchg_pointer(&node->routing, routing);
     synchronize_rcu();
     SlRouting_Unref(old);
 }
