--- a/bench/bench.h
+++ b/bench/bench.h
@@ -160,65 +160,14 @@
     return SlPacket_BuildTcp(&segment, out, BENCH_PACKET_BYTES);
 }
 
-static inline void
-bench_no_packet(struct SlSink *sink, const uint8_t *bytes,
-                uint32_t length_bytes)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length_bytes;
-}
-
-static inline void
-bench_no_tunnel(struct SlSink *sink, uint64_t node_id,
-                const struct SlAddress *to, const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
-static inline void
-bench_no_message(struct SlSink *sink, uint64_t link,
-                 const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static inline void
-bench_no_dial(struct SlSink *sink, uint64_t node_id,
-              const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static inline void
-bench_no_drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
-static inline void
-bench_no_event(struct SlSink *sink, const struct SlEvent *event)
-{
-    (void)sink;
-    (void)event;
-}
-
 static const struct SlSinkType BENCH_NO_SINK = {
-    .send_to_caller = bench_no_packet,
-    .send_to_upstream = bench_no_packet,
-    .send_tunnel = bench_no_tunnel,
-    .send_message = bench_no_message,
-    .dial = bench_no_dial,
-    .drop = bench_no_drop,
-    .event = bench_no_event,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
+    .event = SlSink_IgnoreEvent,
 };
 
 /// An entry whose cache knows flows 0..flows-1.
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -57,28 +57,6 @@
     }
 }
 
-static void
-dial_driver(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static void
-drop_driver(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
-static void
-event_driver(struct SlSink *sink, const struct SlEvent *event)
-{
-    (void)sink;
-    (void)event;
-}
-
 static void
 give(struct driver *driver, struct SlInput input)
 {
@@ -118,9 +96,9 @@
 {
     static const struct SlSinkType SINK = {
         .send_message = send_message_driver,
-        .dial = dial_driver,
-        .drop = drop_driver,
-        .event = event_driver,
+        .dial = SlSink_IgnoreDial,
+        .drop = SlSink_IgnoreDrop,
+        .event = SlSink_IgnoreEvent,
     };
     struct SlControlOptions options = {
         .core = {.name = "control-1", .roles = SL_ROLE_CONTROL},
@@ -463,9 +441,9 @@
 {
     static const struct SlSinkType SINK = {
         .send_message = send_message_pair,
-        .dial = dial_driver,
-        .drop = drop_driver,
-        .event = event_driver,
+        .dial = SlSink_IgnoreDial,
+        .drop = SlSink_IgnoreDrop,
+        .event = SlSink_IgnoreEvent,
     };
     struct SlPeer peer = {.node_id = SlNode_Id("control-1"),
                           .name = "control-1",
--- a/bench/entry_bench.c
+++ b/bench/entry_bench.c
@@ -154,13 +154,13 @@
 }
 
 static const struct SlSinkType GATHER_SINK = {
-    .send_to_caller = bench_no_packet,
-    .send_to_upstream = bench_no_packet,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
     .send_tunnel = gather_tunnel,
-    .send_message = bench_no_message,
-    .dial = bench_no_dial,
-    .drop = bench_no_drop,
-    .event = bench_no_event,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
+    .event = SlSink_IgnoreEvent,
 };
 
 static void
--- a/bench/in_force_bench.c
+++ b/bench/in_force_bench.c
@@ -88,13 +88,13 @@
 }
 
 static const struct SlSinkType END_SINK = {
-    .send_to_caller = bench_no_packet,
-    .send_to_upstream = bench_no_packet,
-    .send_tunnel = bench_no_tunnel,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
     .send_message = send_message,
     .dial = dial,
     .drop = drop,
-    .event = bench_no_event,
+    .event = SlSink_IgnoreEvent,
 };
 
 static void
--- a/example/embedded_core.c
+++ b/example/embedded_core.c
@@ -117,13 +117,6 @@
     }
 }
 
-static void
-drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 static void
 log_event(struct SlSink *sink, const struct SlEvent *event)
 {
@@ -132,8 +125,14 @@
 }
 
 static const struct SlSinkType SINK = {
-    send_to_caller, send_to_upstream, send_tunnel, send_message, dial,
-    drop,           log_event};
+    .send_to_caller = send_to_caller,
+    .send_to_upstream = send_to_upstream,
+    .send_tunnel = send_tunnel,
+    .send_message = send_message,
+    .dial = dial,
+    .drop = SlSink_IgnoreDrop,
+    .event = log_event,
+};
 
 static void
 give(uint32_t to, struct SlInput input)
--- a/packages/coordination/include/savoryledge/coordination/core.h
+++ b/packages/coordination/include/savoryledge/coordination/core.h
@@ -94,6 +94,25 @@
     const struct SlSinkType *type;
 };
 
+/// Members of a sink that does nothing with what it is asked; for owners
+/// that want only some of it.
+void
+SlSink_IgnorePacket(struct SlSink *sink, const uint8_t *bytes,
+                    uint32_t length_bytes);
+void
+SlSink_IgnoreTunnel(struct SlSink *sink, uint64_t node_id,
+                    const struct SlAddress *to, const struct SlTunnel *tunnel);
+void
+SlSink_IgnoreMessage(struct SlSink *sink, uint64_t link,
+                     const struct SlMessage *message);
+void
+SlSink_IgnoreDial(struct SlSink *sink, uint64_t node_id,
+                  const struct SlAddress *to);
+void
+SlSink_IgnoreDrop(struct SlSink *sink, uint64_t node_id);
+void
+SlSink_IgnoreEvent(struct SlSink *sink, const struct SlEvent *event);
+
 /// What every core of a process is told when it is created.
 struct SlCoreOptions {
     /// Names the process among all; also its node id (SlNode_Id).
--- a/packages/coordination/src/recording_replay.c
+++ b/packages/coordination/src/recording_replay.c
@@ -27,48 +27,6 @@
     bool no_memory;
 };
 
-static void
-ignore_packet(struct SlSink *sink, const uint8_t *bytes, uint32_t length_bytes)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length_bytes;
-}
-
-static void
-ignore_tunnel(struct SlSink *sink, uint64_t node_id,
-              const struct SlAddress *to, const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
-static void
-ignore_message(struct SlSink *sink, uint64_t link,
-               const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static void
-ignore_dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static void
-ignore_drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 static bool
 grow_queue(struct replay *replay)
 {
@@ -109,12 +67,12 @@
 }
 
 static const struct SlSinkType REPLAY_SINK = {
-    .send_to_caller = ignore_packet,
-    .send_to_upstream = ignore_packet,
-    .send_tunnel = ignore_tunnel,
-    .send_message = ignore_message,
-    .dial = ignore_dial,
-    .drop = ignore_drop,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
     .event = replay_event,
 };
 
--- a/test/agent_queue.h
+++ b/test/agent_queue.h
@@ -283,30 +283,6 @@
     fx_entry_takes(agent->fx, agent, tunnel);
 }
 
-static inline void
-fx_no_message(struct SlSink *sink, uint64_t link,
-              const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static inline void
-fx_no_dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static inline void
-fx_no_drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 static inline void
 fx_event(struct SlSink *sink, const struct SlEvent *event)
 {
@@ -323,9 +299,9 @@
     .send_to_caller = fx_to_caller,
     .send_to_upstream = fx_to_upstream,
     .send_tunnel = fx_send_tunnel,
-    .send_message = fx_no_message,
-    .dial = fx_no_dial,
-    .drop = fx_no_drop,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
     .event = fx_event,
 };
 
--- a/test/agent_thread_test.c
+++ b/test/agent_thread_test.c
@@ -37,16 +37,6 @@
     ((struct worker *)sink)->delivered++;
 }
 
-static void
-ignore_tunnel(struct SlSink *sink, uint64_t node_id,
-              const struct SlAddress *to, const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
 static void
 count_event(struct SlSink *sink, const struct SlEvent *event)
 {
@@ -212,7 +202,7 @@
 
     worker_sink = FX_SINK;
     worker_sink.send_to_upstream = count_delivered;
-    worker_sink.send_tunnel = ignore_tunnel;
+    worker_sink.send_tunnel = SlSink_IgnoreTunnel;
     worker_sink.event = count_event;
     fx_open(&fx, "workroom");
     fx_run(&fx, 40 * FX_SECOND_US);
--- a/test/capture.h
+++ b/test/capture.h
@@ -37,15 +37,6 @@
     capture->caller_packet_bytes = length_bytes;
 }
 
-static inline void
-capture_send_to_upstream(struct SlSink *sink, const uint8_t *bytes,
-                         uint32_t length_bytes)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length_bytes;
-}
-
 static inline void
 capture_send_tunnel(struct SlSink *sink, uint64_t node_id,
                     const struct SlAddress *to, const struct SlTunnel *tunnel)
@@ -62,30 +53,6 @@
     capture->tunnel.packet = capture->tunnel_packet;
 }
 
-static inline void
-capture_send_message(struct SlSink *sink, uint64_t link,
-                     const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static inline void
-capture_dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static inline void
-capture_drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 static inline void
 capture_event(struct SlSink *sink, const struct SlEvent *event)
 {
@@ -105,11 +72,11 @@
 
 static const struct SlSinkType CAPTURE_SINK = {
     .send_to_caller = capture_send_to_caller,
-    .send_to_upstream = capture_send_to_upstream,
+    .send_to_upstream = SlSink_IgnorePacket,
     .send_tunnel = capture_send_tunnel,
-    .send_message = capture_send_message,
-    .dial = capture_dial,
-    .drop = capture_drop,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
     .event = capture_event,
 };
 
--- a/test/control_world.h
+++ b/test/control_world.h
@@ -267,21 +267,6 @@
     }
 }
 
-static void
-dial_world(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static void
-drop_world(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 /// Starts a node's process on the storage that it has.
 static inline enum SlStatus
 world_start(struct world *world, uint32_t at)
@@ -347,8 +332,8 @@
 {
     static const struct SlSinkType SINK = {
         .send_message = send_message_world,
-        .dial = dial_world,
-        .drop = drop_world,
+        .dial = SlSink_IgnoreDial,
+        .drop = SlSink_IgnoreDrop,
         .event = event_world,
     };
 
--- a/test/entry_thread_test.c
+++ b/test/entry_thread_test.c
@@ -42,14 +42,6 @@
     ((struct worker *)sink)->returned++;
 }
 
-static void
-send_to_upstream(struct SlSink *sink, const uint8_t *bytes, uint32_t length)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length;
-}
-
 static void
 send_tunnel(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to,
             const struct SlTunnel *tunnel)
@@ -66,45 +58,14 @@
     }
 }
 
-static void
-send_message(struct SlSink *sink, uint64_t link,
-             const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static void
-dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static void
-drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
-static void
-event(struct SlSink *sink, const struct SlEvent *told)
-{
-    (void)sink;
-    (void)told;
-}
-
 static const struct SlSinkType SINK = {
     .send_to_caller = send_to_caller,
-    .send_to_upstream = send_to_upstream,
+    .send_to_upstream = SlSink_IgnorePacket,
     .send_tunnel = send_tunnel,
-    .send_message = send_message,
-    .dial = dial,
-    .drop = drop,
-    .event = event,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
+    .event = SlSink_IgnoreEvent,
 };
 
 static void
--- a/test/node_test.c
+++ b/test/node_test.c
@@ -19,34 +19,6 @@
     uint32_t drops;
 };
 
-static void
-send_to_caller_counting(struct SlSink *sink, const uint8_t *bytes,
-                        uint32_t length_bytes)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length_bytes;
-}
-
-static void
-send_tunnel_counting(struct SlSink *sink, uint64_t node_id,
-                     const struct SlAddress *to, const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
-static void
-send_message_counting(struct SlSink *sink, uint64_t link,
-                      const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
 static void
 dial_counting(struct SlSink *sink, uint64_t node_id,
               const struct SlAddress *to)
@@ -63,21 +35,14 @@
     ((struct counting_sink *)sink)->drops++;
 }
 
-static void
-event_counting(struct SlSink *sink, const struct SlEvent *event)
-{
-    (void)sink;
-    (void)event;
-}
-
 static const struct SlSinkType COUNTING = {
-    .send_to_caller = send_to_caller_counting,
-    .send_to_upstream = send_to_caller_counting,
-    .send_tunnel = send_tunnel_counting,
-    .send_message = send_message_counting,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
+    .send_message = SlSink_IgnoreMessage,
     .dial = dial_counting,
     .drop = drop_counting,
-    .event = event_counting,
+    .event = SlSink_IgnoreEvent,
 };
 
 /// A control process, one of as many members.
--- a/test/recording_test.c
+++ b/test/recording_test.c
@@ -19,47 +19,6 @@
     struct SlBuffer bytes;
 };
 
-static void
-no_packet(struct SlSink *sink, const uint8_t *bytes, uint32_t length_bytes)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length_bytes;
-}
-
-static void
-no_tunnel(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to,
-          const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
-static void
-no_message(struct SlSink *sink, uint64_t link, const struct SlMessage *message)
-{
-    (void)sink;
-    (void)link;
-    (void)message;
-}
-
-static void
-no_dial(struct SlSink *sink, uint64_t node_id, const struct SlAddress *to)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-}
-
-static void
-no_drop(struct SlSink *sink, uint64_t node_id)
-{
-    (void)sink;
-    (void)node_id;
-}
-
 static void
 record_event(struct SlSink *sink, const struct SlEvent *event)
 {
@@ -67,12 +26,12 @@
 }
 
 static const struct SlSinkType SINK = {
-    .send_to_caller = no_packet,
-    .send_to_upstream = no_packet,
-    .send_tunnel = no_tunnel,
-    .send_message = no_message,
-    .dial = no_dial,
-    .drop = no_drop,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
+    .send_message = SlSink_IgnoreMessage,
+    .dial = SlSink_IgnoreDial,
+    .drop = SlSink_IgnoreDrop,
     .event = record_event,
 };
 
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -28,24 +28,6 @@
     enum SlEventNumber last_event;
 };
 
-static void
-ignore_packet(struct SlSink *sink, const uint8_t *bytes, uint32_t length)
-{
-    (void)sink;
-    (void)bytes;
-    (void)length;
-}
-
-static void
-ignore_tunnel(struct SlSink *sink, uint64_t node_id,
-              const struct SlAddress *to, const struct SlTunnel *tunnel)
-{
-    (void)sink;
-    (void)node_id;
-    (void)to;
-    (void)tunnel;
-}
-
 static void
 note_message(struct SlSink *sink, uint64_t link,
              const struct SlMessage *message)
@@ -85,9 +67,9 @@
 }
 
 static const struct SlSinkType FAKE_SINK = {
-    .send_to_caller = ignore_packet,
-    .send_to_upstream = ignore_packet,
-    .send_tunnel = ignore_tunnel,
+    .send_to_caller = SlSink_IgnorePacket,
+    .send_to_upstream = SlSink_IgnorePacket,
+    .send_tunnel = SlSink_IgnoreTunnel,
     .send_message = note_message,
     .dial = note_dial,
     .drop = note_drop,
