Read packets ahead at the entry, so that a decision's cost is flat

A batch of up to 16 packets is now parsed, and the flows' places asked for, before the first is decided; with it the reading without a lock returns. Decisions do not change: recordings replay alike.

--- a/packages/daemon/src/shell_record.c
+++ b/packages/daemon/src/shell_record.c
@@ -32,34 +32,56 @@
     return SL_OK;
 }
 
-/// The control thread alone switches, and never during an input, so it takes
-/// no lock against itself.
+/// Records inputs, hands them to the cores, and records what came out. The
+/// control thread alone switches the recording, and never during an input, so
+/// it takes no lock against itself.
+///
+/// inputs: one of any kind, or a row of packets from callers.
 static void
 give_recorded(struct SlShell *shell, struct outlet *outlet,
-              const struct SlInput *input)
+              const struct SlInput *inputs, uint32_t count)
 {
     struct SlRecorder *recorder;
+    bool from_callers = inputs->kind == SL_INPUT_CALLER_PACKET;
 
     pthread_rwlock_rdlock(&shell->recording.lock);
     recorder = shell->recording.recorder;
     if (recorder != NULL) {
-        SlRecorder_BeginInput(recorder, input);
+        SlRecorder_BeginInputs(recorder, inputs, count);
         outlet->recorder = recorder;
     }
-    SlNode_Handle(shell->node, &outlet->sink, input);
+    if (from_callers) {
+        SlNode_HandlePackets(shell->node, &outlet->sink, inputs, count);
+    }
+    else {
+        SlNode_Handle(shell->node, &outlet->sink, inputs);
+    }
     if (recorder != NULL) {
         outlet->recorder = NULL;
-        SlRecorder_EndInput(recorder);
+        SlRecorder_EndInputs(recorder);
     }
     pthread_rwlock_unlock(&shell->recording.lock);
 }
 
+void
+give_packets(struct SlShell *shell, struct outlet *outlet,
+             const struct SlInput *inputs, uint32_t count)
+{
+    if (!atomic_load(&shell->recording.on)) {
+        SlNode_HandlePackets(shell->node, &outlet->sink, inputs, count);
+        return;
+    }
+    if (count > 0) {
+        give_recorded(shell, outlet, inputs, count);
+    }
+}
+
 void
 give_input(struct SlShell *shell, struct outlet *outlet,
            const struct SlInput *input)
 {
     if (atomic_load(&shell->recording.on)) {
-        give_recorded(shell, outlet, input);
+        give_recorded(shell, outlet, input, 1);
         return;
     }
     SlNode_Handle(shell->node, &outlet->sink, input);
