--- a/fuzz/change_fuzz.c
+++ b/fuzz/change_fuzz.c
@@ -41,6 +41,8 @@
     if (SlChange_Check(&change, &error) == SL_OK) {
         apply(&change);
     }
+    SlChange_Release(&change);
+    SlChange_Release(&copy);
     SlBuffer_Release(&first);
     SlBuffer_Release(&second);
     return 0;
--- /dev/null
+++ b/packages/balance/src/admission.c
@@ -0,0 +1,131 @@
+#include "savoryledge/balance/admission.h"
+
+enum {
+    US_PER_MS = 1000,
+    /// The bound on a cold upstream holds for any second; the margin covers
+    /// the way from this process to the upstream.
+    COLD_WINDOW_US = 1100 * 1000,
+    /// Taken for the time of an answer until one was seen: that of a short
+    /// request on an idle upstream.
+    FIRST_ANSWER_US = 30 * 1000,
+    /// Share of the old value in the moving average, of 8.
+    AVERAGE_OLD = 7,
+    AVERAGE_ALL = 8,
+    /// Single answers count for the average with at most so many times it, so
+    /// that a few slow ones do not close the upstream.
+    OUTLIER_FACTOR = 4,
+    /// After the upstream gave a flow back its queue has to drain: about the
+    /// time of one short answer.
+    FULL_PAUSE_US = 40 * 1000,
+    /// Requests that wait at the upstream at most: it queues a few more than
+    /// it works on, and sheds what comes then.
+    QUEUE_MAX = 9,
+};
+
+bool
+SlAdmission_IsCold(const struct SlAdmission *admission, uint64_t now_us)
+{
+    return now_us < admission->cold_until_us;
+}
+
+static uint32_t
+load_of(const struct SlAdmission *admission)
+{
+    return admission->in_progress + admission->opening;
+}
+
+static uint64_t
+answer_time(const struct SlAdmission *admission)
+{
+    return admission->answer_us != 0 ? admission->answer_us : FIRST_ANSWER_US;
+}
+
+uint64_t
+SlAdmission_WaitUs(const struct SlAdmission *admission)
+{
+    uint32_t slots = admission->slots == 0 ? 1 : admission->slots;
+    uint32_t load = load_of(admission);
+
+    if (load < slots) {
+        return 0;
+    }
+    return (uint64_t)(load - slots + 1) * answer_time(admission) / slots;
+}
+
+/// With no other upstream left: is it worth waiting here?
+static bool
+may_wait(const struct SlAdmission *admission, const struct SlAdmissionAsk *ask)
+{
+    uint64_t done_us = SlAdmission_WaitUs(admission) + answer_time(admission);
+
+    return load_of(admission) < admission->slots + QUEUE_MAX &&
+           (done_us <= (uint64_t)ask->objective_ms * US_PER_MS ||
+            done_us <= (uint64_t)ask->timeout_ms * US_PER_MS / 2);
+}
+
+enum SlRelayReason
+SlAdmission_Judge(struct SlAdmission *admission, uint64_t now_us,
+                  const struct SlAdmissionAsk *ask)
+{
+    if (admission->flows >= admission->capacity_flows ||
+        now_us < admission->full_until_us) {
+        return SL_RELAY_FULL;
+    }
+    if (load_of(admission) >= admission->slots) {
+        if (!ask->last) {
+            return SL_RELAY_BUSY;
+        }
+        if (!may_wait(admission, ask)) {
+            return SL_RELAY_FULL;
+        }
+    }
+    if (SlAdmission_IsCold(admission, now_us) &&
+        !SlPace_Allow(&admission->pace, now_us, COLD_WINDOW_US,
+                      admission->cold_limit)) {
+        return SL_RELAY_COLD;
+    }
+    admission->opening++;
+    admission->flows++;
+    return SL_RELAY_REASON_NONE;
+}
+
+void
+SlAdmission_Began(struct SlAdmission *admission, bool opened)
+{
+    admission->in_progress++;
+    if (opened && admission->opening > 0) {
+        admission->opening--;
+    }
+}
+
+void
+SlAdmission_Ended(struct SlAdmission *admission, uint64_t took_us)
+{
+    uint64_t usual_us = answer_time(admission);
+
+    if (admission->in_progress > 0) {
+        admission->in_progress--;
+    }
+    if (took_us == 0) {
+        return;
+    }
+    if (took_us > usual_us * OUTLIER_FACTOR) {
+        took_us = usual_us * OUTLIER_FACTOR;
+    }
+    admission->answer_us =
+        (uint32_t)((usual_us * AVERAGE_OLD + took_us) / AVERAGE_ALL);
+}
+
+void
+SlAdmission_Abandoned(struct SlAdmission *admission)
+{
+    if (admission->opening > 0) {
+        admission->opening--;
+    }
+}
+
+void
+SlAdmission_Returned(struct SlAdmission *admission, uint64_t now_us)
+{
+    admission->full_until_us = now_us + FULL_PAUSE_US;
+}
--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -26,6 +26,25 @@
      "An entry or agent took a new routing table into use."},
     {SL_EVENT_FRAGMENT, SL_LEVEL_INFO, "fragment", "held", "limit",
      "A fragmented packet was put together, or given up."},
+    {SL_EVENT_RELAY_OFFER, SL_LEVEL_INFO, "offer", "in_progress", "slots",
+     "An entry offered a new flow to an agent, by the load that it last "
+     "reported."},
+    {SL_EVENT_RELAY_DECLINED, SL_LEVEL_INFO, "declined", "in_progress",
+     "slots",
+     "An agent declined an offer; the entry offers the flow to the "
+     "next one."},
+    {SL_EVENT_RELAY_REFUSED, SL_LEVEL_NOTICE, "flow_refused", "declined_by",
+     "spent_us",
+     "An entry reset a new flow that no agent took: it has not "
+     "run."},
+    {SL_EVENT_RELAY_SEARCH, SL_LEVEL_INFO, "search", "asked", NULL,
+     "An entry asks agents who holds a flow."},
+    {SL_EVENT_RELAY_SEARCH_ENDED, SL_LEVEL_INFO, "search_ended", "took_us",
+     "unanswered", "The search for a flow's holder ended."},
+    {SL_EVENT_RELAY_CONFIG, SL_LEVEL_NOTICE, "plan", "plan_version",
+     "upstreams",
+     "An entry or agent of the relay took a configuration into "
+     "use."},
     {SL_EVENT_ADMIT, SL_LEVEL_INFO, "admit", "open_flows", "limit_flows",
      "An agent accepted a new flow for its upstream."},
     {SL_EVENT_PASS_ON, SL_LEVEL_INFO, "pass_on", "open_flows",
@@ -59,6 +78,14 @@
      "A packet was dropped, with the reason."},
     {SL_EVENT_RETURN_PATH, SL_LEVEL_NOTICE, "return_path", NULL, NULL,
      "An agent chose the entry through which its answers leave."},
+    {SL_EVENT_RELAY_ADMIT, SL_LEVEL_INFO, "relay_admit", "in_progress",
+     "slots", "An agent of the relay let a new flow in."},
+    {SL_EVENT_RELAY_DECLINE, SL_LEVEL_INFO, "relay_decline", "in_progress",
+     "slots", "An agent of the relay declined a new flow: it has not run."},
+    {SL_EVENT_RELAY_ABSENT, SL_LEVEL_INFO, "relay_absent", NULL, NULL,
+     "A segment reached an agent whose upstream does not hold its flow."},
+    {SL_EVENT_UPSTREAM_NOTICE, SL_LEVEL_NOTICE, "upstream_notice", "seq",
+     "cold_ms", "What an upstream says of itself changed."},
     {SL_EVENT_ELECTED, SL_LEVEL_NOTICE, "elected", "term", "votes",
      "A control instance became leader."},
     {SL_EVENT_STEPPED_DOWN, SL_LEVEL_NOTICE, "stepped_down", "term", NULL,
@@ -122,6 +149,8 @@
      "The recording was switched on, off, or to a new file."},
     {SL_EVENT_FAILED, SL_LEVEL_ERROR, "failed", NULL, NULL,
      "A step failed; the reason is the status."},
+    {SL_EVENT_CALL_REFUSED, SL_LEVEL_WARNING, "call_refused", NULL, NULL,
+     "A call on an HTTP interface was refused, with the reason."},
 };
 
 const struct SlEventRow *
--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -30,6 +30,13 @@
     /// True: an empty folder starts as one of the first members (a new
     /// site). False: it joins as a learner and votes once caught up.
     bool bootstrap;
+    /// True: the instances keep their membership by themselves. One that
+    /// hears no leader asks the members that it knows, and those of the list
+    /// above, to be taken in; the leader keeps an odd number of voters, seven
+    /// at most, and puts a caught-up learner in the place of a silent voter.
+    bool self_forming;
+    /// Where others reach this instance; for self_forming.
+    struct SlAddress link;
     /// Owned by the caller and outlives the control.
     struct SlStorage *storage;
     /// Heartbeat interval and least election timeout; 0 takes 150 ms and
--- a/packages/coordination/include/savoryledge/coordination/node.h
+++ b/packages/coordination/include/savoryledge/coordination/node.h
@@ -20,6 +20,9 @@
     struct SlAgentOptions agent;
     struct SlControlOptions control;
     struct SlReplicaOptions replica;
+    /// The process has the relay for its data path (relay.h), which its owner
+    /// drives: entry and agent are not created here.
+    bool relay;
 };
 
 /// Errors: SL_NO_MEMORY, and those of SlControl_Create.
@@ -39,6 +42,11 @@
 SlNode_Handle(struct SlNode *node, struct SlSink *sink,
               const struct SlInput *input);
 
+/// Changes what the process announces. Control thread.
+void
+SlNode_Announce(struct SlNode *node, struct SlSink *sink, uint64_t now_us,
+                const struct SlObject *announce);
+
 /// True when a planned stop may end.
 bool
 SlNode_Idle(const struct SlNode *node);
--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -16,6 +16,9 @@
     uint32_t control_count;
     uint64_t control_id[SL_MEMBERS_CONTROL_MAX];
     struct SlAddress control[SL_MEMBERS_CONTROL_MAX];
+    /// Also ask control instances that the configuration names: for sites
+    /// whose instances come and go.
+    bool learn_controls;
     /// What this process announces of itself (kind SL_KIND_NODE).
     struct SlObject announce;
     /// Without fresh word of control for this long the process is cut off;
@@ -43,6 +46,11 @@
                       uint64_t now_us, uint64_t node_id,
                       struct SlVersion version);
 
+/// Changes what this process announces, and tells control at once.
+void
+SlReplica_Announce(struct SlReplica *replica, struct SlSink *sink,
+                   uint64_t now_us, const struct SlObject *announce);
+
 /// The configuration in force here. Borrowed until the next call.
 const struct SlConfig *
 SlReplica_Config(const struct SlReplica *replica);
--- a/packages/coordination/src/config_parts.c
+++ b/packages/coordination/src/config_parts.c
@@ -18,6 +18,7 @@
                                      &writer->message);
     writer->message.config.first = false;
     writer->message.config.object_count = 0;
+    writer->message.config.document = (struct SlDocumentText){.version = 0};
 }
 
 static void
@@ -45,6 +46,10 @@
                                .fresh = fresh}}};
 
     writer.message.config.objects = writer.objects;
+    if (SlConfig_Document(config) != NULL) {
+        writer.message.config.document =
+            SlDocument_Text(SlConfig_Document(config));
+    }
     for (uint32_t kind = SL_KIND_ZONE; kind < SL_KIND_COUNT; kind++) {
         for (uint32_t i = 0; i < SlConfig_Count(config, kind); i++) {
             add_object(&writer, SlConfig_At(config, kind, i));
@@ -90,6 +95,11 @@
         SlConfig_Remove(gather->config, part->removed[i].kind,
                         part->removed[i].name);
     }
+    if (part->document.version != 0 &&
+        SlConfig_PutDocument(gather->config, part->to, &part->document) !=
+            SL_OK) {
+        return SL_NO_MEMORY;
+    }
     gather->objects += part->object_count;
     gather->removed += part->removed_count;
     return SL_OK;
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -61,6 +61,20 @@
     }
 }
 
+/// A new site is founded by its first members; others join it.
+static bool
+is_first_member(const struct SlControl *control)
+{
+    const struct SlControlOptions *options = &control->options;
+
+    for (uint32_t i = 0; i < options->member_count; i++) {
+        if (options->members[i].node_id == control->node_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static enum SlStatus
 open_log(struct SlControl *control, uint64_t now_us, struct SlError *error)
 {
@@ -72,12 +86,16 @@
         .election_us = options->election_us,
         .snapshot_entries = options->snapshot_entries,
         .bootstrap = options->bootstrap,
+        .self_forming = options->self_forming,
         .storage = options->storage,
         .host_type = &SL_CONTROL_HOST,
         .host = control,
     };
 
     first_members(options, &raft.first_members);
+    if (options->self_forming && !is_first_member(control)) {
+        raft.bootstrap = false;
+    }
     return SlRaft_Open(&control->raft, &raft, now_us, error);
 }
 
@@ -156,6 +174,9 @@
     case SL_MESSAGE_QUERY:
         SlControl_OnQuery(control, input->link, &message->query);
         break;
+    case SL_MESSAGE_JOIN:
+        SlControl_OnJoin(control, &message->join);
+        break;
     default:
         if ((link->peer.roles & SL_ROLE_CONTROL) &&
             link->peer.node_id != control->node_id) {
@@ -171,6 +192,7 @@
 {
     SlRaft_Tick(&control->raft, control->now_us);
     SlControl_DialMembers(control);
+    SlControl_AskToJoin(control);
     SlControl_ReachTick(control);
 }
 
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -13,6 +13,7 @@
     SL_CONTROL_REACH_US = 200 * 1000,
     SL_CONTROL_DIAL_US = 500 * 1000,
     SL_CONTROL_DIAL_BACK_ROUNDS = 4,
+    SL_CONTROL_JOIN_US = 300 * 1000,
     /// Events of the start, kept until there is a sink.
     SL_CONTROL_EARLY_EVENTS = 8,
     /// Touched objects remembered, for deltas.
@@ -98,6 +99,7 @@
     uint32_t link_room;
     struct SlControlLink *links;
     uint64_t dial_due_us;
+    uint64_t join_due_us;
     uint32_t dial_rounds;
     struct SlRaftMembers dialled;
 
@@ -137,6 +139,11 @@
 /// Keeps links to all members.
 void
 SlControl_DialMembers(struct SlControl *control);
+/// Self-forming: an instance without a leader asks to be taken in.
+void
+SlControl_AskToJoin(struct SlControl *control);
+void
+SlControl_OnJoin(struct SlControl *control, const struct SlJoin *join);
 void
 SlControl_ReleaseLinks(struct SlControl *control);
 
--- a/packages/coordination/src/control_host.c
+++ b/packages/coordination/src/control_host.c
@@ -111,6 +111,27 @@
     return status;
 }
 
+/// Nothing at all is written for no document, as in older snapshots.
+static enum SlStatus
+save_document(const struct SlConfig *config, struct SlBuffer *buffer)
+{
+    const struct SlDocument *document = SlConfig_Document(config);
+    struct SlVersion modified = SlConfig_DocumentModified(config);
+    enum SlStatus status;
+
+    if (document == NULL) {
+        return SL_OK;
+    }
+    status = append_u64(buffer, modified.term);
+    status = status == SL_OK ? append_u64(buffer, modified.index) : status;
+    status = status == SL_OK ? append_u64(buffer, document->version) : status;
+    status =
+        status == SL_OK ? append_u64(buffer, document->length_bytes) : status;
+    return status == SL_OK ? SlBuffer_Append(buffer, document->bytes,
+                                             document->length_bytes)
+                           : status;
+}
+
 static enum SlStatus
 save_host(void *host, struct SlBuffer *buffer)
 {
@@ -126,7 +147,7 @@
     for (uint32_t i = 0; status == SL_OK && i < count; i++) {
         status = save_result(SlConfig_ResultAt(config, i), buffer);
     }
-    return status;
+    return status == SL_OK ? save_document(config, buffer) : status;
 }
 
 /// What is left of a snapshot.
@@ -216,7 +237,29 @@
         }
     }
     SlConfig_SetForgotten(config, forgotten);
-    return reader->length_bytes == 0 ? SL_OK : SL_DAMAGED;
+    return SL_OK;
+}
+
+static enum SlStatus
+load_document(struct reader *reader, struct SlConfig *config)
+{
+    struct SlVersion modified;
+    struct SlDocumentText text;
+    struct reader value;
+
+    if (reader->length_bytes == 0) {
+        return SL_OK;
+    }
+    if (!read_u64(reader, &modified.term) ||
+        !read_u64(reader, &modified.index) ||
+        !read_u64(reader, &text.version) || !read_value(reader, &value) ||
+        value.length_bytes > SL_DOCUMENT_MAX_BYTES ||
+        reader->length_bytes != 0) {
+        return SL_DAMAGED;
+    }
+    text.bytes = value.bytes;
+    text.length_bytes = (uint32_t)value.length_bytes;
+    return SlConfig_PutDocument(config, modified, &text);
 }
 
 /// Reads a whole configuration with its remembered results.
@@ -233,6 +276,9 @@
     if (status == SL_OK) {
         status = load_results(&reader, config);
     }
+    if (status == SL_OK) {
+        status = load_document(&reader, config);
+    }
     if (status != SL_OK) {
         SlConfig_Destroy(config);
         return status;
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -139,8 +139,21 @@
     control->dialled = *members;
 }
 
+/// True while this instance hears a leader, or leads. A learner keeps the name
+/// of its last leader, so the time counts too.
+static bool
+hears_leader(const struct SlControl *control)
+{
+    const struct SlRaft *raft = &control->raft;
+
+    return raft->state == SL_CONTROL_LEADER ||
+           (raft->leader != 0 && control->now_us - raft->leader_heard_us <
+                                     2 * raft->options.election_us);
+}
+
 /// One link serves two instances: the one with the lower id dials, and the
-/// other only now and then, in case the first cannot.
+/// other only now and then, in case the first cannot. Without a leader it may
+/// be that the others do not know this instance.
 static bool
 is_ours_to_dial(const struct SlControl *control, uint64_t node_id)
 {
@@ -148,24 +161,43 @@
         return false;
     }
     return control->node_id < node_id ||
+           (control->options.self_forming && !hears_leader(control)) ||
            control->dial_rounds % SL_CONTROL_DIAL_BACK_ROUNDS == 0;
 }
 
+/// Whom to keep links to: the members, and those of the settings while there
+/// are no members, or none of them leads.
+static void
+wanted_links(const struct SlControl *control, struct SlRaftMembers *wanted)
+{
+    const struct SlRaftMembers *first = &control->raft.options.first_members;
+    bool lost = control->options.self_forming && !hears_leader(control);
+
+    *wanted = control->raft.members;
+    if (wanted->count > 0 && !lost) {
+        return;
+    }
+    for (uint32_t i = 0;
+         i < first->count && wanted->count < SL_MEMBERS_CONTROL_MAX; i++) {
+        if (SlRaft_Member(&control->raft, first->items[i].node_id) == NULL) {
+            wanted->items[wanted->count++] = first->items[i];
+        }
+    }
+}
+
 void
 SlControl_DialMembers(struct SlControl *control)
 {
-    const struct SlRaftMembers *members = &control->raft.members;
+    struct SlRaftMembers wanted;
 
     if (control->now_us < control->dial_due_us) {
         return;
     }
     control->dial_due_us = control->now_us + SL_CONTROL_DIAL_US;
-    if (members->count == 0) {
-        members = &control->raft.options.first_members;
-    }
+    wanted_links(control, &wanted);
     control->dial_rounds++;
-    for (uint32_t i = 0; i < members->count; i++) {
-        const struct SlRaftMember *member = &members->items[i];
+    for (uint32_t i = 0; i < wanted.count; i++) {
+        const struct SlRaftMember *member = &wanted.items[i];
 
         if (is_ours_to_dial(control, member->node_id) &&
             SlControl_MemberLink(control, member->node_id) == NULL) {
@@ -173,7 +205,46 @@
                                       &member->link);
         }
     }
-    drop_former(control, members);
+    drop_former(control, &wanted);
+}
+
+void
+SlControl_AskToJoin(struct SlControl *control)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_JOIN,
+                                .join = {.link = control->options.link}};
+
+    if (!control->options.self_forming || hears_leader(control) ||
+        control->now_us < control->join_due_us) {
+        return;
+    }
+    control->join_due_us = control->now_us + SL_CONTROL_JOIN_US;
+    memcpy(message.join.name, control->options.core.name, SL_NAME_BYTES);
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        const struct SlControlLink *link = &control->links[i];
+
+        if ((link->peer.roles & SL_ROLE_CONTROL) &&
+            link->peer.node_id != control->node_id) {
+            control->sink->type->send_message(control->sink, link->link,
+                                              &message);
+        }
+    }
+}
+
+void
+SlControl_OnJoin(struct SlControl *control, const struct SlJoin *join)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_JOIN, .join = *join};
+    struct SlControlLink *leader =
+        SlControl_MemberLink(control, control->raft.leader);
+
+    if (control->raft.state == SL_CONTROL_LEADER) {
+        SlRaft_TakeIn(&control->raft, join);
+    }
+    else if (leader != NULL) {
+        control->sink->type->send_message(control->sink, leader->link,
+                                          &message);
+    }
 }
 
 void
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -38,6 +38,7 @@
 
     switch (change->verb) {
     case SL_VERB_NOOP:
+    case SL_VERB_DOCUMENT:
     case SL_VERB_MEMBER_ADD:
     case SL_VERB_MEMBER_PROMOTE:
     case SL_VERB_MEMBER_REMOVE:
@@ -106,6 +107,7 @@
     message.config = *part;
     control->sink->type->send_message(control->sink, link, &message);
     part->first = false;
+    part->document = (struct SlDocumentText){.version = 0};
     part->object_count = 0;
     part->removed_count = 0;
 }
@@ -141,6 +143,10 @@
                                 .objects = control->part_objects,
                                 .removed = control->part_removed};
 
+    if (SlVersion_Compare(SlConfig_DocumentModified(control->config),
+                          link->sent) > 0) {
+        part.document = SlDocument_Text(SlConfig_Document(control->config));
+    }
     for (uint32_t i = first_after(control, link->sent);
          i < control->touched_count; i++) {
         if (part.object_count == SL_CONFIG_OBJECTS_MAX ||
--- a/packages/coordination/src/control_request.c
+++ b/packages/coordination/src/control_request.c
@@ -80,6 +80,7 @@
     case SL_VERB_DELETE:
     case SL_VERB_HOLD:
     case SL_VERB_RELEASE:
+    case SL_VERB_DOCUMENT:
     case SL_VERB_MEMBER_ADD:
     case SL_VERB_MEMBER_REMOVE:
         return true;
--- /dev/null
+++ b/packages/coordination/src/desk.c
@@ -0,0 +1,155 @@
+#include "savoryledge/coordination/desk.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+    /// Callers wait about a second before they try another instance.
+    PATIENCE_US = 900 * 1000,
+};
+
+static const char HOLD_KEY[] = "operator";
+
+void
+SlDesk_Init(struct SlDesk *desk, const struct SlDeskHostType *host_type,
+            void *host, uint64_t client)
+{
+    *desk = (struct SlDesk){
+        .host_type = host_type, .host = host, .client = client};
+}
+
+static void
+end_now(struct SlDesk *desk, uint64_t ticket, enum SlDeskOutcome outcome,
+        const struct SlAddress *leader)
+{
+    desk->host_type->ended(desk->host, ticket, outcome, leader);
+}
+
+/// True when this instance may take the order; else it has ended.
+static bool
+may_take(struct SlDesk *desk, const struct SlDeskView *view, uint64_t ticket)
+{
+    if (!view->leads) {
+        end_now(desk, ticket,
+                view->leader != NULL ? SL_DESK_ELSEWHERE : SL_DESK_NO_LEADER,
+                view->leader);
+        return false;
+    }
+    if (desk->count == SL_DESK_ORDERS_MAX) {
+        end_now(desk, ticket, SL_DESK_NO_LEADER, NULL);
+        return false;
+    }
+    return true;
+}
+
+static void
+give(struct SlDesk *desk, uint64_t now_us, const struct SlDeskView *view,
+     struct SlChange *change)
+{
+    change->client = desk->client;
+    change->request = ++desk->next_request;
+    change->base = view->applied;
+    desk->host_type->give(desk->host, now_us, change);
+}
+
+/// Notes that the next change given ends the order. The result may come
+/// within the call that gives it.
+static void
+expect_result(struct SlDesk *desk, uint64_t now_us, uint64_t ticket,
+              bool release)
+{
+    desk->orders[desk->count++] =
+        (struct SlDeskOrder){.ticket = ticket,
+                             .request = desk->next_request + 1,
+                             .began_us = now_us,
+                             .release = release};
+}
+
+void
+SlDesk_PutDocument(struct SlDesk *desk, uint64_t now_us,
+                   const struct SlDeskView *view, uint64_t ticket,
+                   const struct SlDocumentText *document)
+{
+    struct SlChange change = {.verb = SL_VERB_DOCUMENT, .document = *document};
+
+    if (may_take(desk, view, ticket)) {
+        expect_result(desk, now_us, ticket, false);
+        give(desk, now_us, view, &change);
+    }
+}
+
+void
+SlDesk_HoldZone(struct SlDesk *desk, uint64_t now_us,
+                const struct SlDeskView *view, uint64_t ticket,
+                const char *zone, bool out)
+{
+    struct SlChange change = {.verb = SL_VERB_CREATE,
+                              .object = {.kind = SL_KIND_ZONE}};
+
+    if (!may_take(desk, view, ticket)) {
+        return;
+    }
+    snprintf(change.object.name, sizeof(change.object.name), "%s", zone);
+    if (out && SlConfig_Find(view->config, SL_KIND_ZONE, change.object.name) ==
+                   NULL) {
+        give(desk, now_us, view, &change);
+    }
+    change.verb = out ? SL_VERB_HOLD : SL_VERB_RELEASE;
+    memcpy(change.hold.key, HOLD_KEY, sizeof(HOLD_KEY));
+    expect_result(desk, now_us, ticket, !out);
+    give(desk, now_us, view, &change);
+}
+
+static enum SlDeskOutcome
+outcome_of(const struct SlDeskOrder *order, enum SlStatus status)
+{
+    switch (status) {
+    case SL_OK:
+        return SL_DESK_DONE;
+    case SL_NOT_FOUND:
+        /* There is no hold to release: what was asked for holds. */
+        return order->release ? SL_DESK_DONE : SL_DESK_UNKNOWN;
+    case SL_INVALID:
+    case SL_MALFORMED:
+    case SL_TOO_LONG:
+        return SL_DESK_INVALID;
+    default:
+        return SL_DESK_UNKNOWN;
+    }
+}
+
+static void
+take_out(struct SlDesk *desk, uint32_t at)
+{
+    desk->count--;
+    memmove(&desk->orders[at], &desk->orders[at + 1],
+            (desk->count - at) * sizeof(desk->orders[0]));
+}
+
+void
+SlDesk_Result(struct SlDesk *desk, uint64_t request,
+              const struct SlResult *result)
+{
+    for (uint32_t i = 0; i < desk->count; i++) {
+        struct SlDeskOrder order = desk->orders[i];
+
+        if (order.request == request) {
+            take_out(desk, i);
+            end_now(desk, order.ticket, outcome_of(&order, result->status),
+                    NULL);
+            return;
+        }
+    }
+}
+
+void
+SlDesk_Tick(struct SlDesk *desk, uint64_t now_us)
+{
+    while (desk->count > 0 &&
+           now_us - desk->orders[0].began_us > PATIENCE_US) {
+        uint64_t ticket = desk->orders[0].ticket;
+
+        take_out(desk, 0);
+        end_now(desk, ticket, SL_DESK_UNKNOWN, NULL);
+    }
+}
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -44,6 +44,13 @@
     struct SlReplicaOptions *replica = &options->replica;
     uint64_t own = SlNode_Id(options->core.name);
 
+    if (options->control.self_forming) {
+        replica->control_id[0] = own;
+        replica->control[0] = options->control.link;
+        replica->control_count = 1;
+        replica->learn_controls = false;
+        return;
+    }
     for (uint32_t i = 0; i < replica->control_count; i++) {
         if (replica->control_id[i] == own) {
             replica->control_id[0] = own;
@@ -71,13 +78,16 @@
     if (node->replica == NULL) {
         return SL_NO_MEMORY;
     }
-    if (options->core.roles & SL_ROLE_ENTRY) {
+    if (options->relay) {
+        filled.core.roles &= SL_ROLE_CONTROL;
+    }
+    if (filled.core.roles & SL_ROLE_ENTRY) {
         node->entry = SlEntry_Create(&filled.entry);
         if (node->entry == NULL) {
             return SL_NO_MEMORY;
         }
     }
-    if (options->core.roles & SL_ROLE_AGENT) {
+    if (filled.core.roles & SL_ROLE_AGENT) {
         node->agent = SlAgent_Create(&filled.agent, now_us);
         if (node->agent == NULL) {
             return SL_NO_MEMORY;
@@ -383,6 +393,15 @@
     }
 }
 
+void
+SlNode_Announce(struct SlNode *node, struct SlSink *sink, uint64_t now_us,
+                const struct SlObject *announce)
+{
+    SlReplica_Announce(node->replica,
+                       SlLocalLink_Sink(&node->local, SL_LOCAL_REPLICA, sink),
+                       now_us, announce);
+}
+
 bool
 SlNode_Idle(const struct SlNode *node)
 {
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -101,6 +101,7 @@
     uint64_t election_us;
     uint32_t snapshot_entries;
     bool bootstrap;
+    bool self_forming;
     struct SlRaftMembers first_members;
     struct SlStorage *storage;
     const struct SlRaftHostType *host_type;
@@ -238,6 +239,24 @@
 /// Works members out again from the snapshot's and the log.
 enum SlStatus
 SlRaft_RebuildMembers(struct SlRaft *raft);
+/// Leader: takes a control instance in as a learner, unless it is a member.
+void
+SlRaft_TakeIn(struct SlRaft *raft, const struct SlJoin *join);
+/// Self-forming membership: the change that is due now. Returns true when one
+/// was proposed.
+bool
+SlRaft_FormMembers(struct SlRaft *raft);
+/// Proposes a membership change of the leader's own.
+void
+SlRaft_ProposeMember(struct SlRaft *raft, enum SlVerb verb,
+                     const struct SlRaftMember *member, uint64_t incarnation);
+/// True when those that acknowledged lately are a majority without member.
+bool
+SlRaft_WouldKeepMajority(const struct SlRaft *raft, uint64_t now_us,
+                         const struct SlRaftMember *member);
+/// True when a learner holds all that is committed and answers.
+bool
+SlRaft_IsCaughtUp(const struct SlRaft *raft, uint32_t at);
 /// Leader: proposes the next repair of the membership, if any is due.
 void
 SlRaft_RepairMembers(struct SlRaft *raft);
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -95,7 +95,11 @@
         }
     }
     status = SlChange_Decode(entry->data, entry->data_bytes, &change);
-    return status == SL_OK ? SlRaft_Append(raft, &record, &change) : status;
+    if (status == SL_OK) {
+        status = SlRaft_Append(raft, &record, &change);
+        SlChange_Release(&change);
+    }
+    return status;
 }
 
 /// Takes entries in order; returns the last index that now matches.
--- a/packages/coordination/src/raft_log.c
+++ b/packages/coordination/src/raft_log.c
@@ -134,6 +134,7 @@
     raft->applied = version;
     SlRaftMembers_Apply(&raft->applied_members, &change);
     raft->options.host_type->apply(raft->options.host, version, &change);
+    SlChange_Release(&change);
     return SL_OK;
 }
 
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -186,6 +186,7 @@
         if (SlRaftMembers_Apply(&raft->members, &change)) {
             raft->members_index = i;
         }
+        SlChange_Release(&change);
     }
     return SL_OK;
 }
@@ -202,10 +203,9 @@
     return status;
 }
 
-/// Proposes a membership change of the leader's own.
-static void
-propose_member(struct SlRaft *raft, enum SlVerb verb,
-               const struct SlRaftMember *member, uint64_t incarnation)
+void
+SlRaft_ProposeMember(struct SlRaft *raft, enum SlVerb verb,
+                     const struct SlRaftMember *member, uint64_t incarnation)
 {
     struct SlChange change = {
         .verb = verb,
@@ -240,9 +240,9 @@
     return count;
 }
 
-static bool
-would_keep_majority(const struct SlRaft *raft, uint64_t now_us,
-                    const struct SlRaftMember *member)
+bool
+SlRaft_WouldKeepMajority(const struct SlRaft *raft, uint64_t now_us,
+                         const struct SlRaftMember *member)
 {
     uint32_t voters = SlRaft_VoterCount(raft) - member->voter;
 
@@ -250,6 +250,17 @@
            live_voters(raft, now_us, member->node_id) >= voters / 2 + 1;
 }
 
+bool
+SlRaft_IsCaughtUp(const struct SlRaft *raft, uint32_t at)
+{
+    const struct SlRaftProgress *progress = &raft->progress[at];
+
+    return !raft->members.items[at].voter && !progress->installing &&
+           progress->incarnation != 0 && progress->acked_us != 0 &&
+           raft->now_us - progress->acked_us <= raft->options.election_us &&
+           progress->match >= raft->commit;
+}
+
 /// The repair that one member needs now, if any.
 static bool
 repair_member(struct SlRaft *raft, uint32_t at)
@@ -263,18 +274,16 @@
         return false;
     }
     if (member.voter && member.incarnation == 0) {
-        propose_member(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
+        SlRaft_ProposeMember(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
         return true;
     }
     if (member.voter && member.incarnation != seen &&
-        would_keep_majority(raft, raft->now_us, &member)) {
-        propose_member(raft, SL_VERB_MEMBER_ADD, &member, 0);
+        SlRaft_WouldKeepMajority(raft, raft->now_us, &member)) {
+        SlRaft_ProposeMember(raft, SL_VERB_MEMBER_ADD, &member, 0);
         return true;
     }
-    if (!member.voter && !progress->installing && progress->acked_us != 0 &&
-        raft->now_us - progress->acked_us <= raft->options.election_us &&
-        progress->match >= raft->commit) {
-        propose_member(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
+    if (!raft->options.self_forming && SlRaft_IsCaughtUp(raft, at)) {
+        SlRaft_ProposeMember(raft, SL_VERB_MEMBER_PROMOTE, &member, seen);
         return true;
     }
     return false;
@@ -293,6 +302,9 @@
             return;
         }
     }
+    if (raft->options.self_forming && SlRaft_FormMembers(raft)) {
+        raft->repair_due_us = raft->now_us + raft->options.heartbeat_us;
+    }
 }
 
 enum SlStatus
@@ -325,5 +337,6 @@
         return SL_NOT_FOUND;
     }
     *reason = "too few of the members left are up";
-    return would_keep_majority(raft, now_us, member) ? SL_OK : SL_NO_QUORUM;
+    return SlRaft_WouldKeepMajority(raft, now_us, member) ? SL_OK
+                                                          : SL_NO_QUORUM;
 }
--- a/packages/coordination/src/raft_snapshot.c
+++ b/packages/coordination/src/raft_snapshot.c
@@ -123,8 +123,11 @@
     for (uint32_t i = 0; i < changes; i++) {
         if (!read_u32(reader, &length_bytes) ||
             reader->length_bytes < length_bytes ||
-            SlChange_Decode(reader->bytes, length_bytes, &change) != SL_OK ||
-            !SlRaftMembers_Apply(members, &change)) {
+            SlChange_Decode(reader->bytes, length_bytes, &change) != SL_OK) {
+            return false;
+        }
+        SlChange_Release(&change);
+        if (!SlRaftMembers_Apply(members, &change)) {
             return false;
         }
         reader->bytes += length_bytes;
--- /dev/null
+++ b/packages/coordination/src/relay_agent.c
@@ -0,0 +1,330 @@
+#include "relay_agent_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    US_PER_MS = 1000,
+    /// A notice tells how long an upstream stays cold; ends later here by the
+    /// way of the notice and the difference of clocks.
+    COLD_MARGIN_US = 200 * 1000,
+    /// Flows that any upstream bears in a second, beside the rate that the
+    /// plan names for a cold one.
+    COLD_FLOWS = 3,
+    /// Until a plan tells how long flows may be idle.
+    DEFAULT_IDLE_US = 60 * 1000 * 1000,
+    /// A first notice with such a number is from a start that began while
+    /// this process ran.
+    FIRST_NOTICES = 1,
+    DEFAULT_CAPACITY_FLOWS = 2000,
+};
+
+void
+SlRelayAgent_Event(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                   uint64_t now_us, struct SlEvent event)
+{
+    event.now_us = now_us;
+    event.version = agent->version;
+    sink->type->event(sink, &event);
+}
+
+struct SlRelayAgent *
+SlRelayAgent_Create(const struct SlRelayOptions *options, uint64_t now_us)
+{
+    struct SlRelayAgent *agent = calloc(1, sizeof(*agent));
+
+    if (agent == NULL) {
+        return NULL;
+    }
+    agent->options = *options;
+    agent->node_id = SlNode_Id(options->name);
+    agent->service = SL_PLAN_NO_SERVICE;
+    agent->flows.seed = options->seed;
+    agent->complete_at_us = now_us + DEFAULT_IDLE_US;
+    agent->admission.slots = 1;
+    agent->admission.capacity_flows = DEFAULT_CAPACITY_FLOWS;
+    agent->admission.cold_limit = COLD_FLOWS;
+    SlPace_Exhaust(&agent->admission.pace, now_us);
+    return agent;
+}
+
+void
+SlRelayAgent_Destroy(struct SlRelayAgent *agent)
+{
+    if (agent == NULL) {
+        return;
+    }
+    SlAgentFlow_RemoveAll(agent);
+    SlRelayIndex_Release(&agent->flows);
+    SlPlan_Unref(agent->plan);
+    free(agent->entries);
+    free(agent);
+}
+
+bool
+SlRelayAgent_MayHold(const struct SlRelayAgent *agent, uint64_t now_us)
+{
+    return now_us < agent->complete_at_us;
+}
+
+/// Takes what the plan says of the upstream's service.
+static void
+read_service(struct SlRelayAgent *agent)
+{
+    const struct SlPlanService *service;
+    uint32_t cold_limit;
+
+    agent->service = SL_PLAN_NO_SERVICE;
+    if (agent->plan == NULL || !agent->known) {
+        return;
+    }
+    agent->service = SlPlan_FindService(agent->plan, agent->upstream.service);
+    if (agent->service == SL_PLAN_NO_SERVICE) {
+        return;
+    }
+    service = SlPlan_ServiceAt(agent->plan, agent->service);
+    if (service->capacity_flows != 0) {
+        agent->admission.capacity_flows = service->capacity_flows;
+    }
+    cold_limit = service->cold_flows_per_s + COLD_FLOWS;
+    agent->admission.cold_limit =
+        cold_limit < SL_PACE_LIMIT_MAX ? cold_limit : SL_PACE_LIMIT_MAX;
+}
+
+/// An operator's hold on this one upstream.
+static bool
+is_held_out(const struct SlRelayAgent *agent, const struct SlConfig *config)
+{
+    const struct SlObject *self =
+        SlConfig_Find(config, SL_KIND_NODE, agent->options.name);
+
+    return self != NULL && self->holds.count > 0;
+}
+
+enum SlStatus
+SlRelayAgent_SetConfig(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                       uint64_t now_us, const struct SlConfig *config,
+                       struct SlPlan *plan)
+{
+    enum SlStatus status = SlRelayAgent_ReadEntries(agent, config);
+    uint64_t known_us;
+
+    if (status != SL_OK) {
+        return status;
+    }
+    if (agent->plan == NULL && plan != NULL) {
+        known_us = now_us + (uint64_t)SlPlan_IdleMs(plan) * US_PER_MS;
+        if (known_us < agent->complete_at_us) {
+            agent->complete_at_us = known_us;
+        }
+    }
+    plan = SlPlan_Ref(plan);
+    SlPlan_Unref(agent->plan);
+    agent->plan = plan;
+    agent->version = SlConfig_Version(config);
+    agent->zone_out = SlConfig_ZoneOut(config, agent->options.zone);
+    agent->held_out = is_held_out(agent, config);
+    read_service(agent);
+    SlRelayAgent_Event(
+        agent, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_CONFIG,
+                         .reason = agent->zone_out ? "zone_out" : "taken",
+                         .value =
+                             plan != NULL ? (int64_t)SlPlan_Version(plan) : 0,
+                         .limit = agent->entry_count});
+    return SL_OK;
+}
+
+/// True when the notice is of an earlier start of the upstream, or older than
+/// the last one of this start.
+static bool
+is_late(const struct SlRelayAgent *agent,
+        const struct SlUpstreamNotice *notice)
+{
+    const struct SlUpstreamNotice *present = &agent->upstream;
+
+    if (!agent->known) {
+        return agent->noticed_us != 0 && notice->born_ms != 0 &&
+               notice->born_ms <= present->born_ms &&
+               notice->seq <= present->seq;
+    }
+    if (notice->born_ms != present->born_ms) {
+        return notice->born_ms < present->born_ms;
+    }
+    return strcmp(notice->id, present->id) == 0 && notice->seq <= present->seq;
+}
+
+static bool
+is_same_start(const struct SlUpstreamNotice *a,
+              const struct SlUpstreamNotice *b)
+{
+    return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
+}
+
+/// Another start of the upstream holds nothing of what the former held.
+static void
+begin_upstream(struct SlRelayAgent *agent, uint64_t now_us,
+               const struct SlUpstreamNotice *notice)
+{
+    SlAgentFlow_RemoveAll(agent);
+    agent->admission.full_until_us = 0;
+    agent->admission.answer_us = 0;
+    agent->silent_until_us = 0;
+    if (agent->noticed_us != 0 || notice->seq <= FIRST_NOTICES) {
+        agent->complete_at_us = now_us;
+    }
+}
+
+static void
+log_notice(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+           uint64_t now_us, const struct SlUpstreamNotice *notice,
+           const char *reason)
+{
+    SlRelayAgent_Event(agent, sink, now_us,
+                       (struct SlEvent){.number = SL_EVENT_UPSTREAM_NOTICE,
+                                        .service = notice->service,
+                                        .node = notice->id,
+                                        .reason = reason,
+                                        .value = (int64_t)notice->seq,
+                                        .limit = notice->cold_left_ms});
+}
+
+bool
+SlRelayAgent_Notice(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us, const struct SlUpstreamNotice *notice)
+{
+    struct SlUpstreamNotice former = agent->upstream;
+    bool was_known = agent->known;
+    uint64_t cold_us =
+        now_us + (uint64_t)notice->cold_left_ms * US_PER_MS + COLD_MARGIN_US;
+
+    if (is_late(agent, notice)) {
+        log_notice(agent, sink, now_us, notice, "late");
+        return false;
+    }
+    if (agent->noticed_us == 0 || !is_same_start(&former, notice)) {
+        begin_upstream(agent, now_us, notice);
+    }
+    agent->upstream = *notice;
+    agent->known = true;
+    agent->noticed_us = now_us;
+    agent->upstream_heard_us = now_us;
+    agent->admission.slots = notice->slots;
+    if (notice->cold_left_ms > 0) {
+        agent->admission.cold_until_us = cold_us;
+    }
+    read_service(agent);
+    if (!was_known || !is_same_start(&former, notice) ||
+        former.draining != notice->draining) {
+        log_notice(agent, sink, now_us, notice,
+                   notice->draining ? "draining" : "ready");
+    }
+    return true;
+}
+
+bool
+SlRelayAgent_Gone(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                  uint64_t now_us, const char *id)
+{
+    if (!agent->known || strcmp(agent->upstream.id, id) != 0) {
+        return false;
+    }
+    agent->known = false;
+    log_notice(agent, sink, now_us, &agent->upstream, "gone");
+    return true;
+}
+
+bool
+SlRelayAgent_Upstream(const struct SlRelayAgent *agent,
+                      struct SlUpstreamNotice *notice)
+{
+    *notice = agent->upstream;
+    return agent->known;
+}
+
+void
+SlRelayAgent_Segment(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                     uint64_t now_us, uint8_t *bytes, uint32_t length_bytes)
+{
+    struct SlSegment segment;
+
+    if (agent->options.format->parse(bytes, length_bytes, &segment) != SL_OK) {
+        agent->counters.malformed++;
+        SlRelayAgent_Event(
+            agent, sink, now_us,
+            (struct SlEvent){.number = SL_EVENT_DROP, .reason = "malformed"});
+        return;
+    }
+    agent->upstream_heard_us = now_us;
+    if (segment.flags & SL_SEGMENT_RETURNED) {
+        agent->options.format->clear_returned(bytes);
+        segment.flags &= (uint8_t)~SL_SEGMENT_RETURNED;
+        SlAgentFlow_Returned(agent, sink, now_us, &segment);
+        return;
+    }
+    agent->silent_until_us = 0;
+    SlAgentFlow_Answered(agent, sink, now_us, &segment);
+}
+
+void
+SlRelayAgent_Frame(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                   uint64_t now_us, const struct SlAddress *from,
+                   const struct SlRelayFrame *frame)
+{
+    struct SlSegment segment;
+    bool opens;
+
+    SlRelayAgent_HeardEntry(agent, now_us, frame->sender);
+    if (frame->kind == SL_RELAY_ASK) {
+        SlAgentFlow_Asked(agent, sink, now_us, from, frame);
+        return;
+    }
+    if ((frame->kind != SL_RELAY_OFFER && frame->kind != SL_RELAY_CARRY) ||
+        agent->options.format->parse(frame->segment, frame->segment_bytes,
+                                     &segment) != SL_OK) {
+        agent->counters.malformed++;
+        return;
+    }
+    opens = (segment.flags & SL_SEGMENT_OPEN) != 0 &&
+            (segment.flags & SL_SEGMENT_ACK) == 0;
+    if (opens) {
+        SlRelayAgent_Offered(agent, sink, now_us, from, &segment, frame);
+    }
+    else {
+        SlAgentFlow_Carried(agent, sink, now_us, from, &segment);
+    }
+}
+
+void
+SlRelayAgent_Tick(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                  uint64_t now_us)
+{
+    SlAgentFlow_Tick(agent, sink, now_us);
+    SlRelayAgent_Report(agent, sink, now_us);
+}
+
+void
+SlRelayAgent_Stop(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                  uint64_t now_us)
+{
+    agent->stopping = true;
+    agent->report_due_us = now_us;
+    SlRelayAgent_Report(agent, sink, now_us);
+}
+
+bool
+SlRelayAgent_Idle(const struct SlRelayAgent *agent)
+{
+    return agent->admission.in_progress == 0 && agent->admission.opening == 0;
+}
+
+void
+SlRelayAgent_Counters(const struct SlRelayAgent *agent,
+                      struct SlRelayAgentCounters *counters)
+{
+    *counters = agent->counters;
+    counters->flows = agent->admission.flows;
+    counters->in_progress =
+        agent->admission.in_progress + agent->admission.opening;
+    counters->answer_us = agent->admission.answer_us;
+}
--- /dev/null
+++ b/packages/coordination/src/relay_agent_core.h
@@ -0,0 +1,170 @@
+#ifndef SAVORYLEDGE_COORDINATION_RELAY_AGENT_CORE_H
+#define SAVORYLEDGE_COORDINATION_RELAY_AGENT_CORE_H
+
+/// The parts of the relay's agent: relay_agent.c keeps what is known of
+/// configuration and upstream, relay_admit.c answers offers, relay_flow.c
+/// follows the flows that the upstream carries, relay_report.c tells entries.
+
+#include "savoryledge/coordination/relay_agent.h"
+
+#include "relay_index.h"
+
+enum SlAgentFlowState {
+    /// Let in; the caller has not chosen this upstream yet.
+    SL_AGENT_OPENING = 0,
+    SL_AGENT_OPEN,
+    /// Not known here, but handed to the upstream, which may give it back.
+    SL_AGENT_TENTATIVE,
+    /// Both ends closed it, or one reset it; late segments still go there.
+    SL_AGENT_ENDED,
+};
+
+struct SlAgentFlow {
+    struct SlRelayItem item;
+    enum SlAgentFlowState state;
+    uint64_t began_us;
+    /// The entry that its last segment came through.
+    struct SlAddress entry;
+    /// Numbers of the two opening segments.
+    uint32_t caller_first;
+    uint32_t upstream_first;
+    bool answered;
+    /// Where the caller's data ends so far.
+    uint32_t caller_end;
+    bool caller_end_known;
+    /// Counted as opening, or as a flow, or with a request in progress.
+    bool counted_opening;
+    bool counted_flow;
+    bool requested;
+    uint64_t requested_us;
+    bool caller_closed;
+    bool upstream_closed;
+    /// The other entries of the zone know the holder.
+    bool announced;
+};
+
+/// An entry as the configuration tells.
+struct SlAgentEntry {
+    uint64_t node_id;
+    uint64_t boot;
+    struct SlAddress address;
+    char zone[SL_NAME_BYTES];
+    /// When an offer or segment last came from it; 0 never.
+    uint64_t heard_us;
+    /// The load that it was told last.
+    struct SlRelayLoad told;
+};
+
+struct SlRelayAgent {
+    struct SlRelayOptions options;
+    uint64_t node_id;
+    struct SlPlan *plan;
+    struct SlVersion version;
+    /// Index of its service in the plan; SL_PLAN_NO_SERVICE when it has none.
+    uint32_t service;
+    bool zone_out;
+    bool held_out;
+    bool stopping;
+    bool known;
+    struct SlUpstreamNotice upstream;
+    uint64_t noticed_us;
+    /// Last sign of life from the upstream: a segment or a notice.
+    uint64_t upstream_heard_us;
+    /// It left an opening segment unanswered; until then no offer is taken.
+    uint64_t silent_until_us;
+    /// From then on a flow that is not in the table is not at the upstream.
+    uint64_t complete_at_us;
+    struct SlAdmission admission;
+    struct SlRelayIndex flows;
+    uint32_t entry_count;
+    struct SlAgentEntry *entries;
+    uint64_t report_due_us;
+    struct SlRelayAgentCounters counters;
+};
+
+/* relay_agent.c */
+void
+SlRelayAgent_Event(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                   uint64_t now_us, struct SlEvent event);
+/// True when a flow that is not in the table may be at the upstream.
+bool
+SlRelayAgent_MayHold(const struct SlRelayAgent *agent, uint64_t now_us);
+
+/* relay_flow.c */
+struct SlAgentFlow *
+SlAgentFlow_Find(const struct SlRelayAgent *agent,
+                 const struct SlFlowKey *key);
+/// NULL without memory.
+struct SlAgentFlow *
+SlAgentFlow_Add(struct SlRelayAgent *agent, uint64_t now_us,
+                const struct SlFlowKey *key, enum SlAgentFlowState state,
+                const struct SlAddress *entry);
+/// Takes the flow out of all counts, and out of the table.
+void
+SlAgentFlow_Remove(struct SlRelayAgent *agent, struct SlAgentFlow *flow);
+void
+SlAgentFlow_RemoveAll(struct SlRelayAgent *agent);
+/// Hands a caller's segment of a known flow to the upstream.
+void
+SlAgentFlow_Deliver(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us, struct SlAgentFlow *flow,
+                    const struct SlSegment *segment);
+/// A segment from an entry that opens no flow.
+void
+SlAgentFlow_Carried(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us, const struct SlAddress *from,
+                    const struct SlSegment *segment);
+/// A segment that the upstream sent.
+void
+SlAgentFlow_Answered(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                     uint64_t now_us, const struct SlSegment *segment);
+/// A segment that the upstream gave back; its mark is taken off.
+void
+SlAgentFlow_Returned(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                     uint64_t now_us, const struct SlSegment *segment);
+/// An entry asks who holds a flow.
+void
+SlAgentFlow_Asked(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                  uint64_t now_us, const struct SlAddress *from,
+                  const struct SlRelayFrame *ask);
+/// Flows that wait for their upstream, and flows that are over.
+void
+SlAgentFlow_Tick(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                 uint64_t now_us);
+
+/* relay_admit.c */
+/// Decides on the opening segment of a flow.
+void
+SlRelayAgent_Offered(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                     uint64_t now_us, const struct SlAddress *from,
+                     const struct SlSegment *segment,
+                     const struct SlRelayFrame *offer);
+void
+SlRelayAgent_Decline(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                     uint64_t now_us, const struct SlAddress *to,
+                     const struct SlFlowKey *key, enum SlRelayReason reason);
+/// Why no offer at all is taken; SL_RELAY_REASON_NONE when some are.
+enum SlRelayReason
+SlRelayAgent_ClosedFor(const struct SlRelayAgent *agent, uint64_t now_us);
+
+/* relay_report.c */
+struct SlRelayLoad
+SlRelayAgent_Load(const struct SlRelayAgent *agent, uint64_t now_us);
+/// Reads the entries out of a configuration. Errors: SL_NO_MEMORY.
+enum SlStatus
+SlRelayAgent_ReadEntries(struct SlRelayAgent *agent,
+                         const struct SlConfig *config);
+/// A frame came from an entry.
+void
+SlRelayAgent_HeardEntry(struct SlRelayAgent *agent, uint64_t now_us,
+                        uint64_t node_id);
+/// Tells entries that talk to this agent of a changed load.
+void
+SlRelayAgent_Report(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us);
+/// Tells the other entries of the zone who holds a flow that lasts.
+void
+SlRelayAgent_AnnounceFlow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                          struct SlAgentFlow *flow);
+
+#endif
--- /dev/null
+++ b/packages/coordination/src/relay_entry_core.h
@@ -0,0 +1,79 @@
+#ifndef SAVORYLEDGE_COORDINATION_RELAY_ENTRY_CORE_H
+#define SAVORYLEDGE_COORDINATION_RELAY_ENTRY_CORE_H
+
+/// The parts of the relay's entry: flows and offers in relay_entry.c, the
+/// search for a flow's holder in relay_locate.c.
+
+#include "savoryledge/coordination/relay_entry.h"
+
+#include "relay_index.h"
+#include "relay_members.h"
+#include "relay_search.h"
+
+enum {
+    /// Opening segments up to this length can be offered again.
+    SL_ENTRY_OPENING_BYTES = 96,
+};
+
+struct SlEntryFlow {
+    struct SlRelayItem item;
+    /// The agent that holds it or was offered it last; 0 none.
+    uint64_t holder;
+    /// The holder has said so.
+    bool held;
+    uint64_t began_us;
+    uint64_t offered_us;
+    uint32_t offers;
+    uint32_t tried_count;
+    uint64_t tried[SL_RELAY_TRIED_MAX];
+    uint32_t opening_bytes;
+    uint8_t opening[SL_ENTRY_OPENING_BYTES];
+    /// NULL while no search is under way.
+    struct SlRelaySearch *search;
+};
+
+struct SlRelayEntry {
+    struct SlRelayOptions options;
+    uint64_t node_id;
+    uint64_t random;
+    struct SlPlan *plan;
+    struct SlVersion version;
+    struct SlRelayMembers members;
+    struct SlRelayIndex flows;
+    bool cut_off;
+    struct SlRelayEntryCounters counters;
+};
+
+/* relay_entry.c */
+void
+SlEntryFlow_Remove(struct SlRelayEntry *entry, struct SlEntryFlow *flow);
+void
+SlRelayEntry_Event(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                   uint64_t now_us, struct SlEvent event);
+/// Sends a segment to the flow's holder; false when that is no member.
+bool
+SlRelayEntry_Carry(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                   const struct SlEntryFlow *flow, const uint8_t *bytes,
+                   uint32_t length_bytes);
+void
+SlRelayEntry_Reset(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                   const struct SlFlowKey *key, uint32_t seq);
+
+/* relay_locate.c */
+/// Begins a search, or goes on with the one under way, for a segment whose
+/// flow has no known holder.
+void
+SlRelayEntry_Locate(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                    uint64_t now_us, struct SlEntryFlow *flow,
+                    const struct SlSegment *segment);
+/// An agent answered ASK: HOLDS, or ABSENT without a segment.
+void
+SlRelayEntry_Located(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                     uint64_t now_us, struct SlEntryFlow *flow,
+                     const struct SlRelayFrame *frame);
+/// Time for a search to go on or to be given up. The flow may be gone after.
+void
+SlRelayEntry_LocateTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                        uint64_t now_us, struct SlEntryFlow *flow);
+
+#endif
--- /dev/null
+++ b/packages/coordination/src/relay_locate.c
@@ -0,0 +1,231 @@
+/// Who holds a flow? The agents of the route's services are asked, then all
+/// others: a newer configuration may have moved the route since the flow
+/// opened. One that restarted cannot know; it is tried with the segment
+/// itself, which its upstream gives back when it does not hold the flow.
+
+#include "relay_entry_core.h"
+
+enum {
+    /// Agents answer within a few milliseconds, those of a slowed machine
+    /// within a tenth of a second; the caller sends again after two.
+    PATIENCE_US = 150 * 1000,
+    /// A whole search, with agents tried one by one.
+    GIVE_UP_US = 600 * 1000,
+};
+
+static bool
+is_asked(const struct SlRelayEntry *entry, const struct SlPlanRoute *route,
+         uint32_t at, bool widened)
+{
+    bool own = route != NULL &&
+               SlPlan_Allows(route, entry->members.members[at].service);
+
+    return own != widened;
+}
+
+/// Asks the agents of this stage of the search.
+static void
+ask(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+    struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+    const struct SlPlanRoute *route =
+        SlPlan_FindRoute(entry->plan, &flow->item.key.service);
+    struct SlRelayFrame frame = {.kind = SL_RELAY_ASK,
+                                 .sender = entry->node_id,
+                                 .plan_version = SlPlan_Version(entry->plan),
+                                 .flow = flow->item.key,
+                                 .ack = search->ack};
+
+    for (uint32_t at = 0; at < entry->members.count; at++) {
+        if (is_asked(entry, route, at, search->widened)) {
+            sink->type->send_frame(sink, &entry->members.members[at].address,
+                                   &frame);
+            search->open++;
+        }
+    }
+}
+
+static void
+end_search(struct SlEntryFlow *flow)
+{
+    SlRelaySearch_Destroy(flow->search);
+    flow->search = NULL;
+}
+
+static void
+give_up(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
+        struct SlEntryFlow *flow)
+{
+    entry->counters.searches_given_up++;
+    SlRelayEntry_Event(
+        entry, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH_ENDED,
+                         .flow = &flow->item.key,
+                         .reason = "no_certain_answer",
+                         .value = (int64_t)(now_us - flow->search->began_us),
+                         .limit = flow->search->open});
+    SlEntryFlow_Remove(entry, flow);
+}
+
+/// Nobody holds it: the caller learns at once that the flow is over.
+static void
+end_unheld(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+           uint64_t now_us, struct SlEntryFlow *flow)
+{
+    if (flow->search->uncertain || entry->cut_off ||
+        entry->members.count == 0) {
+        give_up(entry, sink, now_us, flow);
+        return;
+    }
+    entry->counters.not_found++;
+    SlRelayEntry_Event(
+        entry, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH_ENDED,
+                         .flow = &flow->item.key,
+                         .reason = "held_by_nobody",
+                         .value = (int64_t)(now_us - flow->search->began_us)});
+    SlRelayEntry_Reset(entry, sink, &flow->item.key, flow->search->ack);
+    SlEntryFlow_Remove(entry, flow);
+}
+
+static void
+send_kept(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+          const struct SlEntryFlow *flow)
+{
+    const struct SlRelaySearch *search = flow->search;
+
+    for (uint32_t i = 0; i < search->segment_count; i++) {
+        (void)SlRelayEntry_Carry(entry, sink, flow, search->segments[i].bytes,
+                                 search->segments[i].length_bytes);
+    }
+}
+
+/// All agents of this stage have answered.
+static void
+go_on(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
+      struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+    uint64_t next = SlRelaySearch_NextMaybe(search);
+
+    if (next != 0) {
+        /* The search stays open: a segment that comes back goes on with it. */
+        flow->holder = next;
+        flow->held = false;
+        if (search->segment_count > 0) {
+            (void)SlRelayEntry_Carry(entry, sink, flow,
+                                     search->segments[0].bytes,
+                                     search->segments[0].length_bytes);
+        }
+        return;
+    }
+    if (!search->widened) {
+        search->widened = true;
+        ask(entry, sink, flow);
+        if (search->open > 0) {
+            return;
+        }
+    }
+    end_unheld(entry, sink, now_us, flow);
+}
+
+void
+SlRelayEntry_Locate(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                    uint64_t now_us, struct SlEntryFlow *flow,
+                    const struct SlSegment *segment)
+{
+    if (flow->search != NULL) {
+        if (flow->search->maybe_next > 0 && flow->search->open == 0) {
+            go_on(entry, sink, now_us, flow);
+        }
+        else {
+            (void)SlRelaySearch_Keep(flow->search, segment->bytes,
+                                     segment->length_bytes);
+        }
+        return;
+    }
+    flow->holder = 0;
+    flow->held = false;
+    flow->search = SlRelaySearch_Create(now_us, segment->ack);
+    if (flow->search == NULL) {
+        entry->counters.dropped++;
+        return;
+    }
+    (void)SlRelaySearch_Keep(flow->search, segment->bytes,
+                             segment->length_bytes);
+    entry->counters.searches++;
+    ask(entry, sink, flow);
+    SlRelayEntry_Event(entry, sink, now_us,
+                       (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH,
+                                        .flow = &flow->item.key,
+                                        .reason = "holder_unknown",
+                                        .value = flow->search->open});
+    SlRelayIndex_Wait(&entry->flows, &flow->item);
+    if (flow->search->open == 0) {
+        go_on(entry, sink, now_us, flow);
+    }
+}
+
+static void
+found(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
+      struct SlEntryFlow *flow, uint64_t holder)
+{
+    uint32_t at = SlRelayMembers_Find(&entry->members, holder);
+
+    flow->holder = holder;
+    flow->held = true;
+    entry->counters.found++;
+    SlRelayEntry_Event(
+        entry, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH_ENDED,
+                         .flow = &flow->item.key,
+                         .node = at != SL_RELAY_NO_MEMBER
+                                     ? entry->members.members[at].name
+                                     : NULL,
+                         .reason = "found",
+                         .value = (int64_t)(now_us - flow->search->began_us)});
+    send_kept(entry, sink, flow);
+    end_search(flow);
+    SlRelayIndex_StopWaiting(&entry->flows, &flow->item);
+}
+
+void
+SlRelayEntry_Located(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                     uint64_t now_us, struct SlEntryFlow *flow,
+                     const struct SlRelayFrame *frame)
+{
+    struct SlRelaySearch *search = flow->search;
+
+    if (search == NULL) {
+        return;
+    }
+    if (frame->kind == SL_RELAY_HOLDS && frame->certain) {
+        found(entry, sink, now_us, flow, frame->sender);
+        return;
+    }
+    if (frame->kind == SL_RELAY_HOLDS) {
+        SlRelaySearch_Maybe(search, frame->sender);
+    }
+    if (search->open > 0 && --search->open == 0) {
+        go_on(entry, sink, now_us, flow);
+    }
+}
+
+void
+SlRelayEntry_LocateTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                        uint64_t now_us, struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+    uint64_t spent_us = now_us - search->began_us;
+
+    if (spent_us > GIVE_UP_US) {
+        give_up(entry, sink, now_us, flow);
+        return;
+    }
+    if (search->open > 0 && spent_us > PATIENCE_US) {
+        search->open = 0;
+        search->uncertain = true;
+        go_on(entry, sink, now_us, flow);
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/relay_members.h
@@ -0,0 +1,74 @@
+#ifndef SAVORYLEDGE_COORDINATION_RELAY_MEMBERS_H
+#define SAVORYLEDGE_COORDINATION_RELAY_MEMBERS_H
+
+/// The agents as an entry knows them: who serves which service, by the
+/// configuration, and how each one answers.
+
+#include "savoryledge/balance/placement.h"
+#include "savoryledge/coordination/relay.h"
+
+struct SlRelayMember {
+    char name[SL_NAME_BYTES];
+    struct SlAddress address;
+    uint64_t boot;
+    /// Index of its service in the plan.
+    uint32_t service;
+    /// When the oldest offer was sent that has no answer yet; 0 none.
+    uint64_t unanswered_us;
+    /// A suspect is tried again then.
+    uint64_t retry_us;
+};
+
+/// In order of service, so that those of one stand together; candidates and
+/// members have the same indices.
+struct SlRelayMembers {
+    uint32_t count;
+    struct SlCandidate *candidates;
+    struct SlRelayMember *members;
+    /// For each service of the plan: where its members begin; one more at the
+    /// end.
+    uint32_t service_count;
+    uint32_t *first;
+};
+
+enum {
+    SL_RELAY_NO_MEMBER = 0xffffffffu,
+};
+
+/// Reads the agents out of a configuration; what was learnt of those that are
+/// in former, and have not started again since, is kept.
+/// Errors: SL_NO_MEMORY; members is empty then.
+enum SlStatus
+SlRelayMembers_Build(struct SlRelayMembers *members,
+                     const struct SlRelayMembers *former,
+                     const struct SlConfig *config, const struct SlPlan *plan,
+                     const char *zone);
+void
+SlRelayMembers_Release(struct SlRelayMembers *members);
+
+/// SL_RELAY_NO_MEMBER when there is none.
+uint32_t
+SlRelayMembers_Find(const struct SlRelayMembers *members, uint64_t node_id);
+
+/// An offer was sent, and the answer to one came.
+void
+SlRelayMembers_Offered(struct SlRelayMembers *members, uint32_t at,
+                       uint64_t now_us);
+/// answers: offers that this frame answers. Returns true when the member was
+/// suspect until now.
+bool
+SlRelayMembers_Heard(struct SlRelayMembers *members, uint32_t at,
+                     const struct SlRelayLoad *load, uint32_t answers);
+/// Looks for members that answer nothing. Returns the next one that turned
+/// suspect, from index at on; SL_RELAY_NO_MEMBER when there is none left.
+uint32_t
+SlRelayMembers_NextSilent(struct SlRelayMembers *members, uint32_t at,
+                          uint64_t now_us);
+
+/// True when the agent's upstream may be offered new flows, by the
+/// configuration alone.
+bool
+SlRelayMember_IsOpen(const struct SlConfig *config,
+                     const struct SlObject *node);
+
+#endif
--- /dev/null
+++ b/packages/coordination/src/relay_report.c
@@ -0,0 +1,165 @@
+/// What entries are told without asking: the load of this upstream, and the
+/// holder of flows that last, so that a router that spreads flows anew meets
+/// entries that know them.
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay_agent_core.h"
+
+enum {
+    REPORT_US = 100 * 1000,
+    /// An entry that sent nothing for so long is not told.
+    LISTENS_US = 2 * 1000 * 1000,
+};
+
+struct SlRelayLoad
+SlRelayAgent_Load(const struct SlRelayAgent *agent, uint64_t now_us)
+{
+    const struct SlAdmission *admission = &agent->admission;
+
+    return (struct SlRelayLoad){
+        .in_progress = admission->in_progress + admission->opening,
+        .slots = admission->slots,
+        .flows = admission->flows,
+        .answer_us = admission->answer_us,
+        .closed =
+            SlRelayAgent_ClosedFor(agent, now_us) != SL_RELAY_REASON_NONE,
+    };
+}
+
+static struct SlAgentEntry *
+find_entry(struct SlAgentEntry *entries, uint32_t count, uint64_t node_id)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (entries[i].node_id == node_id) {
+            return &entries[i];
+        }
+    }
+    return NULL;
+}
+
+/// An entry that is new, or started anew, knows no flow yet.
+static void
+announce_again(struct SlRelayAgent *agent)
+{
+    for (struct SlRelayItem *item = agent->flows.oldest; item != NULL;
+         item = item->newer) {
+        ((struct SlAgentFlow *)item)->announced = false;
+    }
+}
+
+enum SlStatus
+SlRelayAgent_ReadEntries(struct SlRelayAgent *agent,
+                         const struct SlConfig *config)
+{
+    uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
+    struct SlAgentEntry *entries = calloc(nodes + 1, sizeof(*entries));
+    uint32_t count = 0;
+    bool any_new = false;
+
+    if (entries == NULL) {
+        return SL_NO_MEMORY;
+    }
+    for (uint32_t i = 0; i < nodes; i++) {
+        const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
+        const struct SlAgentEntry *former;
+
+        if (!(node->node.roles & SL_ROLE_ENTRY)) {
+            continue;
+        }
+        former =
+            find_entry(agent->entries, agent->entry_count, node->node.node_id);
+        if (former != NULL && former->boot == node->node.boot) {
+            entries[count] = *former;
+        }
+        else {
+            any_new = true;
+        }
+        entries[count].node_id = node->node.node_id;
+        entries[count].boot = node->node.boot;
+        entries[count].address = node->node.tunnel;
+        memcpy(entries[count].zone, node->node.zone, SL_NAME_BYTES);
+        count++;
+    }
+    free(agent->entries);
+    agent->entries = entries;
+    agent->entry_count = count;
+    if (any_new) {
+        announce_again(agent);
+    }
+    return SL_OK;
+}
+
+void
+SlRelayAgent_HeardEntry(struct SlRelayAgent *agent, uint64_t now_us,
+                        uint64_t node_id)
+{
+    struct SlAgentEntry *entry =
+        find_entry(agent->entries, agent->entry_count, node_id);
+
+    if (entry != NULL) {
+        entry->heard_us = now_us;
+    }
+}
+
+static bool
+is_news(const struct SlRelayLoad *load, const struct SlRelayLoad *told)
+{
+    return load->in_progress != told->in_progress ||
+           load->slots != told->slots || load->closed != told->closed;
+}
+
+void
+SlRelayAgent_Report(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us)
+{
+    struct SlRelayFrame frame = {.kind = SL_RELAY_REPORT,
+                                 .sender = agent->node_id};
+
+    if (now_us < agent->report_due_us) {
+        return;
+    }
+    agent->report_due_us = now_us + REPORT_US;
+    frame.load = SlRelayAgent_Load(agent, now_us);
+    for (uint32_t i = 0; i < agent->entry_count; i++) {
+        struct SlAgentEntry *entry = &agent->entries[i];
+
+        if (entry->heard_us != 0 && now_us - entry->heard_us < LISTENS_US &&
+            is_news(&frame.load, &entry->told)) {
+            entry->told = frame.load;
+            sink->type->send_frame(sink, &entry->address, &frame);
+        }
+    }
+}
+
+static const struct SlAgentEntry *
+entry_at(const struct SlRelayAgent *agent, const struct SlAddress *address)
+{
+    for (uint32_t i = 0; i < agent->entry_count; i++) {
+        if (SlAddress_Equal(&agent->entries[i].address, address)) {
+            return &agent->entries[i];
+        }
+    }
+    return NULL;
+}
+
+void
+SlRelayAgent_AnnounceFlow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                          struct SlAgentFlow *flow)
+{
+    const struct SlAgentEntry *own = entry_at(agent, &flow->entry);
+    struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS,
+                                 .sender = agent->node_id,
+                                 .certain = true,
+                                 .flow = flow->item.key};
+
+    flow->announced = true;
+    for (uint32_t i = 0; own != NULL && i < agent->entry_count; i++) {
+        const struct SlAgentEntry *entry = &agent->entries[i];
+
+        if (entry != own && strcmp(entry->zone, own->zone) == 0) {
+            sink->type->send_frame(sink, &entry->address, &frame);
+        }
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/relay_search.h
@@ -0,0 +1,59 @@
+#ifndef SAVORYLEDGE_COORDINATION_RELAY_SEARCH_H
+#define SAVORYLEDGE_COORDINATION_RELAY_SEARCH_H
+
+/// The question who holds a flow: which agents were asked, what they said,
+/// and the segments that wait for the answer. Decides nothing by itself.
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "savoryledge/common/segment.h"
+
+enum {
+    /// Segments of one flow that wait; later ones are dropped, and sent again
+    /// by the caller.
+    SL_SEARCH_SEGMENTS = 4,
+    /// Agents that may hold the flow and have to be tried one by one.
+    SL_SEARCH_MAYBE = 16,
+    /// Agents asked at most in one search.
+    SL_SEARCH_ASKED = 512,
+};
+
+struct SlRelaySearch {
+    uint64_t began_us;
+    /// How many of the asked agents have not answered.
+    uint32_t open;
+    /// Agents of the route's own services are asked first, then the others.
+    bool widened;
+    /// An asked agent could not answer for certain, or was not asked.
+    bool uncertain;
+    uint32_t maybe_count;
+    uint32_t maybe_next;
+    uint64_t maybe[SL_SEARCH_MAYBE];
+    uint32_t segment_count;
+    struct {
+        uint8_t *bytes;
+        uint32_t length_bytes;
+    } segments[SL_SEARCH_SEGMENTS];
+    /// Of the first waiting segment: what the caller acknowledges.
+    uint32_t ack;
+};
+
+/// NULL without memory.
+struct SlRelaySearch *
+SlRelaySearch_Create(uint64_t now_us, uint32_t ack);
+/// NULL is allowed.
+void
+SlRelaySearch_Destroy(struct SlRelaySearch *search);
+/// Keeps a copy of a segment. Returns false when it is dropped.
+bool
+SlRelaySearch_Keep(struct SlRelaySearch *search, const uint8_t *bytes,
+                   uint32_t length_bytes);
+/// An agent said that it may hold the flow.
+void
+SlRelaySearch_Maybe(struct SlRelaySearch *search, uint64_t node_id);
+/// The next agent to try; 0 when there is none.
+uint64_t
+SlRelaySearch_NextMaybe(struct SlRelaySearch *search);
+
+#endif
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -183,27 +183,74 @@
         next_random(&replica->options.core.seed) % JITTER_US;
 }
 
+static bool
+is_other_control(const struct SlReplica *replica, const struct SlObject *node)
+{
+    const struct SlReplicaOptions *options = &replica->options;
+
+    if (!(node->node.roles & SL_ROLE_CONTROL) || node->node.leaving ||
+        node->node.unreachable) {
+        return false;
+    }
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->control_id[i] == node->node.node_id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The control instance at a place in the list: those of the settings, then
+/// those that the configuration names beside them. False past the end.
+static bool
+control_at(const struct SlReplica *replica, uint32_t index, uint64_t *node_id,
+           struct SlAddress *link)
+{
+    const struct SlReplicaOptions *options = &replica->options;
+    uint32_t nodes = options->learn_controls
+                         ? SlConfig_Count(replica->config, SL_KIND_NODE)
+                         : 0;
+
+    if (index < options->control_count) {
+        *node_id = options->control_id[index];
+        *link = options->control[index];
+        return true;
+    }
+    index -= options->control_count;
+    for (uint32_t i = 0; i < nodes; i++) {
+        const struct SlObject *node =
+            SlConfig_At(replica->config, SL_KIND_NODE, i);
+
+        if (is_other_control(replica, node) && index-- == 0) {
+            *node_id = node->node.node_id;
+            *link = node->node.link;
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Goes on to the next control instance of the list.
 static void
 dial_control(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
 {
-    const struct SlReplicaOptions *options = &replica->options;
+    uint64_t node_id;
+    struct SlAddress link;
 
-    if (options->control_count == 0) {
-        return;
-    }
     if (replica->control.node_id != 0) {
         sink->type->drop(sink, replica->control.node_id);
-        replica->control_index =
-            (replica->control_index + 1) % options->control_count;
+        replica->control_index++;
+    }
+    if (!control_at(replica, replica->control_index, &node_id, &link)) {
+        replica->control_index = 0;
+        if (!control_at(replica, 0, &node_id, &link)) {
+            return;
+        }
     }
     set_patience(replica);
     SlConfigGather_Release(&replica->control.gather);
-    replica->control =
-        (struct source){.node_id = options->control_id[replica->control_index],
-                        .since_us = now_us};
-    sink->type->dial(sink, replica->control.node_id,
-                     &options->control[replica->control_index]);
+    replica->control = (struct source){.node_id = node_id, .since_us = now_us};
+    sink->type->dial(sink, node_id, &link);
 }
 
 /// True when the control instance in use has had its time: its link is not
@@ -461,6 +508,16 @@
     }
 }
 
+void
+SlReplica_Announce(struct SlReplica *replica, struct SlSink *sink,
+                   uint64_t now_us, const struct SlObject *announce)
+{
+    replica->options.announce = *announce;
+    if (replica->control.link != 0) {
+        send_announce(replica, sink, now_us);
+    }
+}
+
 void
 SlReplica_PeerVersion(struct SlReplica *replica, struct SlSink *sink,
                       uint64_t now_us, uint64_t node_id,
--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -13,10 +13,11 @@
 
 enum {
     RING_LINES = 8192,
-    /// The writer looks at the ring at least this often.
+    /// Lines that come within this time are written together.
     WRITE_PAUSE_US = 50 * 1000,
     US_PER_SECOND = 1000 * 1000,
     NS_PER_US = 1000,
+    NS_PER_SECOND = 1000 * 1000 * 1000,
     CHUNK_BYTES = 64 * 1024,
     /// What a pipe that polls as writable takes without waiting.
     WRITE_BYTES = 4096,
@@ -34,6 +35,11 @@
     _Atomic int level;
     _Atomic uint64_t lost;
     uint64_t lost_said;
+    /// Lines of level info in the present second, and those left out in it.
+    uint32_t limit_per_s;
+    uint64_t second;
+    uint32_t in_second;
+    uint32_t suppressed;
     pthread_t writer;
     /// Guards the ring; never held while writing to the descriptor.
     pthread_mutex_t lock;
@@ -117,15 +123,25 @@
     write_chunk(log, length + 1);
 }
 
+/// Sleeps until there is a line, then a little longer, so that many lines
+/// leave with one write.
 static void
 wait_for_lines(struct SlLog *log)
 {
-    uint64_t until_us = SlClock_Monotonic() + WRITE_PAUSE_US;
-    struct timespec until = {.tv_sec = (time_t)(until_us / US_PER_SECOND),
-                             .tv_nsec =
-                                 (long)(until_us % US_PER_SECOND) * NS_PER_US};
+    struct timespec until;
 
-    pthread_cond_timedwait(&log->filled, &log->lock, &until);
+    while (log->first == log->next && !log->ending) {
+        pthread_cond_wait(&log->filled, &log->lock);
+    }
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_nsec += (long)WRITE_PAUSE_US * NS_PER_US;
+    if (until.tv_nsec >= NS_PER_SECOND) {
+        until.tv_nsec -= NS_PER_SECOND;
+        until.tv_sec++;
+    }
+    while (log->next - log->first < RING_LINES / 2 && !log->ending &&
+           pthread_cond_timedwait(&log->filled, &log->lock, &until) == 0) {
+    }
 }
 
 static void *
@@ -138,9 +154,7 @@
         size_t length;
 
         pthread_mutex_lock(&log->lock);
-        if (log->first == log->next && !log->ending) {
-            wait_for_lines(log);
-        }
+        wait_for_lines(log);
         length = take_lines(log);
         ended = length == 0 && log->ending;
         pthread_mutex_unlock(&log->lock);
@@ -215,7 +229,8 @@
         memcpy(line->text, text, length);
         line->text[length] = '\n';
         line->length_bytes = (uint32_t)length + 1;
-        if (log->next - log->first == RING_LINES / 2) {
+        if (log->next - log->first == 1 ||
+            log->next - log->first == RING_LINES / 2) {
             pthread_cond_signal(&log->filled);
         }
     }
@@ -223,19 +238,76 @@
     return has_room;
 }
 
+static void
+write_event(struct SlLog *log, const struct SlEvent *event)
+{
+    char text[SL_EVENT_TEXT_BYTES];
+
+    SlEvent_Format(event, text);
+    if (!put_line(log, text, strlen(text))) {
+        atomic_fetch_add(&log->lost, 1);
+    }
+}
+
+/// Counts a line of level info; false when this second has had its share.
+/// suppressed: lines left out in the second that ended, 0 none.
+static bool
+has_share(struct SlLog *log, uint64_t now_us, uint32_t *suppressed)
+{
+    uint64_t second = now_us / US_PER_SECOND;
+    bool allowed;
+
+    *suppressed = 0;
+    pthread_mutex_lock(&log->lock);
+    if (second != log->second) {
+        *suppressed = log->suppressed;
+        log->second = second;
+        log->in_second = 0;
+        log->suppressed = 0;
+    }
+    allowed = log->limit_per_s == 0 || log->in_second < log->limit_per_s;
+    if (allowed) {
+        log->in_second++;
+    }
+    else {
+        log->suppressed++;
+    }
+    pthread_mutex_unlock(&log->lock);
+    return allowed;
+}
+
 void
 SlLog_Event(struct SlLog *log, const struct SlEvent *event)
 {
     const struct SlEventRow *row = SlEvent_Row(event->number);
-    char text[SL_EVENT_TEXT_BYTES];
+    struct SlEvent said = {.number = SL_EVENT_LOG_LOST,
+                           .now_us = event->now_us,
+                           .reason = "limit_per_second"};
+    uint32_t suppressed;
+    bool allowed;
 
     if (row != NULL && (int)row->level > atomic_load(&log->level)) {
         return;
     }
-    SlEvent_Format(event, text);
-    if (!put_line(log, text, strlen(text))) {
-        atomic_fetch_add(&log->lost, 1);
+    if (row != NULL && row->level >= SL_LEVEL_INFO) {
+        allowed = has_share(log, event->now_us, &suppressed);
+        if (suppressed > 0) {
+            said.value = suppressed;
+            write_event(log, &said);
+        }
+        if (!allowed) {
+            return;
+        }
     }
+    write_event(log, event);
+}
+
+void
+SlLog_SetLimit(struct SlLog *log, uint32_t lines_per_s)
+{
+    pthread_mutex_lock(&log->lock);
+    log->limit_per_s = lines_per_s;
+    pthread_mutex_unlock(&log->lock);
 }
 
 void
--- a/packages/daemon/src/log.h
+++ b/packages/daemon/src/log.h
@@ -21,6 +21,10 @@
 void
 SlLog_Event(struct SlLog *log, const struct SlEvent *event);
 
+/// At most so many lines of level info and debug in a second; 0 sets no
+/// limit, as at the start. Lines left out are counted and said.
+void
+SlLog_SetLimit(struct SlLog *log, uint32_t lines_per_s);
 void
 SlLog_SetLevel(struct SlLog *log, enum SlLevel level);
 
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -66,12 +66,15 @@
     int code = EXIT_FAILED;
 
     if (SlShell_BlockSignals() == SL_OK) {
-        options.log = SlLog_Create(STDERR_FILENO, settings->node.log_level);
+        options.log = SlLog_Create(
+            settings->node.log_to_stdout ? STDOUT_FILENO : STDERR_FILENO,
+            settings->node.log_level);
     }
     if (options.log == NULL) {
         fprintf(stderr, "savoryledged: cannot start the log\n");
         return EXIT_FAILED;
     }
+    SlLog_SetLimit(options.log, settings->node.log_lines_per_s);
     if (SlShell_Create(&options, &shell, &error) == SL_OK) {
         code = SlShell_Run(shell);
     }
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -59,26 +59,40 @@
     KEY(node, advertise, SL_VALUE_HOST, 0),
     NUMBER(node, threads, 1, SETTINGS_THREADS_MAX, 0),
     KEY(node, log_level, SL_VALUE_LEVEL, 0),
+    NUMBER(node, log_lines_per_s, 0, 1000000, 0),
+    KEY(node, log_to_stdout, SL_VALUE_BOOL, 0),
     NUMBER(node, stop_timeout_ms, 100, 3600000, 0),
-    KEY(security, key_file, SL_VALUE_PATH, ANY_ROLE),
+    KEY(security, key_file, SL_VALUE_PATH, 0),
     KEY(security, second_key_file, SL_VALUE_PATH, 0),
-    KEY(control, data_folder, SL_VALUE_PATH, SL_ROLE_CONTROL),
+    KEY(security, open, SL_VALUE_BOOL, 0),
+    KEY(control, data_folder, SL_VALUE_PATH, 0),
     KEY(control, bootstrap, SL_VALUE_BOOL, 0),
-    KEY(control, members, SL_VALUE_MEMBERS, ANY_ROLE),
-    PORT_KEY(entry, "port", kind, SL_VALUE_PORT_KIND, SL_ROLE_ENTRY),
+    KEY(control, members, SL_VALUE_MEMBERS, 0),
+    KEY(control, seeds, SL_VALUE_SEEDS, 0),
+    NUMBER(control, seed_port, 1, 65535, 0),
+    KEY(control, self_forming, SL_VALUE_BOOL, 0),
+    PORT_KEY(entry, "port", kind, SL_VALUE_PORT_KIND, 0),
     PORT_KEY(entry, "port_listen", listen, SL_VALUE_ADDRESS, 0),
     PORT_KEY(entry, "port_peer", peer, SL_VALUE_ADDRESS, 0),
     PORT_KEY(entry, "tun_device", device, SL_VALUE_DEVICE, 0),
     NUMBER(entry, cache_flows, 1024, 16777216, 0),
     NUMBER(entry, tunnel_mtu_bytes, 1280, 9000, 0),
-    PORT_KEY(agent, "port", kind, SL_VALUE_PORT_KIND, SL_ROLE_AGENT),
+    PORT_KEY(agent, "port", kind, SL_VALUE_PORT_KIND, 0),
     PORT_KEY(agent, "port_listen", listen, SL_VALUE_ADDRESS, 0),
     PORT_KEY(agent, "port_peer", peer, SL_VALUE_ADDRESS, 0),
     PORT_KEY(agent, "upstream", upstream, SL_VALUE_HOST, 0),
     PORT_KEY(agent, "tun_device", device, SL_VALUE_DEVICE, 0),
-    NUMBER(agent, slots, 1, 4096, SL_ROLE_AGENT),
-    NUMBER(agent, capacity_flows, 1, 1000000, SL_ROLE_AGENT),
+    NUMBER(agent, slots, 1, 4096, 0),
+    NUMBER(agent, capacity_flows, 1, 1000000, 0),
     KEY(agent, labels, SL_VALUE_LABELS, 0),
+    KEY(relay, adapter, SL_VALUE_NAME, 0),
+    KEY(relay, callers, SL_VALUE_ADDRESS, 0),
+    KEY(relay, upstream, SL_VALUE_ADDRESS, 0),
+    KEY(relay, upstream_sends, SL_VALUE_ADDRESS, 0),
+    KEY(relay, service, SL_VALUE_NAME, 0),
+    KEY(relay, ready, SL_VALUE_ADDRESS, 0),
+    KEY(relay, control, SL_VALUE_ADDRESS, 0),
+    KEY(relay, metrics, SL_VALUE_ADDRESS, 0),
     KEY(record, file, SL_VALUE_PATH, 0),
     NUMBER(record, max_bytes, 65536, NUMBER_MAX, 0),
 };
@@ -346,24 +360,33 @@
 static void
 find_missing(const struct reading *reading)
 {
-    const struct SlSettings *settings = reading->settings;
-    char allowed[SETTINGS_TEXT_BYTES];
-    char name[SETTINGS_TEXT_BYTES];
+    uint32_t roles = reading->settings->node.roles;
 
     for (size_t i = 0; i < KEY_COUNT; i++) {
         const struct key *key = &KEYS[i];
-        bool needed = key->needed_by == ANY_ROLE ||
-                      (key->needed_by & settings->node.roles) != 0;
-
-        if (needed && reading->given[i] == 0) {
-            snprintf(name, sizeof(name), "%s.%s", key->section, key->name);
-            SlValue_Allowed(key->type, key->min, key->max, allowed,
-                            sizeof(allowed));
-            SlFaults_Add(reading->faults, 0, name, allowed, "nothing");
+
+        if (key->needed_by == ANY_ROLE || (key->needed_by & roles) != 0) {
+            settings_need(reading, key->section, key->name);
         }
     }
 }
 
+void
+settings_need(const struct reading *reading, const char *section,
+              const char *name)
+{
+    const struct key *key = find_key(section, name);
+    char allowed[SETTINGS_TEXT_BYTES];
+    char full[SETTINGS_TEXT_BYTES];
+
+    if (reading->given[key - KEYS] == 0) {
+        snprintf(full, sizeof(full), "%s.%s", section, name);
+        SlValue_Allowed(key->type, key->min, key->max, allowed,
+                        sizeof(allowed));
+        SlFaults_Add(reading->faults, 0, full, allowed, "nothing");
+    }
+}
+
 uint32_t
 settings_line(const struct reading *reading, const char *section,
               const char *name)
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -30,6 +30,13 @@
     struct SlMember items[SETTINGS_MEMBERS_MAX];
 };
 
+/// Control instances known by their IP addresses alone: each is named
+/// "control-" and its IP address.
+struct SlSeeds {
+    uint32_t count;
+    struct SlAddress items[SETTINGS_MEMBERS_MAX];
+};
+
 /// Where packets of callers or of the upstream come and go.
 struct SlPortSettings {
     enum SlPortKind kind;
@@ -50,17 +57,44 @@
         struct SlAddress advertise;
         uint32_t threads;
         enum SlLevel log_level;
+        uint32_t log_lines_per_s;
+        bool log_to_stdout;
         uint32_t stop_timeout_ms;
     } node;
     struct {
         char key_file[SETTINGS_PATH_BYTES];
         char second_key_file[SETTINGS_PATH_BYTES];
+        /// Links without a secret: only where the network itself is closed.
+        bool open;
     } security;
     struct {
         char data_folder[SETTINGS_PATH_BYTES];
         bool bootstrap;
         struct SlMembers members;
+        /// Take the place of members, at this port of theirs.
+        struct SlSeeds seeds;
+        uint32_t seed_port;
+        bool self_forming;
     } control;
+    /// The data path for upstreams that give back what they cannot take, and
+    /// the interfaces of the platform that the adapter speaks to.
+    struct {
+        char adapter[SL_NAME_BYTES];
+        /// Where callers' segments come in (entry), and from where answers
+        /// leave (agent); callers are reached at the same port.
+        struct SlAddress callers;
+        /// Agent: where the upstream takes segments, and where it sends its
+        /// own.
+        struct SlAddress upstream;
+        struct SlAddress upstream_sends;
+        /// Agent: the service that its upstream belongs to.
+        char service[SL_NAME_BYTES];
+        /// HTTP: readiness, the interface of operators or of the upstream,
+        /// and the metrics as text.
+        struct SlAddress ready;
+        struct SlAddress control;
+        struct SlAddress metrics;
+    } relay;
     struct {
         struct SlPortSettings port;
         uint32_t cache_flows;
--- a/packages/daemon/src/settings_check.c
+++ b/packages/daemon/src/settings_check.c
@@ -66,6 +66,18 @@
                  "that %s", error.message);
 }
 
+/// Without a secret all processes share a key that everybody knows.
+static void
+use_open_key(struct SlSettings *settings)
+{
+    static const uint8_t NO_SECRET[SL_KEY_BYTES];
+
+    if (settings->security.open && settings->keyring.count == 0) {
+        SlKey_FromSecret(NO_SECRET, &settings->keyring.items[0]);
+        settings->keyring.count = 1;
+    }
+}
+
 static void
 check_data_folder(const struct reading *reading)
 {
@@ -86,6 +98,79 @@
     }
 }
 
+/// Which keys are needed follows from roles and from each other.
+static void
+check_needed(const struct reading *reading)
+{
+    const struct SlSettings *settings = reading->settings;
+    uint32_t roles = settings->node.roles;
+    bool relay = settings->relay.adapter[0] != '\0';
+
+    if (!settings->security.open) {
+        settings_need(reading, "security", "key_file");
+    }
+    if (settings->control.seeds.count == 0) {
+        settings_need(reading, "control", "members");
+    }
+    else {
+        settings_need(reading, "control", "seed_port");
+    }
+    if ((roles & SL_ROLE_CONTROL) && !relay) {
+        settings_need(reading, "control", "data_folder");
+    }
+    if ((roles & SL_ROLE_ENTRY) && !relay) {
+        settings_need(reading, "entry", "port");
+    }
+    if ((roles & SL_ROLE_AGENT) && !relay) {
+        settings_need(reading, "agent", "port");
+        settings_need(reading, "agent", "slots");
+        settings_need(reading, "agent", "capacity_flows");
+    }
+    if ((roles & (SL_ROLE_ENTRY | SL_ROLE_AGENT)) && relay) {
+        settings_need(reading, "relay", "callers");
+    }
+    if ((roles & SL_ROLE_AGENT) && relay) {
+        settings_need(reading, "relay", "upstream");
+        settings_need(reading, "relay", "upstream_sends");
+        settings_need(reading, "relay", "service");
+        settings_need(reading, "relay", "control");
+    }
+}
+
+/// An instance without a disk keeps no log: it sends operators on to one that
+/// does.
+static void
+drop_diskless_control(struct SlSettings *settings)
+{
+    if (settings->relay.adapter[0] != '\0' &&
+        settings->control.data_folder[0] == '\0') {
+        settings->node.roles &= ~(uint32_t)SL_ROLE_CONTROL;
+    }
+}
+
+/// Seeds become members whose names follow from their addresses.
+static void
+take_seeds(struct SlSettings *settings)
+{
+    const struct SlSeeds *seeds = &settings->control.seeds;
+    struct SlMembers *members = &settings->control.members;
+
+    if (seeds->count == 0) {
+        return;
+    }
+    members->count = seeds->count;
+    for (uint32_t i = 0; i < seeds->count; i++) {
+        struct SlMember *member = &members->items[i];
+        char text[SL_ADDRESS_TEXT_BYTES];
+
+        member->link = seeds->items[i];
+        SlAddress_Format(&member->link, text);
+        text[strcspn(text, ":")] = '\0';
+        snprintf(member->name, sizeof(member->name), "control-%.39s", text);
+        member->link.port = (uint16_t)settings->control.seed_port;
+    }
+}
+
 static bool
 is_member(const struct SlSettings *settings)
 {
@@ -103,7 +188,8 @@
 {
     const struct SlSettings *settings = reading->settings;
 
-    if (settings->control.bootstrap && !is_member(settings)) {
+    if (settings->control.bootstrap && !settings->control.self_forming &&
+        !is_member(settings)) {
         SlFaults_Add(
             reading->faults, settings_line(reading, "control", "bootstrap"),
             "control.bootstrap",
@@ -181,6 +267,9 @@
 {
     const struct SlSettings *settings = reading->settings;
 
+    check_needed(reading);
+    drop_diskless_control(reading->settings);
+    take_seeds(reading->settings);
     if (settings->node.roles & SL_ROLE_ENTRY) {
         check_port(reading, "entry", &settings->entry.port);
     }
@@ -190,6 +279,7 @@
     check_key_file(reading, "key_file", settings->security.key_file);
     check_key_file(reading, "second_key_file",
                    settings->security.second_key_file);
+    use_open_key(reading->settings);
     check_data_folder(reading);
     check_bootstrap(reading);
     check_differ(reading, "entry", &settings->entry.port);
--- a/packages/daemon/src/settings_check.h
+++ b/packages/daemon/src/settings_check.h
@@ -20,6 +20,11 @@
     uint32_t given[SETTINGS_KEYS_MAX];
 };
 
+/// Adds a fault when the key was not given.
+void
+settings_need(const struct reading *reading, const char *section,
+              const char *name);
+
 /// The line on which a known key was given, 0 if none.
 uint32_t
 settings_line(const struct reading *reading, const char *section,
--- a/packages/daemon/src/settings_value.c
+++ b/packages/daemon/src/settings_value.c
@@ -188,6 +188,20 @@
     return true;
 }
 
+static bool
+add_seed(char *part, void *target)
+{
+    struct SlSeeds *seeds = target;
+
+    if (seeds->count == SETTINGS_MEMBERS_MAX ||
+        !read_address(part, false, &seeds->items[seeds->count]) ||
+        !SlAddress_IsIpv4(&seeds->items[seeds->count])) {
+        return false;
+    }
+    seeds->count++;
+    return true;
+}
+
 static bool
 read_choice(const struct choice *choices, const char *text, uint32_t *value)
 {
@@ -228,6 +242,8 @@
         return for_each_part(text, add_label, target);
     case SL_VALUE_MEMBERS:
         return for_each_part(text, add_member, target);
+    case SL_VALUE_SEEDS:
+        return for_each_part(text, add_seed, target);
     }
     return false;
 }
@@ -259,6 +275,8 @@
     case SL_VALUE_MEMBERS:
         return "at most 9 of NAME@ADDRESS:PORT with different names, "
                "separated by commas";
+    case SL_VALUE_SEEDS:
+        return "at most 9 IPv4 addresses, separated by commas";
     case SL_VALUE_NUMBER:
         break;
     }
@@ -281,5 +299,6 @@
 bool
 SlValue_IsList(enum SlValueType type)
 {
-    return type == SL_VALUE_LABELS || type == SL_VALUE_MEMBERS;
+    return type == SL_VALUE_LABELS || type == SL_VALUE_MEMBERS ||
+           type == SL_VALUE_SEEDS;
 }
--- a/packages/daemon/src/settings_value.h
+++ b/packages/daemon/src/settings_value.h
@@ -20,6 +20,7 @@
     /// Lists; a key that stands several times adds to them.
     SL_VALUE_LABELS,
     SL_VALUE_MEMBERS,
+    SL_VALUE_SEEDS,
 };
 
 /// Reads text into the member at target. min and max: for numbers.
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -14,6 +14,11 @@
     LINGER_US = 2 * 1000 * 1000,
     REFUSED_PAUSE_US = 1000 * 1000,
     MAX_SERVICES = 1024,
+    /// An agent of the relay ends its requests and goes: its upstream's flows
+    /// wait for the next process.
+    RELAY_AGENT_LINGER_US = 300 * 1000,
+    /// Until the plan tells how many flows an upstream holds.
+    RELAY_CAPACITY_FLOWS = 2000,
 };
 
 static const int SIGNALS[] = {SIGTERM, SIGINT, SIGHUP};
@@ -54,6 +59,10 @@
     node->node_id = SlNode_Id(settings->node.name);
     node->roles = settings->node.roles;
     node->announced = settings->agent.labels;
+    if (settings->relay.service[0] != '\0') {
+        (void)SlLabels_Set(&node->announced, "service",
+                           settings->relay.service);
+    }
     node->tunnel = settings->node.tunnel;
     node->link = settings->node.link;
     node->boot = shell->boot;
@@ -67,11 +76,71 @@
     }
 }
 
+/// An agent of the relay leaves until its upstream has spoken: then its slots
+/// are known too.
+static void
+fill_relay_announcement(const struct SlShell *shell, struct SlObject *object)
+{
+    if (shell->settings.node.roles & SL_ROLE_AGENT) {
+        object->node.slots = 1;
+        object->node.capacity_flows = RELAY_CAPACITY_FLOWS;
+        object->node.leaving = true;
+    }
+}
+
+void
+shell_announce(struct SlShell *shell, uint64_t now_us, uint32_t slots,
+               bool leaving)
+{
+    shell->announcement.node.slots = slots > 0 ? slots : 1;
+    shell->announcement.node.leaving = leaving;
+    SlNode_Announce(shell->node, &shell->control.sink, now_us,
+                    &shell->announcement);
+    shell->has_inputs = true;
+}
+
+void
+shell_give_change(struct SlShell *shell, uint64_t now_us,
+                  const struct SlChange *change)
+{
+    struct SlMessage message = {.kind = SL_MESSAGE_CHANGE, .change = *change};
+    struct SlInput input = {.kind = SL_INPUT_MESSAGE,
+                            .now_us = now_us,
+                            .wall_us = SlClock_Wall(),
+                            .link = SHELL_DESK_LINK,
+                            .message = &message};
+
+    shell->control.now_us = now_us;
+    give_input(shell, &shell->control, &input);
+    shell->has_inputs = true;
+}
+
+/// The desk of this process's own operators speaks to the control instance
+/// over a link of its own.
+static void
+open_desk_link(struct SlShell *shell)
+{
+    struct SlPeer peer = {
+        .node_id = SlNode_Id("desk"), .name = "desk", .boot = shell->boot};
+    struct SlInput input = {.kind = SL_INPUT_LINK_UP,
+                            .now_us = SlClock_Monotonic(),
+                            .wall_us = SlClock_Wall(),
+                            .link = SHELL_DESK_LINK,
+                            .peer = &peer};
+
+    shell->control.now_us = input.now_us;
+    give_input(shell, &shell->control, &input);
+}
+
 static void
 fill_control(const struct SlShell *shell, struct SlNodeOptions *options)
 {
     const struct SlMembers *members = &shell->settings.control.members;
 
+    options->relay = shell->settings.relay.adapter[0] != '\0';
+    options->control.self_forming = shell->settings.control.self_forming;
+    options->control.link = shell->settings.node.link;
+    options->replica.learn_controls = shell->settings.control.self_forming;
     options->control.bootstrap = shell->settings.control.bootstrap;
     options->control.storage = shell->storage;
     options->control.member_count = members->count;
@@ -108,6 +177,10 @@
     randombytes_buf(&options.core.hash_seed, sizeof(options.core.hash_seed));
     fill_control(shell, &options);
     fill_announcement(shell, &options.replica.announce);
+    if (options.relay) {
+        fill_relay_announcement(shell, &options.replica.announce);
+    }
+    shell->announcement = options.replica.announce;
     if (shell->recording.recorder != NULL) {
         SlRecorder_Node(shell->recording.recorder, &options, now_us);
     }
@@ -172,6 +245,41 @@
     return SlLoop_Watch(shell->loop, &shell->signals.watch, SL_LOOP_READ);
 }
 
+static const struct SlAdapter *
+find_adapter(const char *name)
+{
+    const struct SlAdapter *const *at = SL_ADAPTERS;
+
+    while (*at != NULL && strcmp((*at)->name, name) != 0) {
+        at++;
+    }
+    return *at;
+}
+
+static enum SlStatus
+open_relay(struct SlShell *shell, struct SlError *error)
+{
+    const struct SlAdapter *adapter =
+        find_adapter(shell->settings.relay.adapter);
+    enum SlStatus status = SL_OK;
+
+    if (adapter == NULL) {
+        return SlError_Set(error, SL_NOT_FOUND, SL_STEP_OPEN, NULL,
+                           "there is no adapter \"%s\"",
+                           shell->settings.relay.adapter);
+    }
+    if (shell->settings.node.roles & (SL_ROLE_ENTRY | SL_ROLE_AGENT)) {
+        status = shell_relay_open(shell, adapter, &shell->relay, error);
+    }
+    if (status == SL_OK) {
+        status = SlFront_Open(shell, adapter, &shell->front, error);
+    }
+    if (status == SL_OK && SlNode_Control(shell->node) != NULL) {
+        open_desk_link(shell);
+    }
+    return status;
+}
+
 static enum SlStatus
 open_parts(struct SlShell *shell, struct SlError *error)
 {
@@ -183,7 +291,7 @@
     if (status == SL_OK) {
         status = watch_signals(shell, error);
     }
-    if (status == SL_OK) {
+    if (status == SL_OK && shell->settings.relay.adapter[0] == '\0') {
         status = threads_open(shell, error);
     }
     if (status == SL_OK && shell->settings.record.file[0] != '\0') {
@@ -192,6 +300,9 @@
     if (status == SL_OK) {
         status = create_node(shell, shell->started_us, error);
     }
+    if (status == SL_OK && shell->settings.relay.adapter[0] != '\0') {
+        status = open_relay(shell, error);
+    }
     return status;
 }
 
@@ -234,6 +345,8 @@
         return;
     }
     threads_close(shell);
+    SlFront_Close(shell->front);
+    shell_relay_close(shell->relay);
     SlLinks_Destroy(shell->links);
     (void)record_switch(shell, "", NULL);
     SlNode_Destroy(shell->node);
@@ -270,6 +383,9 @@
                   .value = (int64_t)shell->settings.node.stop_timeout_ms *
                            US_PER_MS});
     give_control_input(shell, SL_INPUT_STOP, now_us);
+    if (shell->relay != NULL) {
+        shell_relay_stop(shell->relay, now_us);
+    }
     shell->has_inputs = true;
 }
 
@@ -379,6 +495,12 @@
     SlLinks_Tick(shell->links, now_us);
     give_control_input(shell, SL_INPUT_TICK, now_us);
     shell->has_inputs = true;
+    if (shell->relay != NULL) {
+        shell_relay_tick(shell->relay, now_us);
+    }
+    if (shell->front != NULL) {
+        SlFront_Tick(shell->front, now_us);
+    }
     say_refused(shell, now_us);
     SlLoop_StartTimer(shell->loop, timer, now_us + SL_TICK_US);
 }
@@ -396,6 +518,9 @@
     give_control_input(shell, SL_INPUT_BATCH_END, now_us);
     outlet_flush(&shell->control);
     SlLinks_Flush(shell->links);
+    if (shell->relay != NULL) {
+        shell_relay_end_batch(shell->relay, now_us);
+    }
     refresh_addresses(shell);
 }
 
@@ -408,6 +533,10 @@
     uint64_t linger_us =
         roles & (SL_ROLE_ENTRY | SL_ROLE_AGENT) ? LINGER_US : 0;
 
+    if (shell->relay != NULL && (roles & SL_ROLE_AGENT)) {
+        linger_us = RELAY_AGENT_LINGER_US;
+    }
+
     if (!shell->stopping) {
         return false;
     }
@@ -415,7 +544,8 @@
         (uint64_t)shell->settings.node.stop_timeout_ms * US_PER_MS) {
         return true;
     }
-    return spent_us >= linger_us && SlNode_Idle(shell->node);
+    return spent_us >= linger_us && SlNode_Idle(shell->node) &&
+           (shell->relay == NULL || shell_relay_idle(shell->relay));
 }
 
 int
@@ -424,7 +554,8 @@
     struct SlError error;
     bool idle;
 
-    if (threads_start(shell, &error) != SL_OK) {
+    if (shell->settings.relay.adapter[0] == '\0' &&
+        threads_start(shell, &error) != SL_OK) {
         log_event(shell, (struct SlEvent){.number = SL_EVENT_FAILED,
                                           .reason = "threads"});
         return 1;
--- a/packages/daemon/src/shell_internal.h
+++ b/packages/daemon/src/shell_internal.h
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "front.h"
 #include "recorder.h"
 #include "savoryledge/coordination/node.h"
 #include "savoryledge/transport/link.h"
@@ -13,6 +14,7 @@
 #include "savoryledge/transport/port.h"
 #include "savoryledge/transport/seal.h"
 #include "shell.h"
+#include "shell_relay.h"
 
 /// Gathers what the cores ask for during a batch of inputs; one for each
 /// thread.
@@ -90,6 +92,10 @@
         struct SlShell *shell;
     } tick;
     struct packet_thread threads[SETTINGS_THREADS_MAX];
+    /// NULL where the process has no adapter, or no data path.
+    struct SlFront *front;
+    struct shell_relay *relay;
+    struct SlObject announcement;
     uint64_t boot;
     uint64_t started_us;
     /// Inputs were given since the last BATCH_END.
@@ -120,6 +126,16 @@
 give_input(struct SlShell *shell, struct outlet *outlet,
            const struct SlInput *input);
 
+/* shell.c */
+/// Gives a change of this process's own operators to its control instance.
+void
+shell_give_change(struct SlShell *shell, uint64_t now_us,
+                  const struct SlChange *change);
+/// Announces the process anew, with what its upstream says.
+void
+shell_announce(struct SlShell *shell, uint64_t now_us, uint32_t slots,
+               bool leaving);
+
 /* shell_record.c */
 /// Begins a recording in path; an empty path ends one. Control thread.
 /// Errors: SL_IO, SL_NO_MEMORY.
@@ -127,6 +143,9 @@
 record_switch(struct SlShell *shell, const char *path, struct SlError *error);
 
 /* shell_outlet.c */
+/// The link of this process's own operators; no other has the number.
+#define SHELL_DESK_LINK UINT64_MAX
+
 enum SlStatus
 outlet_init(struct outlet *outlet, struct SlShell *shell, bool is_control);
 void
--- a/packages/daemon/src/shell_outlet.c
+++ b/packages/daemon/src/shell_outlet.c
@@ -117,6 +117,13 @@
     struct SlShell *shell = outlet->shell;
 
     assert(outlet->is_control);
+    if (link == SHELL_DESK_LINK) {
+        if (message->kind == SL_MESSAGE_RESULT && shell->front != NULL) {
+            SlFront_Result(shell->front, message->result.request,
+                           &message->result.result);
+        }
+        return;
+    }
     SlBuffer_Clear(&shell->encoded);
     if (SlMessage_Encode(message, &shell->encoded) != SL_OK ||
         SlLinks_Send(shell->links, link, shell->encoded.bytes,
--- a/packages/daemon/src/shell_text.c
+++ b/packages/daemon/src/shell_text.c
@@ -191,6 +191,79 @@
     put_count(out, "agent_table_bytes", counters.table_bytes);
 }
 
+static void
+put_relay_entry(const struct SlRelayEntry *entry, struct SlBuffer *out)
+{
+    struct SlRelayEntryCounters counters;
+
+    SlRelayEntry_Counters(entry, &counters);
+    put_count(out, "relay_entry_segments", counters.segments);
+    put_count(out, "relay_entry_malformed", counters.malformed);
+    put_count(out, "relay_entry_no_route", counters.no_route);
+    put_count(out, "relay_entry_offered", counters.offered);
+    put_count(out, "relay_entry_offered_again", counters.offered_again);
+    put_count(out, "relay_entry_refused", counters.refused);
+    put_count(out, "relay_entry_carried", counters.carried);
+    put_count(out, "relay_entry_searches", counters.searches);
+    put_count(out, "relay_entry_found", counters.found);
+    put_count(out, "relay_entry_not_found", counters.not_found);
+    put_count(out, "relay_entry_searches_given_up",
+              counters.searches_given_up);
+    put_count(out, "relay_entry_dropped", counters.dropped);
+    put_count(out, "relay_entry_flows", counters.flows);
+}
+
+/// A cumulative histogram: how many answers took less than so many ms.
+static void
+put_histogram(const uint64_t *bins, size_t count, struct SlBuffer *out)
+{
+    uint64_t total = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        total += bins[i];
+        put_line(out, "relay_agent_answers_under_%llu_ms=%" PRIu64,
+                 1ULL << (i + 1), total);
+    }
+}
+
+static void
+put_relay_agent(const struct SlRelayAgent *agent, struct SlBuffer *out)
+{
+    struct SlRelayAgentCounters counters;
+
+    SlRelayAgent_Counters(agent, &counters);
+    put_count(out, "relay_agent_delivered", counters.delivered);
+    put_count(out, "relay_agent_answered", counters.answered);
+    put_count(out, "relay_agent_admitted", counters.admitted);
+    put_count(out, "relay_agent_declined", counters.declined);
+    put_count(out, "relay_agent_returned", counters.returned);
+    put_count(out, "relay_agent_absent", counters.absent);
+    put_count(out, "relay_agent_adopted", counters.adopted);
+    put_count(out, "relay_agent_malformed", counters.malformed);
+    put_count(out, "relay_agent_dropped", counters.dropped);
+    put_count(out, "relay_agent_flows", counters.flows);
+    put_count(out, "relay_agent_in_progress", counters.in_progress);
+    put_count(out, "relay_agent_answer_us", counters.answer_us);
+    put_histogram(counters.answer_histogram,
+                  sizeof(counters.answer_histogram) /
+                      sizeof(counters.answer_histogram[0]),
+                  out);
+}
+
+static void
+put_relay(const struct SlShell *shell, struct SlBuffer *out)
+{
+    if (shell->relay == NULL) {
+        return;
+    }
+    if (shell_relay_entry(shell->relay) != NULL) {
+        put_relay_entry(shell_relay_entry(shell->relay), out);
+    }
+    if (shell_relay_agent(shell->relay) != NULL) {
+        put_relay_agent(shell_relay_agent(shell->relay), out);
+    }
+}
+
 static void
 put_link_counters(struct SlShell *shell, struct SlBuffer *out)
 {
@@ -258,6 +331,7 @@
     if (SlNode_Agent(shell->node) != NULL) {
         put_agent_counters(shell, out);
     }
+    put_relay(shell, out);
     put_link_counters(shell, out);
     put_datagram_counters(shell, out);
     if (shell->control.callers != NULL) {
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -43,6 +43,9 @@
     SL_MESSAGE_APPENDED,
     SL_MESSAGE_INSTALL,
     SL_MESSAGE_INSTALLED,
+    /// A control instance without a leader asks to be taken in; one that is
+    /// no leader passes it on to the leader.
+    SL_MESSAGE_JOIN,
     SL_MESSAGE_KIND_COUNT
 };
 
@@ -86,6 +89,8 @@
     /// Deleted objects: kind and name only.
     uint32_t removed_count;
     struct SlObject *removed;
+    /// Version 0: the parts leave the document as it is.
+    struct SlDocumentText document;
 };
 
 enum SlQueryKind {
@@ -185,6 +190,11 @@
     uint64_t incarnation;
 };
 
+struct SlJoin {
+    char name[SL_NAME_BYTES];
+    struct SlAddress link;
+};
+
 /// One message. kind tells which member is in use.
 struct SlMessage {
     enum SlMessageKind kind;
@@ -211,6 +221,7 @@
         struct SlAppended appended;
         struct SlInstall install;
         struct SlInstalled installed;
+        struct SlJoin join;
     };
 };
 
@@ -253,9 +264,13 @@
 /// The decoders take exactly one value and reject trailing bytes.
 enum SlStatus
 SlChange_Encode(const struct SlChange *change, struct SlBuffer *buffer);
+/// The document of a decoded change is owned until SlChange_Release.
 enum SlStatus
 SlChange_Decode(const uint8_t *bytes, size_t length_bytes,
                 struct SlChange *change);
+/// Only for decoded changes.
+void
+SlChange_Release(struct SlChange *change);
 enum SlStatus
 SlObject_Encode(const struct SlObject *object, struct SlBuffer *buffer);
 enum SlStatus
--- /dev/null
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -0,0 +1,114 @@
+#ifndef SAVORYLEDGE_PROTOCOL_RELAY_H
+#define SAVORYLEDGE_PROTOCOL_RELAY_H
+
+/// Datagrams between entries and agents of the relay: a msgpack head with its
+/// length in front, then, for some kinds, a segment as it came.
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "savoryledge/common/segment.h"
+#include "savoryledge/protocol/message.h"
+
+enum {
+    /// Agents that may have declined one flow.
+    SL_RELAY_TRIED_MAX = 4,
+    /// Largest datagram: a segment and the largest head.
+    SL_RELAY_MAX_BYTES = SL_SEGMENT_MAX_BYTES + 160,
+};
+
+enum SlRelayKind {
+    SL_RELAY_NONE = 0,
+    /// Entry to agent: the opening segment of a flow; take it or decline.
+    SL_RELAY_OFFER,
+    /// Entry to agent: any other segment, for the flow's holder.
+    SL_RELAY_CARRY,
+    /// Agent to entry: it took the flow.
+    SL_RELAY_ACCEPT,
+    /// Agent to entry: it did not.
+    SL_RELAY_DECLINE,
+    /// Agent to entry: it does not hold the flow. With the segment when it
+    /// answers CARRY, without when it answers ASK.
+    SL_RELAY_ABSENT,
+    /// Entry to agent: do you hold this flow?
+    SL_RELAY_ASK,
+    /// Agent to entry: it holds the flow; certain tells whether the upstream
+    /// has shown it.
+    SL_RELAY_HOLDS,
+    /// Agent to entry: its load.
+    SL_RELAY_REPORT,
+    SL_RELAY_KIND_COUNT
+};
+
+/// Why an agent declines, and how it answered.
+enum SlRelayReason {
+    SL_RELAY_REASON_NONE = 0,
+    /// All slots are taken; another upstream may have a free one.
+    SL_RELAY_BUSY,
+    /// It holds as much as it can.
+    SL_RELAY_FULL,
+    /// Cold, and this second's share is used up.
+    SL_RELAY_COLD,
+    /// Leaving, stopping, or its upstream has not announced itself.
+    SL_RELAY_LEAVING,
+    /// Its availability zone is out.
+    SL_RELAY_ZONE_OUT,
+    /// Its upstream belongs to another service.
+    SL_RELAY_FOREIGN,
+    /// Its upstream does not answer.
+    SL_RELAY_SILENT,
+    /// Its upstream gave the segment back.
+    SL_RELAY_RETURNED,
+    SL_RELAY_REASON_COUNT
+};
+
+/// What an agent tells of its upstream.
+struct SlRelayLoad {
+    /// Requests in progress and flows that are opening.
+    uint32_t in_progress;
+    uint32_t slots;
+    uint32_t flows;
+    /// Usual time from a request to its answer, microseconds.
+    uint32_t answer_us;
+    /// New flows are declined, whatever the load.
+    bool closed;
+};
+
+struct SlRelayFrame {
+    enum SlRelayKind kind;
+    enum SlRelayReason reason;
+    /// The process that sent it, and the plan that it went by.
+    uint64_t sender;
+    uint64_t plan_version;
+    /// OFFER: no other upstream is left to ask. HOLDS: the upstream has shown
+    /// that it holds the flow.
+    bool last;
+    bool certain;
+    /// OFFER, DECLINE: agents that declined the flow before.
+    uint32_t tried_count;
+    uint64_t tried[SL_RELAY_TRIED_MAX];
+    /// ACCEPT, DECLINE, ASK, HOLDS, and ABSENT without a segment.
+    struct SlFlowKey flow;
+    /// ASK: the number that the caller acknowledges.
+    uint32_t ack;
+    /// ACCEPT, DECLINE, REPORT.
+    struct SlRelayLoad load;
+    /// Borrowed.
+    const uint8_t *segment;
+    uint32_t segment_bytes;
+};
+
+/// Encodes into out. Returns the length in bytes, 0 when it does not fit.
+uint32_t
+SlRelayFrame_Encode(const struct SlRelayFrame *frame,
+                    uint8_t out[SL_RELAY_MAX_BYTES]);
+
+/// The frame borrows the segment from bytes. Errors: SL_MALFORMED.
+enum SlStatus
+SlRelayFrame_Decode(const uint8_t *bytes, uint32_t length_bytes,
+                    struct SlRelayFrame *frame);
+
+const char *
+SlRelayReason_Name(enum SlRelayReason reason);
+
+#endif
--- a/packages/protocol/src/layout.c
+++ b/packages/protocol/src/layout.c
@@ -125,12 +125,40 @@
     }
 }
 
+static bool
+is_zero(const struct SlField *field, const uint8_t *base)
+{
+    const uint8_t *at = base + field->offset;
+
+    for (size_t i = 0; i < field->of->bytes; i++) {
+        if (at[i] != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// How many fields are encoded: all but the optional ones that are zero.
+static uint32_t
+present_fields(const struct SlLayout *layout, const uint8_t *base)
+{
+    uint32_t least = layout->field_count - layout->optional_count;
+    uint32_t count = layout->field_count;
+
+    while (count > least && is_zero(&layout->fields[count - 1], base)) {
+        count--;
+    }
+    return count;
+}
+
 void
 SlLayout_Pack(const struct SlLayout *layout, const void *base,
               msgpack_packer *packer)
 {
-    msgpack_pack_array(packer, layout->field_count);
-    for (uint32_t i = 0; i < layout->field_count; i++) {
+    uint32_t count = present_fields(layout, base);
+
+    msgpack_pack_array(packer, count);
+    for (uint32_t i = 0; i < count; i++) {
         pack_field(&layout->fields[i], base, packer);
     }
 }
@@ -336,10 +364,11 @@
 {
     memset(base, 0, layout->bytes);
     if (value->type != MSGPACK_OBJECT_ARRAY ||
-        value->via.array.size != layout->field_count) {
+        value->via.array.size > layout->field_count ||
+        value->via.array.size < layout->field_count - layout->optional_count) {
         return SL_MALFORMED;
     }
-    for (uint32_t i = 0; i < layout->field_count; i++) {
+    for (uint32_t i = 0; i < value->via.array.size; i++) {
         enum SlStatus status =
             read_field(&layout->fields[i], &value->via.array.ptr[i], base);
 
--- a/packages/protocol/src/layout.h
+++ b/packages/protocol/src/layout.h
@@ -51,6 +51,9 @@
 struct SlLayout {
     size_t bytes;
     uint32_t field_count;
+    /// Structs at the end that are left out while they are all zero; older
+    /// encodings lack them.
+    uint32_t optional_count;
     const struct SlField *fields;
 };
 
@@ -96,6 +99,13 @@
         .field_count = sizeof(table) / sizeof((table)[0])                     \
     }
 
+#define SL_LAYOUT_OPTIONAL(owner, table, optional)                            \
+    {                                                                         \
+        .bytes = sizeof(struct owner), .fields = (table),                     \
+        .field_count = sizeof(table) / sizeof((table)[0]),                    \
+        .optional_count = (optional)                                          \
+    }
+
 /// Packs the struct at base.
 void
 SlLayout_Pack(const struct SlLayout *layout, const void *base,
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -80,6 +80,13 @@
 };
 static const struct SlLayout OBJECT = SL_LAYOUT(SlObject, OBJECT_FIELDS);
 
+static const struct SlField DOCUMENT_FIELDS[] = {
+    U64(SlDocumentText, version),
+    SL_FIELD_BYTES(SlDocumentText, bytes, length_bytes, SL_DOCUMENT_MAX_BYTES),
+};
+static const struct SlLayout DOCUMENT =
+    SL_LAYOUT(SlDocumentText, DOCUMENT_FIELDS);
+
 static const struct SlField CHANGE_FIELDS[] = {
     U64(SlChange, client),
     U64(SlChange, request),
@@ -90,8 +97,10 @@
     PART(SlChange, object, OBJECT),
     PART(SlChange, hold, HOLD),
     SL_FIELD_ITEMS(SlChange, unset, SL_LABELS_MAX, LABEL),
+    PART(SlChange, document, DOCUMENT),
 };
-static const struct SlLayout CHANGE = SL_LAYOUT(SlChange, CHANGE_FIELDS);
+static const struct SlLayout CHANGE =
+    SL_LAYOUT_OPTIONAL(SlChange, CHANGE_FIELDS, 1);
 
 static const struct SlField RESULT_FIELDS[] = {
     ENUM(SlResult, status, SL_STATUS_COUNT),
@@ -149,8 +158,10 @@
                      SL_CONFIG_OBJECTS_MAX, OBJECT),
     SL_FIELD_POINTER(SlConfigPart, removed, removed_count,
                      SL_CONFIG_OBJECTS_MAX, OBJECT),
+    PART(SlConfigPart, document, DOCUMENT),
 };
-static const struct SlLayout CONFIG = SL_LAYOUT(SlConfigPart, CONFIG_FIELDS);
+static const struct SlLayout CONFIG =
+    SL_LAYOUT_OPTIONAL(SlConfigPart, CONFIG_FIELDS, 1);
 
 static const struct SlField QUERY_FIELDS[] = {
     ENUM(SlQuery, query, SL_QUERY_KIND_COUNT),
@@ -232,6 +243,12 @@
 static const struct SlLayout INSTALLED =
     SL_LAYOUT(SlInstalled, INSTALLED_FIELDS);
 
+static const struct SlField JOIN_FIELDS[] = {
+    TEXT(SlJoin, name),
+    PART(SlJoin, link, ADDRESS),
+};
+static const struct SlLayout JOIN = SL_LAYOUT(SlJoin, JOIN_FIELDS);
+
 struct message_row {
     const char *name;
     const struct SlLayout *layout;
@@ -262,6 +279,7 @@
     [SL_MESSAGE_APPENDED] = ROW("appended", APPENDED, appended),
     [SL_MESSAGE_INSTALL] = ROW("install", INSTALL, install),
     [SL_MESSAGE_INSTALLED] = ROW("installed", INSTALLED, installed),
+    [SL_MESSAGE_JOIN] = ROW("join", JOIN, join),
 };
 
 /// A buffer being written, with the first failure.
@@ -425,6 +443,12 @@
     return decode(&CHANGE, bytes, length_bytes, change);
 }
 
+void
+SlChange_Release(struct SlChange *change)
+{
+    SlLayout_Release(&CHANGE, change);
+}
+
 enum SlStatus
 SlObject_Encode(const struct SlObject *object, struct SlBuffer *buffer)
 {
--- a/packages/state/include/savoryledge/state/config.h
+++ b/packages/state/include/savoryledge/state/config.h
@@ -7,6 +7,7 @@
 /// One owner at a time changes a configuration; readers of other threads get
 /// their own (SlConfig_Clone) or a table built from it (routing.h).
 
+#include "savoryledge/state/document.h"
 #include "savoryledge/state/object.h"
 
 struct SlConfig;
@@ -61,6 +62,19 @@
 void
 SlConfig_SetVersion(struct SlConfig *config, struct SlVersion version);
 
+/// The document in force, NULL when there is none. Borrowed until the next
+/// change; take a reference to keep it.
+struct SlDocument *
+SlConfig_Document(const struct SlConfig *config);
+/// Version of the change that put the document in force.
+struct SlVersion
+SlConfig_DocumentModified(const struct SlConfig *config);
+/// Distribution and snapshots: puts a document as it stands at the sender.
+/// Errors: SL_NO_MEMORY.
+enum SlStatus
+SlConfig_PutDocument(struct SlConfig *config, struct SlVersion modified,
+                     const struct SlDocumentText *text);
+
 /// Remembered results, for snapshots. index: 0..SlConfig_ResultCount-1, in
 /// an order that every replica shares.
 struct SlRequestRecord {
--- a/packages/state/include/savoryledge/state/object.h
+++ b/packages/state/include/savoryledge/state/object.h
@@ -27,6 +27,8 @@
     SL_HOLDS_MAX = 8,
     SL_HOLD_KEY_BYTES = 32,
     SL_REASON_BYTES = 64,
+    /// Fits a log record and a frame with what goes around it.
+    SL_DOCUMENT_MAX_BYTES = 512 * 1024,
 };
 
 enum SlKind {
@@ -142,9 +144,21 @@
     SL_VERB_MEMBER_REMOVE,
     /// Commits the log up to a new leader's term; changes nothing.
     SL_VERB_NOOP,
+    /// Replaces the document by one with a higher version; others are
+    /// accepted and change nothing.
+    SL_VERB_DOCUMENT,
     SL_VERB_COUNT
 };
 
+/// A whole configuration in a caller's own format, under the caller's
+/// version. bytes are borrowed, but in a decoded message or change, which own
+/// them until their release.
+struct SlDocumentText {
+    uint64_t version;
+    uint32_t length_bytes;
+    const uint8_t *bytes;
+};
+
 /// One change, as it is proposed, logged and applied.
 struct SlChange {
     /// Who asks, and that one's number for it, growing by one; a resend has
@@ -165,6 +179,8 @@
     struct SlHold hold;
     /// Keys to remove; values unused.
     struct SlLabels unset;
+    /// SL_VERB_DOCUMENT only.
+    struct SlDocumentText document;
 };
 
 /// The outcome of a change.
--- a/packages/state/src/config.c
+++ b/packages/state/src/config.c
@@ -10,6 +10,8 @@
     struct SlVersion version;
     struct SlObjectSet sets[SL_KIND_COUNT];
     struct SlRequestRing requests;
+    struct SlDocument *document;
+    struct SlVersion document_modified;
 };
 
 struct SlConfig *
@@ -28,6 +30,7 @@
         SlObjectSet_Release(&config->sets[kind]);
     }
     SlRequestRing_Release(&config->requests);
+    SlDocument_Unref(config->document);
     free(config);
 }
 
@@ -54,9 +57,38 @@
         }
     }
     clone->requests.forgotten = config->requests.forgotten;
+    clone->document = SlDocument_Ref(config->document);
+    clone->document_modified = config->document_modified;
     return clone;
 }
 
+struct SlDocument *
+SlConfig_Document(const struct SlConfig *config)
+{
+    return config->document;
+}
+
+struct SlVersion
+SlConfig_DocumentModified(const struct SlConfig *config)
+{
+    return config->document_modified;
+}
+
+enum SlStatus
+SlConfig_PutDocument(struct SlConfig *config, struct SlVersion modified,
+                     const struct SlDocumentText *text)
+{
+    struct SlDocument *document = SlDocument_Create(text);
+
+    if (document == NULL) {
+        return SL_NO_MEMORY;
+    }
+    SlDocument_Unref(config->document);
+    config->document = document;
+    config->document_modified = modified;
+    return SL_OK;
+}
+
 struct SlVersion
 SlConfig_Version(const struct SlConfig *config)
 {
--- a/packages/state/src/config_apply.c
+++ b/packages/state/src/config_apply.c
@@ -210,6 +210,20 @@
     put(config, version, &object, result);
 }
 
+/// A version that is not higher is accepted and changes nothing, so that a
+/// change that was overtaken gets the same answer as one that was not.
+static void
+apply_document(struct SlConfig *config, struct SlVersion version,
+               const struct SlChange *change, struct SlResult *result)
+{
+    const struct SlDocument *present = SlConfig_Document(config);
+
+    if (present == NULL || change->document.version > present->version) {
+        result->status =
+            SlConfig_PutDocument(config, version, &change->document);
+    }
+}
+
 static void
 apply_verb(struct SlConfig *config, struct SlVersion version,
            const struct SlChange *change, struct SlResult *result)
@@ -228,6 +242,9 @@
     case SL_VERB_ANNOUNCE:
         apply_announce(config, version, change, result);
         break;
+    case SL_VERB_DOCUMENT:
+        apply_document(config, version, change, result);
+        break;
     case SL_VERB_NOOP:
     case SL_VERB_MEMBER_ADD:
     case SL_VERB_MEMBER_PROMOTE:
--- a/packages/state/src/object.c
+++ b/packages/state/src/object.c
@@ -33,6 +33,7 @@
     [SL_VERB_MEMBER_PROMOTE] = "member_promote",
     [SL_VERB_MEMBER_REMOVE] = "member_remove",
     [SL_VERB_NOOP] = "noop",
+    [SL_VERB_DOCUMENT] = "document",
 };
 
 const char *
@@ -291,6 +292,18 @@
     return SL_OK;
 }
 
+static enum SlStatus
+check_document(const struct SlDocumentText *document, struct SlError *error)
+{
+    if (document->version == 0 || document->length_bytes == 0) {
+        return invalid(error, "document has no version or no content", "");
+    }
+    if (document->length_bytes > SL_DOCUMENT_MAX_BYTES) {
+        return invalid(error, "document is too long", "");
+    }
+    return SL_OK;
+}
+
 enum SlStatus
 SlChange_Check(const struct SlChange *change, struct SlError *error)
 {
@@ -300,6 +313,9 @@
     if (change->verb == SL_VERB_NOOP) {
         return SL_OK;
     }
+    if (change->verb == SL_VERB_DOCUMENT) {
+        return check_document(&change->document, error);
+    }
     if (object->kind <= SL_KIND_NONE || object->kind >= SL_KIND_COUNT) {
         return invalid(error, "unknown kind of object", "");
     }
--- /dev/null
+++ b/packages/state/src/plan.c
@@ -0,0 +1,304 @@
+#include "savoryledge/state/plan.h"
+
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    FIRST_ROOM = 16,
+    DEFAULT_IDLE_MS = 60 * 1000,
+    /// Seeds the hash that spreads flows over weights, apart from the hashes
+    /// of tables.
+    WEIGHT_SEED = 0x77656967,
+};
+
+struct SlPlan {
+    atomic_uint references;
+    uint64_t version;
+    uint32_t idle_ms;
+    uint32_t service_count;
+    uint32_t service_room;
+    struct SlPlanService *services;
+    uint32_t route_count;
+    uint32_t route_room;
+    /// In order of address, once the plan is finished.
+    struct SlPlanRoute *routes;
+};
+
+struct SlPlan *
+SlPlan_Create(uint64_t version)
+{
+    struct SlPlan *plan = calloc(1, sizeof(*plan));
+
+    if (plan != NULL) {
+        atomic_init(&plan->references, 1);
+        plan->version = version;
+        plan->idle_ms = DEFAULT_IDLE_MS;
+    }
+    return plan;
+}
+
+struct SlPlan *
+SlPlan_Ref(struct SlPlan *plan)
+{
+    if (plan != NULL) {
+        atomic_fetch_add(&plan->references, 1);
+    }
+    return plan;
+}
+
+void
+SlPlan_Unref(struct SlPlan *plan)
+{
+    if (plan != NULL && atomic_fetch_sub(&plan->references, 1) == 1) {
+        free(plan->services);
+        free(plan->routes);
+        free(plan);
+    }
+}
+
+/// Makes room for one more item; NULL without memory.
+static void *
+reserve(void *items, uint32_t count, uint32_t *room, size_t item_bytes)
+{
+    uint32_t wanted = *room == 0 ? FIRST_ROOM : *room * 2;
+    void *grown;
+
+    if (count < *room) {
+        return items;
+    }
+    grown = realloc(items, wanted * item_bytes);
+    if (grown != NULL) {
+        *room = wanted;
+    }
+    return grown;
+}
+
+static enum SlStatus
+refuse(struct SlError *error, enum SlStatus status, const char *what,
+       const char *name)
+{
+    return SlError_Set(error, status, SL_STEP_DECODE, NULL, "%s \"%s\"", what,
+                       name);
+}
+
+enum SlStatus
+SlPlan_AddService(struct SlPlan *plan, const struct SlPlanService *service,
+                  struct SlError *error)
+{
+    struct SlPlanService *services;
+
+    if (service->name[0] == '\0' ||
+        SlPlan_FindService(plan, service->name) != SL_PLAN_NO_SERVICE) {
+        return refuse(error, SL_INVALID, "empty or repeated service",
+                      service->name);
+    }
+    if (plan->service_count == SL_PLAN_SERVICES_MAX) {
+        return refuse(error, SL_FULL, "too many services, from",
+                      service->name);
+    }
+    services = reserve(plan->services, plan->service_count,
+                       &plan->service_room, sizeof(*services));
+    if (services == NULL) {
+        return refuse(error, SL_NO_MEMORY, "no memory for", service->name);
+    }
+    plan->services = services;
+    services[plan->service_count++] = *service;
+    return SL_OK;
+}
+
+static enum SlStatus
+check_route(const struct SlPlan *plan, const struct SlPlanRoute *route,
+            struct SlError *error)
+{
+    uint64_t weight = 0;
+
+    if (route->address.port == 0) {
+        return refuse(error, SL_INVALID, "no address for route", route->name);
+    }
+    if (route->timeout_ms == 0) {
+        return refuse(error, SL_INVALID, "no timeout for route", route->name);
+    }
+    if (route->share_count == 0 || route->share_count > SL_PLAN_SHARES_MAX) {
+        return refuse(error, SL_INVALID, "no service for route", route->name);
+    }
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        if (route->shares[i].service >= plan->service_count) {
+            return refuse(error, SL_INVALID, "unknown service of route",
+                          route->name);
+        }
+        weight += route->shares[i].weight;
+    }
+    return weight == 0
+               ? refuse(error, SL_INVALID, "no weight for route", route->name)
+               : SL_OK;
+}
+
+enum SlStatus
+SlPlan_AddRoute(struct SlPlan *plan, const struct SlPlanRoute *route,
+                struct SlError *error)
+{
+    enum SlStatus status = check_route(plan, route, error);
+    struct SlPlanRoute *routes;
+
+    if (status != SL_OK) {
+        return status;
+    }
+    if (plan->route_count == SL_PLAN_ROUTES_MAX) {
+        return refuse(error, SL_FULL, "too many routes, from", route->name);
+    }
+    routes = reserve(plan->routes, plan->route_count, &plan->route_room,
+                     sizeof(*routes));
+    if (routes == NULL) {
+        return refuse(error, SL_NO_MEMORY, "no memory for", route->name);
+    }
+    plan->routes = routes;
+    routes[plan->route_count++] = *route;
+    return SL_OK;
+}
+
+void
+SlPlan_SetIdle(struct SlPlan *plan, uint32_t idle_ms)
+{
+    if (idle_ms != 0) {
+        plan->idle_ms = idle_ms;
+    }
+}
+
+static int
+compare_addresses(const struct SlAddress *a, const struct SlAddress *b)
+{
+    int order = memcmp(a->ip, b->ip, sizeof(a->ip));
+
+    return order != 0 ? order : (a->port > b->port) - (a->port < b->port);
+}
+
+static int
+compare_routes(const void *a, const void *b)
+{
+    const struct SlPlanRoute *first = a;
+    const struct SlPlanRoute *second = b;
+
+    return compare_addresses(&first->address, &second->address);
+}
+
+enum SlStatus
+SlPlan_Finish(struct SlPlan *plan, struct SlError *error)
+{
+    if (plan->route_count > 0) {
+        qsort(plan->routes, plan->route_count, sizeof(plan->routes[0]),
+              compare_routes);
+    }
+    for (uint32_t i = 1; i < plan->route_count; i++) {
+        if (SlAddress_Equal(&plan->routes[i - 1].address,
+                            &plan->routes[i].address)) {
+            return refuse(error, SL_INVALID, "address used before by route",
+                          plan->routes[i].name);
+        }
+    }
+    return SL_OK;
+}
+
+uint64_t
+SlPlan_Version(const struct SlPlan *plan)
+{
+    return plan->version;
+}
+
+uint32_t
+SlPlan_IdleMs(const struct SlPlan *plan)
+{
+    return plan->idle_ms;
+}
+
+uint32_t
+SlPlan_ServiceCount(const struct SlPlan *plan)
+{
+    return plan->service_count;
+}
+
+const struct SlPlanService *
+SlPlan_ServiceAt(const struct SlPlan *plan, uint32_t index)
+{
+    return &plan->services[index];
+}
+
+uint32_t
+SlPlan_FindService(const struct SlPlan *plan, const char *name)
+{
+    for (uint32_t i = 0; i < plan->service_count; i++) {
+        if (strcmp(plan->services[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return SL_PLAN_NO_SERVICE;
+}
+
+uint32_t
+SlPlan_RouteCount(const struct SlPlan *plan)
+{
+    return plan->route_count;
+}
+
+const struct SlPlanRoute *
+SlPlan_RouteAt(const struct SlPlan *plan, uint32_t index)
+{
+    return &plan->routes[index];
+}
+
+const struct SlPlanRoute *
+SlPlan_FindRoute(const struct SlPlan *plan, const struct SlAddress *address)
+{
+    uint32_t low = 0;
+    uint32_t high = plan->route_count;
+
+    while (low < high) {
+        uint32_t middle = (low + high) / 2;
+        int order = compare_addresses(&plan->routes[middle].address, address);
+
+        if (order == 0) {
+            return &plan->routes[middle];
+        }
+        if (order < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return NULL;
+}
+
+uint32_t
+SlPlan_ServiceOf(const struct SlPlanRoute *route, const struct SlFlowKey *flow)
+{
+    uint64_t total = 0;
+    uint64_t point;
+
+    if (route->share_count == 1) {
+        return route->shares[0].service;
+    }
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
+    point = SlFlowKey_Hash(flow, WEIGHT_SEED) % total;
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        if (point < route->shares[i].weight) {
+            return route->shares[i].service;
+        }
+        point -= route->shares[i].weight;
+    }
+    return route->shares[0].service;
+}
+
+bool
+SlPlan_Allows(const struct SlPlanRoute *route, uint32_t service)
+{
+    for (uint32_t i = 0; i < route->share_count; i++) {
+        if (route->shares[i].service == service &&
+            route->shares[i].weight > 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/transport/src/loop.c
+++ b/packages/transport/src/loop.c
@@ -40,7 +40,8 @@
 uint64_t
 SlClock_Monotonic(void)
 {
-    return read_clock(CLOCK_MONOTONIC);
+    /* A lease must not outlive the time that the machine was suspended. */
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 uint64_t
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,8 @@
 set -eu
 packages="build-essential cmake pkg-config clang clang-format clang-tidy
  cppcheck libclang-rt-14-dev liburcu-dev libmsgpack-dev libargtable2-dev
- libinih-dev libxxhash-dev libsodium-dev libcunit1-dev"
+ libinih-dev libxxhash-dev libsodium-dev libcunit1-dev libhttp-parser-dev
+ libjansson-dev zlib1g-dev"
 missing=""
 for package in $packages; do
     if ! dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
