Count a follower's lease from a time of its own

The log shows cut_off and joined 20 ms apart (SL1402, SL1403) at the moment of waking.

Ruled out: the monotonic clock (it counts the freeze, silent_us=6398140); the lease of the leader itself (it counts from rounds that were answered). Noticing one's own pause was not enough: a cut link delivers old messages to a process that ran all along.

Change: a follower stamps its answers, the leader returns the stamp with the time that it kept it, and the lease runs from there. An entry's or agent's freshness counts from the heartbeat that is echoed.

--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -64,6 +64,9 @@
     bool installing;
     /// Answer to the present vote request.
     bool granted;
+    /// The stamp of its last answer, to be returned.
+    uint64_t echo_us;
+    uint64_t echo_at_us;
     /// An append is due, even an empty one.
     bool send_due;
 };
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -2,6 +2,13 @@
 
 #include "raft.h"
 
+enum {
+    /// A leader counts its lease as over a quarter of the election timeout
+    /// early. A follower uses half of that, as it knows no way of messages in
+    /// its time; the rest is for clocks that drift.
+    DRIFT_DIVISOR = 8,
+};
+
 static void
 answer_now(struct SlRaft *raft, uint64_t to)
 {
@@ -168,9 +175,14 @@
         raft->known_commit = commit;
     }
     raft->leader_commit = append->commit;
-    if (append->lease_us > 0) {
+    /* The message may have waited for this process, while another led: it was
+       sent after the answer whose stamp it returns had arrived and been kept,
+       and no more is certain. */
+    if (append->lease_us > 0 && append->echo.us != 0) {
         raft->fresh_commit = append->commit;
-        raft->fresh_offer_us = raft->now_us + append->lease_us;
+        raft->fresh_offer_us = append->echo.us + append->echo.kept_us +
+                               append->lease_us +
+                               raft->options.election_us / DRIFT_DIVISOR;
     }
 }
 
@@ -226,6 +238,7 @@
     }
     note_caught_up(raft);
     message.appended = raft->ack;
+    message.appended.sent.us = raft->now_us;
     raft->options.host_type->send(raft->options.host, raft->leader, &message);
     commit_known(raft);
 }
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -191,6 +191,8 @@
                    .commit = raft->commit,
                    .round = raft->round,
                    .lease_us = SlRaft_LeaseLeft(raft, raft->now_us),
+                   .echo = {.us = progress->echo_us,
+                            .kept_us = raft->now_us - progress->echo_at_us},
                    .entries = entries}};
     struct SlAppend *append = &message.append;
 
@@ -379,6 +381,8 @@
     }
     note_incarnation(raft, progress, appended->incarnation);
     progress->heard_us = raft->now_us;
+    progress->echo_us = appended->sent.us;
+    progress->echo_at_us = raft->now_us;
     note_round(raft, progress, appended->round);
     if (progress->installing) {
         return;
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -402,7 +402,8 @@
     enum SlStatus status =
         SlConfigGather_Take(&source->gather, replica->config, part);
 
-    if (source == &replica->control && part->fresh && status != SL_INVALID) {
+    if (source == &replica->control && part->fresh && status != SL_INVALID &&
+        !replica->options.learn_controls) {
         replica->last_fresh_us = input->now_us;
     }
     if (status == SL_OK) {
@@ -422,6 +423,18 @@
     }
 }
 
+/// A word that waited for this process, which stood still, says nothing of the
+/// present: it was sent after the heartbeat whose time it returns.
+static void
+note_fresh(struct SlReplica *replica, uint64_t now_us, uint64_t echo_us)
+{
+    uint64_t fresh_us = replica->options.learn_controls ? echo_us : now_us;
+
+    if (fresh_us > replica->last_fresh_us && fresh_us <= now_us) {
+        replica->last_fresh_us = fresh_us;
+    }
+}
+
 /// A control instance's word that its version is current counts only once
 /// that version is in force here.
 static void
@@ -437,7 +450,7 @@
         return;
     }
     if (order <= 0) {
-        replica->last_fresh_us = input->now_us;
+        note_fresh(replica, input->now_us, heartbeat->echo_us);
         return;
     }
     if (replica->control.gather.config == NULL) {
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -149,6 +149,13 @@
     uint32_t data_bytes;
 };
 
+/// A time by the clock of one process, for that process alone.
+struct SlStamp {
+    uint64_t us;
+    /// How long the other process kept it before it returned it.
+    uint64_t kept_us;
+};
+
 struct SlAppend {
     uint64_t term;
     struct SlVersion previous;
@@ -162,6 +169,8 @@
     bool resigns;
     uint32_t entry_count;
     struct SlLogEntry *entries;
+    /// The stamp of the receiver's last answer that came before this was sent.
+    struct SlStamp echo;
 };
 
 struct SlAppended {
@@ -171,6 +180,8 @@
     uint64_t index;
     uint64_t round;
     uint64_t incarnation;
+    /// When it was sent; the leader returns it.
+    struct SlStamp sent;
 };
 
 /// A part of a snapshot for an instance that is far behind.
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -206,6 +206,12 @@
 static const struct SlLayout LOG_ENTRY =
     SL_LAYOUT(SlLogEntry, LOG_ENTRY_FIELDS);
 
+static const struct SlField STAMP_FIELDS[] = {
+    U64(SlStamp, us),
+    U64(SlStamp, kept_us),
+};
+static const struct SlLayout STAMP = SL_LAYOUT(SlStamp, STAMP_FIELDS);
+
 static const struct SlField APPEND_FIELDS[] = {
     U64(SlAppend, term),
     PART(SlAppend, previous, VERSION),
@@ -215,15 +221,18 @@
     BOOL(SlAppend, resigns),
     SL_FIELD_POINTER(SlAppend, entries, entry_count, APPEND_ENTRIES_MAX,
                      LOG_ENTRY),
+    PART(SlAppend, echo, STAMP),
 };
-static const struct SlLayout APPEND = SL_LAYOUT(SlAppend, APPEND_FIELDS);
+static const struct SlLayout APPEND =
+    SL_LAYOUT_OPTIONAL(SlAppend, APPEND_FIELDS, 1);
 
 static const struct SlField APPENDED_FIELDS[] = {
     U64(SlAppended, term),        BOOL(SlAppended, success),
     U64(SlAppended, index),       U64(SlAppended, round),
-    U64(SlAppended, incarnation),
+    U64(SlAppended, incarnation), PART(SlAppended, sent, STAMP),
 };
-static const struct SlLayout APPENDED = SL_LAYOUT(SlAppended, APPENDED_FIELDS);
+static const struct SlLayout APPENDED =
+    SL_LAYOUT_OPTIONAL(SlAppended, APPENDED_FIELDS, 1);
 
 static const struct SlField INSTALL_FIELDS[] = {
     U64(SlInstall, term),
--- a/test/control_member_test.c
+++ b/test/control_member_test.c
@@ -342,6 +342,49 @@
     destroy_lab(lab);
 }
 
+/// Runs until the instance takes its state for the present one.
+static bool
+await_fresh(struct lab *lab, uint32_t at)
+{
+    for (uint32_t i = 0; i < 40; i++) {
+        if (SlControl_Fresh(lab->world.nodes[at].control, lab->world.now_us)) {
+            return true;
+        }
+        lab_step(lab);
+    }
+    return false;
+}
+
+/// An instance that stood still finds old words of its leader waiting: they
+/// must not make it take its old state for the present one.
+static void
+test_old_words_after_standing_still(void)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        struct lab *lab = create_lab(3, seed);
+        struct world *world = &lab->world;
+        struct SlChange change = change_of(1, 1, SL_VERB_CREATE, "ulaan-a");
+        uint32_t still = (leader_of(lab) + 1) % 3;
+        struct SlVersion accepted;
+
+        CU_ASSERT(await_fresh(lab, still));
+        world->nodes[still].frozen = true;
+        lab_run(lab, 40);
+        CU_ASSERT_EQUAL(ask(lab, &change)->status, SL_OK);
+        accepted = lab->results[change.client].version;
+        world->nodes[still].frozen = false;
+        world->now_us += WORLD_STEP_US;
+        world_deliver_due(world);
+        world_flush(world, still);
+        CU_ASSERT(
+            !SlControl_Fresh(world->nodes[still].control, world->now_us) ||
+            SlVersion_Compare(SlControl_Applied(world->nodes[still].control),
+                              accepted) >= 0);
+        CU_ASSERT(await_fresh(lab, still));
+        destroy_lab(lab);
+    }
+}
+
 int
 main(void)
 {
@@ -356,6 +399,8 @@
         {"nonsense from a leader", test_nonsense_from_a_leader},
         {"clock jumps", test_clock_jumps},
         {"announcement after a full disk", test_announcement_after_full_disk},
+        {"old words after standing still",
+         test_old_words_after_standing_still},
     };
 
     return RUN_SUITE("control members", CASES);
--- a/test/control_world.h
+++ b/test/control_world.h
@@ -18,6 +18,8 @@
     WORLD_DELAY_US = 2 * WORLD_STEP_US,
     WORLD_HEARTBEAT_US = 60 * 1000,
     WORLD_ELECTION_US = 300 * 1000,
+    /// Messages that wait for a node that stands still.
+    WORLD_HELD_MAX = 4,
 };
 
 struct world;
@@ -33,6 +35,9 @@
     bool bootstrap;
     /// Nothing passes to or from it, and no link reports so.
     bool cut;
+    /// It stands still: links hold the first few messages for it, no more.
+    bool frozen;
+    uint32_t held;
     uint64_t wall_offset_us;
 };
 
@@ -393,7 +398,7 @@
     struct world_node *node = &world->nodes[queued->to];
     struct SlMessage message;
 
-    if (node->cut || !world_alive(node) ||
+    if (node->cut || node->frozen || !world_alive(node) ||
         SlMessage_Decode(queued->bytes.bytes, queued->bytes.length_bytes,
                          &message) != SL_OK) {
         return;
@@ -402,6 +407,18 @@
     SlMessage_Release(&message);
 }
 
+/// True when the message waits for a node that stands still.
+static inline bool
+world_holds(struct world *world, const struct world_message *queued)
+{
+    struct world_node *node = &world->nodes[queued->to];
+
+    if (!node->frozen || queued->due_us > world->now_us) {
+        return false;
+    }
+    return ++node->held <= WORLD_HELD_MAX;
+}
+
 static inline void
 world_deliver_due(struct world *world)
 {
@@ -409,12 +426,19 @@
     struct world_message *kept_first = NULL;
     struct world_message *kept_last = NULL;
 
+    for (uint32_t i = 0; i < world->count; i++) {
+        world->nodes[i].held = 0;
+    }
     world->first = NULL;
     world->last = NULL;
     while (waiting != NULL) {
         struct world_message *queued = waiting;
 
         waiting = queued->next;
+        if (world_holds(world, queued)) {
+            world_append(&kept_first, &kept_last, queued);
+            continue;
+        }
         if (queued->due_us > world->now_us) {
             world_append(&kept_first, &kept_last, queued);
             continue;
@@ -442,6 +466,9 @@
     }
     world_deliver_due(world);
     for (uint32_t i = 0; i < world->count; i++) {
+        if (world->nodes[i].frozen) {
+            continue;
+        }
         world_input(world, i, (struct SlInput){.kind = SL_INPUT_TICK});
         world_flush(world, i);
         if (world->nodes[i].control != NULL && world->nodes[i].storage->dead) {
