--- a/packages/balance/include/savoryledge/balance/admission.h
+++ b/packages/balance/include/savoryledge/balance/admission.h
@@ -29,7 +29,7 @@
     /// Usual time a slot takes for a request; 0 not known yet.
     uint32_t answer_us;
     /// Until then the upstream is cold, and bears cold_limit new flows in any
-    /// second.
+    /// second; 0 nobody has told what it bears, and its slots alone count.
     uint64_t cold_until_us;
     uint32_t cold_limit;
     /// Until then it takes nothing: it gave a flow back for want of room.
--- a/packages/balance/src/admission.c
+++ b/packages/balance/src/admission.c
@@ -79,7 +79,7 @@
             return SL_RELAY_FULL;
         }
     }
-    if (SlAdmission_IsCold(admission, now_us) &&
+    if (admission->cold_limit != 0 && SlAdmission_IsCold(admission, now_us) &&
         !SlPace_Allow(&admission->pace, now_us, COLD_WINDOW_US,
                       admission->cold_limit)) {
         return SL_RELAY_COLD;
--- a/packages/coordination/include/savoryledge/coordination/relay.h
+++ b/packages/coordination/include/savoryledge/coordination/relay.h
@@ -44,6 +44,9 @@
     const struct SlSegmentFormat *format;
     /// Seeds the hash of flow tables and every choice left to chance.
     uint64_t seed;
+    /// When the process started, by the wall clock, milliseconds since 1970;
+    /// 0 when unknown.
+    uint64_t start_wall_ms;
 };
 
 #endif
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -166,12 +166,31 @@
            SlVersion_Compare(version, control->touched_from) >= 0;
 }
 
+/// Before anybody leads: who holds nothing gets what was in force before, as
+/// one that may be out of date, and can serve meanwhile.
+static void
+publish_recorded(struct SlControl *control, struct SlVersion version)
+{
+    for (uint32_t i = 0; i < control->link_count; i++) {
+        struct SlControlLink *link = &control->links[i];
+
+        if (link->subscribed && link->sent.index == 0 && version.index != 0) {
+            SlConfigParts_SendWhole(control->config, false, control->sink,
+                                    link->link);
+            link->sent = version;
+        }
+    }
+}
+
 void
 SlControl_Publish(struct SlControl *control)
 {
     struct SlVersion version = SlConfig_Version(control->config);
 
     if (!SlRaft_Fresh(&control->raft, control->now_us)) {
+        if (control->options.self_forming) {
+            publish_recorded(control, version);
+        }
         return;
     }
     for (uint32_t i = 0; i < control->link_count; i++) {
--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -2,6 +2,21 @@
 
 #include <string.h>
 
+/// Applies what the log says is committed, so that the state before the
+/// restart can be shown, as one that may be out of date.
+static void
+apply_recorded(struct SlRaft *raft)
+{
+    uint64_t last = SlRaft_LastIndex(raft);
+    uint64_t commit =
+        raft->recorded_commit < last ? raft->recorded_commit : last;
+
+    if (commit > raft->commit) {
+        raft->commit = commit;
+        SlRaft_ApplyCommitted(raft);
+    }
+}
+
 /// Takes up the snapshot and the log that storage holds.
 static enum SlStatus
 load(struct SlRaft *raft)
@@ -22,7 +37,13 @@
         raft->synced <= 1) {
         status = SlRaft_Bootstrap(raft);
     }
-    return status == SL_OK ? SlRaft_RebuildMembers(raft) : status;
+    if (status == SL_OK) {
+        status = SlRaft_RebuildMembers(raft);
+    }
+    if (status == SL_OK && raft->options.self_forming) {
+        apply_recorded(raft);
+    }
+    return status;
 }
 
 enum SlStatus
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -143,6 +143,8 @@
     uint64_t synced;
     uint64_t commit;
     uint64_t known_commit;
+    /// What the log itself says is committed.
+    uint64_t recorded_commit;
     struct SlVersion applied;
     /// First record of the leader's own term; reads wait for its commit.
     uint64_t term_start;
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -59,6 +59,11 @@
     if (*index - raft->commit > SL_RAFT_WINDOW_RECORDS) {
         return SL_FULL;
     }
+    /* A record of the leader's own tells how far the log is committed: a
+       restarted instance knows that much before anybody leads. */
+    if (raft->options.self_forming && change->client == 0) {
+        change->base = raft->applied;
+    }
     change->time_us =
         wall_us > raft->last_time_us ? wall_us : raft->last_time_us + 1;
     SlBuffer_Clear(&raft->scratch);
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -183,6 +183,9 @@
         if (change.time_us > raft->last_time_us) {
             raft->last_time_us = change.time_us;
         }
+        if (change.client == 0 && change.base.index > raft->recorded_commit) {
+            raft->recorded_commit = change.base.index;
+        }
         if (SlRaftMembers_Apply(&raft->members, &change)) {
             raft->members_index = i;
         }
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -57,8 +57,8 @@
 }
 
 static void
-send_accept(struct SlRelayAgent *agent, struct SlRelaySink *sink, uint64_t now_us,
-       const struct SlAgentFlow *flow)
+send_accept(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+            uint64_t now_us, const struct SlAgentFlow *flow)
 {
     struct SlRelayFrame frame = {.kind = SL_RELAY_ACCEPT,
                                  .sender = agent->node_id,
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -17,6 +17,9 @@
     /// this process ran.
     FIRST_NOTICES = 1,
     DEFAULT_CAPACITY_FLOWS = 2000,
+    /// A process takes longer than this from its first notice to its end and
+    /// the start of the next.
+    RESTART_MS = 100,
 };
 
 void
@@ -86,9 +89,12 @@
     if (service->capacity_flows != 0) {
         agent->admission.capacity_flows = service->capacity_flows;
     }
-    cold_limit = service->cold_flows_per_s + COLD_FLOWS;
-    agent->admission.cold_limit =
-        cold_limit < SL_PACE_LIMIT_MAX ? cold_limit : SL_PACE_LIMIT_MAX;
+    agent->admission.cold_limit = 0;
+    if (service->cold_flows_per_s != 0) {
+        cold_limit = service->cold_flows_per_s + COLD_FLOWS;
+        agent->admission.cold_limit =
+            cold_limit < SL_PACE_LIMIT_MAX ? cold_limit : SL_PACE_LIMIT_MAX;
+    }
 }
 
 /// An operator's hold on this one upstream.
@@ -161,6 +167,17 @@
     return a->born_ms == b->born_ms && strcmp(a->id, b->id) == 0;
 }
 
+/// True when no earlier process of this agent can have let a flow in to this
+/// start of the upstream.
+static bool
+is_first_process(const struct SlRelayAgent *agent,
+                 const struct SlUpstreamNotice *notice)
+{
+    return notice->seq <= FIRST_NOTICES ||
+           (notice->born_ms != 0 && agent->options.start_wall_ms != 0 &&
+            notice->born_ms + RESTART_MS >= agent->options.start_wall_ms);
+}
+
 /// Another start of the upstream holds nothing of what the former held.
 static void
 begin_upstream(struct SlRelayAgent *agent, uint64_t now_us,
@@ -170,7 +187,7 @@
     agent->admission.full_until_us = 0;
     agent->admission.answer_us = 0;
     agent->silent_until_us = 0;
-    if (agent->noticed_us != 0 || notice->seq <= FIRST_NOTICES) {
+    if (agent->noticed_us != 0 || is_first_process(agent, notice)) {
         agent->complete_at_us = now_us;
     }
 }
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -14,6 +14,8 @@
     /// Each instance that was reached in vain doubles the time for the next,
     /// so that a slow network only delays the configuration.
     PATIENCE_DOUBLINGS_MAX = 3,
+    /// Where control instances come and go: time for a link to be up.
+    CONNECT_PATIENCE_US = 400 * 1000,
     /// Part of the patience that differs between processes.
     JITTER_US = 500 * 1000,
     /// Time for control to bring a version that a peer already holds.
@@ -263,6 +265,10 @@
     if (control->node_id == 0) {
         return true;
     }
+    if (replica->options.learn_controls && control->link == 0 &&
+        now_us - control->since_us > CONNECT_PATIENCE_US) {
+        return true;
+    }
     return now_us - control->since_us > replica->patience_us &&
            (control->link == 0 ||
             now_us - replica->last_fresh_us > replica->patience_us);
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -71,6 +71,8 @@
     KEY(control, seeds, SL_VALUE_SEEDS, 0),
     NUMBER(control, seed_port, 1, 65535, 0),
     KEY(control, self_forming, SL_VALUE_BOOL, 0),
+    NUMBER(control, heartbeat_ms, 10, 10000, 0),
+    NUMBER(control, election_ms, 50, 60000, 0),
     PORT_KEY(entry, "port", kind, SL_VALUE_PORT_KIND, 0),
     PORT_KEY(entry, "port_listen", listen, SL_VALUE_ADDRESS, 0),
     PORT_KEY(entry, "port_peer", peer, SL_VALUE_ADDRESS, 0),
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -75,6 +75,9 @@
         struct SlSeeds seeds;
         uint32_t seed_port;
         bool self_forming;
+        /// 0 takes the defaults.
+        uint32_t heartbeat_ms;
+        uint32_t election_ms;
     } control;
     /// The data path for upstreams that give back what they cannot take, and
     /// the interfaces of the platform that the adapter speaks to.
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -14,6 +14,9 @@
     LINGER_US = 2 * 1000 * 1000,
     REFUSED_PAUSE_US = 1000 * 1000,
     MAX_SERVICES = 1024,
+    /// Processes of a self-forming site come back together: a long pause
+    /// before the next connection would be the longest part of a restart.
+    SELF_FORMING_REDIAL_US = 250 * 1000,
     /// An agent of the relay ends its requests and goes: its upstream's flows
     /// wait for the next process.
     RELAY_AGENT_LINGER_US = 300 * 1000,
@@ -140,6 +143,10 @@
     options->relay = shell->settings.relay.adapter[0] != '\0';
     options->control.self_forming = shell->settings.control.self_forming;
     options->control.link = shell->settings.node.link;
+    options->control.heartbeat_us =
+        (uint64_t)shell->settings.control.heartbeat_ms * US_PER_MS;
+    options->control.election_us =
+        (uint64_t)shell->settings.control.election_ms * US_PER_MS;
     options->replica.learn_controls = shell->settings.control.self_forming;
     options->control.bootstrap = shell->settings.control.bootstrap;
     options->control.storage = shell->storage;
@@ -212,6 +219,9 @@
     struct SlLinksOptions links = {.owner = &shell->links_owner,
                                    .keyring = shell->settings.keyring};
 
+    if (shell->settings.control.self_forming) {
+        links.redial_max_us = SELF_FORMING_REDIAL_US;
+    }
     shell->loop = SlLoop_Create();
     links.loop = shell->loop;
     shell->sealer = SlSealer_Create(&seal);
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -10,6 +10,7 @@
 enum {
     /// Batches taken from a socket before others get their turn.
     BATCHES_PER_TURN = 4,
+    US_PER_MS = 1000,
 };
 
 /// One socket of the relay, and what waits to leave it.
@@ -261,6 +262,7 @@
     memcpy(options->zone, settings->node.zone, SL_NAME_BYTES);
     options->format = relay->adapter->segments;
     randombytes_buf(&options->seed, sizeof(options->seed));
+    options->start_wall_ms = relay->shell->boot / US_PER_MS;
 }
 
 static enum SlStatus
