Offer a flow again when its agent takes its word back

Cause: an agent says that it took a flow when it hands the opening segment to its upstream. When the upstream then gives the segment back, or answers nothing, the agent declines, but the entry took the flow for held and ignored that: the caller waited for its own repetition.

Ruled out: the entry's own patience (60 ms), which counts only until an agent has spoken.

Change: a declined offer counts as long as the flow's holder is the one that declines.

--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -56,6 +56,9 @@
     /// When the last round that it acknowledged was sent; 0 none.
     uint64_t acked_us;
     uint64_t heard_us;
+    /// The stamp of its last answer, to be returned, and when it came.
+    uint64_t echo_us;
+    uint64_t echo_at_us;
     /// While installing: the snapshot, how much of it has arrived, and when
     /// the next part was sent.
     struct SlVersion install_last;
@@ -64,9 +67,6 @@
     bool installing;
     /// Answer to the present vote request.
     bool granted;
-    /// The stamp of its last answer, to be returned.
-    uint64_t echo_us;
-    uint64_t echo_at_us;
     /// An append is due, even an empty one.
     bool send_due;
 };
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -407,7 +407,8 @@
 {
     uint32_t at = SlRelayMembers_Find(&entry->members, frame->sender);
 
-    if (flow == NULL || flow->held || flow->holder != frame->sender) {
+    if (flow == NULL || flow->search != NULL ||
+        flow->holder != frame->sender) {
         return;
     }
     SlRelayEntry_Event(
--- /dev/null
+++ b/test/relay_test.c
@@ -0,0 +1,366 @@
+/* The relay as a whole: flows opened, moved between entries, found again
+   after restarts, and never reset while somebody holds them. */
+
+#include "relay_world.h"
+
+static void
+test_flow_is_served(void)
+{
+    struct relay_world *world = relay_create(2, 3, 2, 1);
+    uint32_t caller = relay_exchange(world, 0);
+
+    CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    CU_ASSERT_EQUAL(world->callers[caller].answers, 1);
+    CU_ASSERT_NOT_EQUAL(relay_holder(world, caller), 3);
+    relay_destroy(world);
+}
+
+/// A router that spreads flows anew sends them to entries that never saw
+/// them: each finds the holder, at once when the flow has lasted.
+static void
+test_flow_moves_to_another_entry(void)
+{
+    struct relay_world *world = relay_create(4, 6, 2, 2);
+    uint32_t callers[20];
+    uint32_t asked;
+
+    for (uint32_t i = 0; i < 20; i++) {
+        callers[i] = relay_exchange(world, 0);
+    }
+    relay_run(world, 1100);
+    for (uint32_t i = 0; i < 20; i++) {
+        relay_request(world, 0, callers[i]);
+        relay_run(world, 40);
+    }
+    asked = world->frames[SL_RELAY_ASK];
+    for (uint32_t i = 0; i < 20; i++) {
+        relay_request(world, 2, callers[i]);
+        relay_run(world, 60);
+        CU_ASSERT_EQUAL(world->callers[callers[i]].answers, 3);
+        CU_ASSERT_EQUAL(world->callers[callers[i]].resets, 0);
+    }
+    CU_ASSERT_EQUAL(world->frames[SL_RELAY_ASK], asked);
+    for (uint32_t i = 0; i < 20; i++) {
+        relay_request(world, 1, callers[i]);
+        relay_run(world, 60);
+        CU_ASSERT_EQUAL(world->callers[callers[i]].answers, 4);
+        CU_ASSERT_EQUAL(world->callers[callers[i]].resets, 0);
+    }
+    CU_ASSERT(world->frames[SL_RELAY_ASK] > asked);
+    relay_destroy(world);
+}
+
+/// All agents restart, and the router spreads flows over entries that do not
+/// know them: what a wrong upstream gives back reaches the holder.
+static void
+test_returned_segment_reaches_holder(void)
+{
+    struct relay_world *world = relay_create(2, 6, 2, 3);
+    uint32_t callers[30];
+    uint32_t resets = 0;
+
+    for (uint32_t i = 0; i < 30; i++) {
+        callers[i] = relay_exchange(world, 0);
+    }
+    for (uint32_t i = 0; i < 6; i++) {
+        relay_restart(world, 2 + i);
+        CU_ASSERT(relay_notice(world, i));
+    }
+    for (uint32_t i = 0; i < 30; i++) {
+        relay_request(world, 1, callers[i]);
+        relay_run(world, 150);
+        if (world->callers[callers[i]].state != CALLER_ANSWERED) {
+            relay_send(world, 1, &world->callers[callers[i]], SL_SEGMENT_ACK,
+                       100);
+            relay_run(world, 150);
+        }
+        CU_ASSERT_EQUAL(world->callers[callers[i]].state, CALLER_ANSWERED);
+        resets += world->callers[callers[i]].resets;
+    }
+    CU_ASSERT_EQUAL(resets, 0);
+    relay_destroy(world);
+}
+
+/// A flow whose upstream is gone is reset at once, so that its caller comes
+/// again; one whose holder may only be out of reach is not.
+static void
+test_reset_only_when_nobody_holds(void)
+{
+    struct relay_world *world = relay_create(2, 4, 2, 4);
+    uint32_t lost = relay_exchange(world, 0);
+    uint32_t kept = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, lost);
+
+    while (relay_holder(world, kept) == holder) {
+        kept = relay_exchange(world, 0);
+    }
+    world->upstreams[holder].held_count = 0;
+    world->upstreams[holder].notice.born_ms = 5000;
+    world->upstreams[holder].notice.seq = 0;
+    CU_ASSERT(relay_notice(world, holder));
+    relay_request(world, 1, lost);
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[lost].resets, 1);
+
+    world->nodes[2 + relay_holder(world, kept)].dark = true;
+    relay_request(world, 1, kept);
+    relay_run(world, 1500);
+    CU_ASSERT_EQUAL(world->callers[kept].resets, 0);
+    world->nodes[2 + relay_holder(world, kept)].dark = false;
+    relay_request(world, 1, kept);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[kept].answers, 2);
+    CU_ASSERT_EQUAL(world->callers[kept].resets, 0);
+    relay_destroy(world);
+}
+
+/// An agent that answers nothing costs a new flow a few hundredths of a
+/// second, and later ones nothing.
+static void
+test_dark_agent_is_passed_by(void)
+{
+    struct relay_world *world = relay_create(1, 4, 2, 5);
+    uint32_t late = 0;
+
+    world->nodes[1].dark = true;
+    for (uint32_t i = 0; i < 60; i++) {
+        uint32_t caller = relay_exchange(world, 0);
+
+        CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+        late +=
+            world->callers[caller].done_us - world->callers[caller].began_us >
+            200 * 1000;
+    }
+    CU_ASSERT_EQUAL(late, 0);
+    relay_destroy(world);
+}
+
+/// An upstream that leaves opening segments unanswered: its agent is there
+/// and passes them on.
+static void
+test_silent_upstream_is_passed_by(void)
+{
+    struct relay_world *world = relay_create(1, 3, 2, 6);
+
+    world->upstreams[0].silent = true;
+    for (uint32_t i = 0; i < 30; i++) {
+        uint32_t caller = relay_exchange(world, 0);
+
+        CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    }
+    CU_ASSERT(world->declined[SL_RELAY_SILENT] > 0);
+    relay_destroy(world);
+}
+
+/// From the moment on at which an upstream says that it leaves, it gets no
+/// new flow, and keeps those that it has.
+static void
+test_leaving_upstream(void)
+{
+    struct relay_world *world = relay_create(2, 3, 2, 7);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, flow);
+    uint32_t opened;
+
+    world->upstreams[holder].notice.draining = true;
+    CU_ASSERT(relay_notice(world, holder));
+    opened = world->upstreams[holder].opened;
+    for (uint32_t i = 0; i < 30; i++) {
+        uint32_t caller = relay_exchange(world, i % 2);
+
+        CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    }
+    CU_ASSERT_EQUAL(world->upstreams[holder].opened, opened);
+    relay_request(world, 1, flow);
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[flow].answers, 2);
+    relay_destroy(world);
+}
+
+/// The same for a zone that is out; agents keep it even if an entry does not
+/// know yet.
+static void
+test_zone_out(void)
+{
+    struct relay_world *world = relay_create(2, 4, 2, 8);
+    struct SlObject zone = {
+        .kind = SL_KIND_ZONE,
+        .name = "a",
+        .holds = {.count = 1, .items = {{.key = "operator"}}}};
+    uint32_t opened;
+
+    CU_ASSERT_EQUAL(SlConfig_Put(world->config, &zone), SL_OK);
+    for (uint32_t i = 2; i < 6; i++) {
+        relay_configure(world, i);
+    }
+    opened = world->upstreams[0].opened + world->upstreams[2].opened;
+    for (uint32_t i = 0; i < 20; i++) {
+        uint32_t caller = relay_exchange(world, 0);
+
+        CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    }
+    CU_ASSERT_EQUAL(world->upstreams[0].opened + world->upstreams[2].opened,
+                    opened);
+    CU_ASSERT(world->declined[SL_RELAY_ZONE_OUT] > 0);
+    relay_destroy(world);
+}
+
+/// A notice of an earlier start of the upstream comes late, and so does an
+/// older one of this start: neither changes anything.
+static void
+test_late_notices(void)
+{
+    struct relay_world *world = relay_create(1, 2, 2, 9);
+    struct relay_upstream *upstream = &world->upstreams[0];
+    struct relay_node *node = &world->nodes[1];
+    struct SlUpstreamNotice former = upstream->notice;
+    struct SlUpstreamNotice known;
+
+    upstream->notice.born_ms = 9000;
+    upstream->notice.seq = 0;
+    snprintf(upstream->notice.id, SL_NAME_BYTES, "next");
+    CU_ASSERT(relay_notice(world, 0));
+    former.seq = 1000;
+    former.draining = true;
+    CU_ASSERT_FALSE(
+        SlRelayAgent_Notice(node->agent, &node->sink, world->now_us, &former));
+    CU_ASSERT_FALSE(
+        SlRelayAgent_Gone(node->agent, &node->sink, world->now_us, former.id));
+    CU_ASSERT(SlRelayAgent_Upstream(node->agent, &known));
+    CU_ASSERT_STRING_EQUAL(known.id, "next");
+    CU_ASSERT_FALSE(known.draining);
+    known.draining = true;
+    CU_ASSERT_FALSE(
+        SlRelayAgent_Notice(node->agent, &node->sink, world->now_us, &known));
+    CU_ASSERT(
+        SlRelayAgent_Gone(node->agent, &node->sink, world->now_us, "next"));
+    CU_ASSERT_FALSE(SlRelayAgent_Upstream(node->agent, &known));
+    CU_ASSERT_FALSE(
+        SlRelayAgent_Notice(node->agent, &node->sink, world->now_us, &known));
+    relay_destroy(world);
+}
+
+/// An upstream restarts under its old name: its flows are over, and its agent
+/// says so.
+static void
+test_same_name_restarts(void)
+{
+    struct relay_world *world = relay_create(1, 2, 2, 10);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, flow);
+    struct relay_upstream *upstream = &world->upstreams[holder];
+
+    upstream->held_count = 0;
+    upstream->notice.born_ms += 7000;
+    upstream->notice.seq = 0;
+    CU_ASSERT(relay_notice(world, holder));
+    relay_request(world, 0, flow);
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[flow].resets, 1);
+    relay_destroy(world);
+}
+
+/// A route that was taken away is refused, an unknown one too, and a process
+/// that does not hear control refuses neither.
+static void
+test_unknown_route(void)
+{
+    struct relay_world *world = relay_create(1, 2, 2, 11);
+    struct relay_node *node = &world->nodes[0];
+    struct relay_caller caller = {
+        .key = {.caller = relay_address("192.0.2", 1, 1000),
+                .service = relay_address("198.18.0", 9, RELAY_PORT),
+                .protocol = 6}};
+
+    world->caller_count = 1;
+    world->callers[0] = caller;
+    SlRelayEntry_SetCutOff(node->entry, true);
+    relay_send(world, 0, &caller, SL_SEGMENT_OPEN, 0);
+    CU_ASSERT_EQUAL(world->callers[0].resets, 0);
+    SlRelayEntry_SetCutOff(node->entry, false);
+    relay_send(world, 0, &caller, SL_SEGMENT_OPEN, 0);
+    CU_ASSERT_EQUAL(world->callers[0].resets, 1);
+    relay_send(world, 0, &caller, SL_SEGMENT_ACK, 100);
+    CU_ASSERT_EQUAL(world->callers[0].resets, 1);
+    relay_destroy(world);
+}
+
+/// Two upstreams answer one opening segment, as the first one's agent was
+/// slow: what the caller chose gets the rest.
+static void
+test_caller_chooses(void)
+{
+    struct relay_world *world = relay_create(1, 2, 2, 12);
+    uint32_t caller = relay_open(world, 0);
+    uint32_t second;
+
+    relay_run(world, 5);
+    CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_WAITING);
+    second = world->upstreams[0].held_count == 0 ? 0 : 1;
+    upstream_open(world, second,
+                  (struct standin_segment){
+                      .source = world->callers[caller].key.caller,
+                      .destination = world->callers[caller].key.service,
+                      .seq = world->callers[caller].seq,
+                      .flags = SL_SEGMENT_OPEN});
+    relay_restart(world, 0);
+    relay_request(world, 0, caller);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    CU_ASSERT_EQUAL(world->callers[caller].resets, 0);
+    CU_ASSERT_EQUAL(relay_holder(world, caller), 1 - second);
+    relay_destroy(world);
+}
+
+/// Nothing but well-formed frames and segments changes anything.
+static void
+test_malformed(void)
+{
+    struct relay_world *world = relay_create(1, 1, 2, 13);
+    struct relay_node *node = &world->nodes[0];
+    struct SlRelayEntryCounters counters;
+    struct SlRelayFrame frame;
+    uint8_t bytes[SL_RELAY_MAX_BYTES];
+
+    for (uint32_t i = 0; i < 20000; i++) {
+        uint32_t length = (uint32_t)(relay_random(world) % sizeof(bytes));
+
+        for (uint32_t j = 0; j < length; j++) {
+            bytes[j] = (uint8_t)relay_random(world);
+        }
+        SlRelayEntry_Segment(node->entry, &node->sink, world->now_us, bytes,
+                             length);
+        if (SlRelayFrame_Decode(bytes, length, &frame) == SL_OK) {
+            SlRelayEntry_Frame(node->entry, &node->sink, world->now_us,
+                               &frame);
+        }
+    }
+    SlRelayEntry_Counters(node->entry, &counters);
+    CU_ASSERT(counters.malformed > 19000);
+    CU_ASSERT_EQUAL(counters.offered, 0);
+    relay_destroy(world);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"a flow is served", test_flow_is_served},
+        {"a flow moves to another entry", test_flow_moves_to_another_entry},
+        {"a returned segment reaches the holder",
+         test_returned_segment_reaches_holder},
+        {"a reset only when nobody holds the flow",
+         test_reset_only_when_nobody_holds},
+        {"a dark agent is passed by", test_dark_agent_is_passed_by},
+        {"a silent upstream is passed by", test_silent_upstream_is_passed_by},
+        {"a leaving upstream", test_leaving_upstream},
+        {"a zone that is out", test_zone_out},
+        {"late notices", test_late_notices},
+        {"a restart under the same name", test_same_name_restarts},
+        {"an unknown route", test_unknown_route},
+        {"the caller chooses", test_caller_chooses},
+        {"malformed input", test_malformed},
+    };
+
+    return RUN_SUITE("relay", CASES);
+}
--- /dev/null
+++ b/test/segment_standin.h
@@ -0,0 +1,74 @@
+#ifndef SAVORYLEDGE_TEST_SEGMENT_STANDIN_H
+#define SAVORYLEDGE_TEST_SEGMENT_STANDIN_H
+
+/// A segment format of the tests' own: the struct below, as it is in memory.
+
+#include <string.h>
+
+#include "savoryledge/common/segment.h"
+
+struct standin_segment {
+    struct SlAddress source;
+    struct SlAddress destination;
+    uint32_t seq;
+    uint32_t ack;
+    uint32_t payload_bytes;
+    uint8_t flags;
+};
+
+static inline enum SlStatus
+standin_parse(const uint8_t *bytes, uint32_t length_bytes,
+              struct SlSegment *segment)
+{
+    struct standin_segment wire;
+
+    if (length_bytes != sizeof(wire)) {
+        return SL_MALFORMED;
+    }
+    memcpy(&wire, bytes, sizeof(wire));
+    *segment = (struct SlSegment){.bytes = bytes,
+                                  .length_bytes = length_bytes,
+                                  .source = wire.source,
+                                  .destination = wire.destination,
+                                  .flags = wire.flags,
+                                  .seq = wire.seq,
+                                  .ack = wire.ack,
+                                  .payload_bytes = wire.payload_bytes};
+    return SL_OK;
+}
+
+static inline uint32_t
+standin_build_reset(const struct SlFlowKey *flow, uint32_t seq, uint8_t *out)
+{
+    struct standin_segment wire;
+
+    memset(&wire, 0, sizeof(wire));
+    wire.source = flow->service;
+    wire.destination = flow->caller;
+    wire.seq = seq;
+    wire.flags = SL_SEGMENT_RESET;
+    memcpy(out, &wire, sizeof(wire));
+    return sizeof(wire);
+}
+
+static inline void
+standin_clear_returned(uint8_t *bytes)
+{
+    struct standin_segment wire;
+
+    memcpy(&wire, bytes, sizeof(wire));
+    wire.flags &= (uint8_t)~SL_SEGMENT_RETURNED;
+    memcpy(bytes, &wire, sizeof(wire));
+}
+
+static const struct SlSegmentFormat STANDIN_FORMAT = {
+    .name = "standin",
+    .parse = standin_parse,
+    .build_reset = standin_build_reset,
+    .clear_returned = standin_clear_returned,
+};
+
+_Static_assert(sizeof(struct standin_segment) <= SL_SEGMENT_RESET_BYTES,
+               "a reset fits");
+
+#endif
