--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -163,7 +163,7 @@
                     struct SlRelayFrame *frame)
 {
     msgpack_unpacked unpacked;
-    struct head head;
+    struct head head = {.kind = SL_RELAY_NONE};
     uint32_t head_bytes;
     size_t offset = 0;
     enum SlStatus status = SL_MALFORMED;
--- a/packages/state/src/plan.c
+++ b/packages/state/src/plan.c
@@ -1,5 +1,6 @@
 #include "savoryledge/state/plan.h"
 
+#include <assert.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -281,6 +282,7 @@
     for (uint32_t i = 0; i < route->share_count; i++) {
         total += route->shares[i].weight;
     }
+    assert(total > 0);
     point = SlFlowKey_Hash(flow, WEIGHT_SEED) % total;
     for (uint32_t i = 0; i < route->share_count; i++) {
         if (point < route->shares[i].weight) {
--- a/scripts/check.d/operations.sh
+++ b/scripts/check.d/operations.sh
@@ -16,7 +16,7 @@
 for key in $(settings); do
     grep -qF "\`$key\`" "$page" || { echo "not described: $key"; faults=1; }
 done
-for key in $(grep -oE '`(node|security|control|entry|agent|record)\.[a-z_]+`' \
+for key in $(grep -oE '`(node|security|control|entry|agent|relay|record)\.[a-z_]+`' \
     "$page" | tr -d '`' | sort -u); do
     settings | grep -qx "$key" || { echo "no such setting: $key"; faults=1; }
 done
--- /dev/null
+++ b/test/balance_test.c
@@ -0,0 +1,433 @@
+/* The load decisions, each under the load pattern that it is meant for. */
+
+#include <string.h>
+
+#include "relay_world.h"
+#include "savoryledge/balance/admission.h"
+#include "savoryledge/balance/pace.h"
+#include "savoryledge/balance/placement.h"
+
+/// No window of a second, wherever it begins, has more than the limit, however
+/// starts are asked for.
+static void
+test_pace_bounds_every_window(void)
+{
+    static uint64_t started_us[4000];
+    struct SlPace pace = {.count = 0};
+    uint64_t random = 7;
+    uint64_t now_us = 5000 * 1000;
+    uint32_t count = 0;
+    uint32_t most = 0;
+
+    for (uint32_t i = 0; i < 20000 && count < 4000; i++) {
+        random = random * 6364136223846793005u + 1442695040888963407u;
+        now_us += (random >> 33) % 5000;
+        if (SlPace_Allow(&pace, now_us, 1000 * 1000, 5)) {
+            started_us[count++] = now_us;
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t in_window = 0;
+
+        for (uint32_t j = i;
+             j < count && started_us[j] - started_us[i] < 1000 * 1000; j++) {
+            in_window++;
+        }
+        most = in_window > most ? in_window : most;
+    }
+    CU_ASSERT_EQUAL(most, 5);
+    CU_ASSERT(count > 200);
+}
+
+/// A process that restarted lets nothing through for one window.
+static void
+test_pace_after_restart(void)
+{
+    struct SlPace pace = {.count = 0};
+
+    SlPace_Exhaust(&pace, 5000 * 1000);
+    CU_ASSERT_FALSE(SlPace_Allow(&pace, 5999 * 1000, 1000 * 1000, 3));
+    CU_ASSERT(SlPace_Allow(&pace, 6000 * 1000, 1000 * 1000, 3));
+    CU_ASSERT(SlPace_Allow(&pace, 6000 * 1000, 1000 * 1000, 3));
+    CU_ASSERT(SlPace_Allow(&pace, 6000 * 1000, 1000 * 1000, 3));
+    CU_ASSERT_FALSE(SlPace_Allow(&pace, 6000 * 1000, 1000 * 1000, 3));
+}
+
+static struct SlAdmission
+warm(uint32_t slots)
+{
+    return (struct SlAdmission){
+        .slots = slots, .capacity_flows = 2000, .answer_us = 20 * 1000};
+}
+
+static const struct SlAdmissionAsk FIRST = {.objective_ms = 150,
+                                            .timeout_ms = 1500};
+static const struct SlAdmissionAsk LAST = {
+    .objective_ms = 150, .timeout_ms = 1500, .last = true};
+
+/// A flow that would wait goes elsewhere while there is an elsewhere; then it
+/// waits as long as that is worth it.
+static void
+test_admission_waits_last(void)
+{
+    struct SlAdmission admission = warm(2);
+    uint32_t taken = 0;
+
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &FIRST),
+                    SL_RELAY_REASON_NONE);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &FIRST),
+                    SL_RELAY_REASON_NONE);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &FIRST), SL_RELAY_BUSY);
+    while (SlAdmission_Judge(&admission, 0, &LAST) == SL_RELAY_REASON_NONE) {
+        taken++;
+    }
+    CU_ASSERT(taken >= 4);
+    CU_ASSERT(taken <= 12);
+    CU_ASSERT(SlAdmission_WaitUs(&admission) <= 750 * 1000);
+}
+
+/// Slow upstream, short timeout: what cannot be met is declined at once.
+static void
+test_admission_declines_what_is_lost(void)
+{
+    struct SlAdmission admission = warm(2);
+    struct SlAdmissionAsk ask = {
+        .objective_ms = 100, .timeout_ms = 500, .last = true};
+
+    admission.answer_us = 400 * 1000;
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &ask),
+                    SL_RELAY_REASON_NONE);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &ask),
+                    SL_RELAY_REASON_NONE);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &ask), SL_RELAY_FULL);
+}
+
+static void
+test_admission_counts_come_back(void)
+{
+    struct SlAdmission admission = warm(2);
+
+    for (uint32_t i = 0; i < 1000; i++) {
+        CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, i, &FIRST),
+                        SL_RELAY_REASON_NONE);
+        if (i % 3 == 0) {
+            SlAdmission_Abandoned(&admission);
+            continue;
+        }
+        SlAdmission_Began(&admission, true);
+        SlAdmission_Ended(&admission, i % 3 == 1 ? 30 * 1000 : 0);
+    }
+    CU_ASSERT_EQUAL(admission.in_progress, 0);
+    CU_ASSERT_EQUAL(admission.opening, 0);
+    CU_ASSERT_EQUAL(admission.flows, 1000);
+    CU_ASSERT(admission.answer_us > 28 * 1000);
+}
+
+/// Cold with a rate: bounded in any second. Cold without one: by slots only.
+static void
+test_admission_cold(void)
+{
+    struct SlAdmission admission = warm(64);
+    uint32_t taken = 0;
+
+    admission.cold_until_us = 2000 * 1000;
+    admission.cold_limit = 7;
+    for (uint64_t now_us = 0; now_us < 1000 * 1000; now_us += 10 * 1000) {
+        taken += SlAdmission_Judge(&admission, now_us, &FIRST) ==
+                 SL_RELAY_REASON_NONE;
+    }
+    CU_ASSERT_EQUAL(taken, 7);
+    admission.cold_limit = 0;
+    for (uint32_t i = 0; i < 57; i++) {
+        CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 1500 * 1000, &FIRST),
+                        SL_RELAY_REASON_NONE);
+    }
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 1500 * 1000, &FIRST),
+                    SL_RELAY_BUSY);
+}
+
+/// The upstream gave a flow back: none for a moment, whatever the count says.
+static void
+test_admission_returned(void)
+{
+    struct SlAdmission admission = warm(4);
+
+    SlAdmission_Returned(&admission, 1000);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 2000, &LAST), SL_RELAY_FULL);
+    CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 100 * 1000, &LAST),
+                    SL_RELAY_REASON_NONE);
+}
+
+enum {
+    FEW = 6,
+};
+
+static void
+fill(struct SlCandidate *candidates, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        candidates[i] = (struct SlCandidate){.node_id = 100 + i,
+                                             .near = i % 2 == 0,
+                                             .open = true,
+                                             .load = {.slots = 3}};
+    }
+}
+
+/// Near ones first, others when the near ones have clearly more to do; long
+/// answers stay near for longer.
+static void
+test_placement_zones(void)
+{
+    struct SlCandidate candidates[FEW];
+    uint32_t far = 0;
+
+    fill(candidates, FEW);
+    for (uint64_t i = 0; i < 1000; i++) {
+        far += !candidates[SlPlacement_Choose(candidates, FEW, NULL, 0,
+                                              SL_TRAFFIC_IDEMPOTENT, i)]
+                    .near;
+    }
+    CU_ASSERT_EQUAL(far, 0);
+    for (uint32_t i = 0; i < FEW; i += 2) {
+        candidates[i].load.in_progress = 2;
+    }
+    for (uint64_t i = 0; i < 1000; i++) {
+        CU_ASSERT_FALSE(
+            candidates[SlPlacement_Choose(candidates, FEW, NULL, 0,
+                                          SL_TRAFFIC_IDEMPOTENT, i)]
+                .near);
+        CU_ASSERT(candidates[SlPlacement_Choose(candidates, FEW, NULL, 0,
+                                                SL_TRAFFIC_DOWNLOAD, i)]
+                      .near);
+    }
+}
+
+/// Entries with the same reports do not all take the same upstream.
+static void
+test_placement_spreads(void)
+{
+    struct SlCandidate candidates[FEW];
+    uint32_t taken[FEW] = {0};
+
+    fill(candidates, FEW);
+    for (uint64_t i = 0; i < 3000; i++) {
+        taken[SlPlacement_Choose(candidates, FEW, NULL, 0,
+                                 SL_TRAFFIC_IDEMPOTENT, i)]++;
+    }
+    for (uint32_t i = 0; i < FEW; i += 2) {
+        CU_ASSERT(taken[i] > 800);
+        CU_ASSERT(taken[i] < 1200);
+    }
+}
+
+static void
+test_placement_last_resorts(void)
+{
+    struct SlCandidate candidates[FEW];
+    uint64_t tried[2] = {100, 102};
+    int32_t chosen;
+
+    fill(candidates, FEW);
+    chosen = SlPlacement_Choose(candidates, FEW, tried, 2,
+                                SL_TRAFFIC_IDEMPOTENT, 1);
+    CU_ASSERT_EQUAL(chosen, 4);
+    candidates[4].suspect = true;
+    chosen = SlPlacement_Choose(candidates, FEW, tried, 2,
+                                SL_TRAFFIC_IDEMPOTENT, 1);
+    CU_ASSERT_NOT_EQUAL(chosen, 4);
+    for (uint32_t i = 0; i < FEW; i++) {
+        candidates[i].open = i == 4;
+    }
+    CU_ASSERT_EQUAL(SlPlacement_Choose(candidates, FEW, tried, 2,
+                                       SL_TRAFFIC_IDEMPOTENT, 1),
+                    4);
+    candidates[4].open = false;
+    CU_ASSERT_EQUAL(SlPlacement_Choose(candidates, FEW, tried, 2,
+                                       SL_TRAFFIC_IDEMPOTENT, 1),
+                    SL_PLACEMENT_NONE);
+}
+
+/// What a replayed load came to.
+struct outcome {
+    uint32_t asked;
+    uint32_t answered;
+    uint32_t in_time;
+    uint32_t reset;
+    uint32_t longest_reset_ms;
+};
+
+/// Callers arrive at a rate for some seconds, each opens a flow, asks once,
+/// and counts.
+static struct outcome
+replay(struct relay_world *world, uint32_t per_s, uint32_t ms,
+       uint32_t objective_ms)
+{
+    struct outcome outcome = {.asked = 0};
+    uint32_t first = world->caller_count;
+    uint32_t due = 0;
+
+    for (uint32_t step = 0; step < ms + 1500; step++) {
+        if (step < ms) {
+            due += per_s;
+        }
+        while (due >= 1000) {
+            due -= 1000;
+            (void)relay_open(
+                world, (uint32_t)(relay_random(world) % world->entry_count));
+        }
+        relay_step(world);
+        for (uint32_t i = first; i < world->caller_count; i++) {
+            if (world->callers[i].state == CALLER_WAITING &&
+                !world->callers[i].asked) {
+                uint64_t began_us = world->callers[i].began_us;
+
+                world->callers[i].asked = true;
+                relay_request(world, world->callers[i].entry, i);
+                world->callers[i].began_us = began_us;
+            }
+        }
+    }
+    for (uint32_t i = first; i < world->caller_count; i++) {
+        const struct relay_caller *caller = &world->callers[i];
+        uint32_t took_ms =
+            (uint32_t)((caller->done_us - caller->began_us) / 1000);
+
+        outcome.asked++;
+        outcome.answered += caller->state == CALLER_ANSWERED;
+        outcome.in_time +=
+            caller->state == CALLER_ANSWERED && took_ms <= objective_ms;
+        if (caller->state == CALLER_RESET) {
+            outcome.reset++;
+            outcome.longest_reset_ms = took_ms > outcome.longest_reset_ms
+                                           ? took_ms
+                                           : outcome.longest_reset_ms;
+        }
+    }
+    return outcome;
+}
+
+static void
+test_replay_calm(void)
+{
+    struct relay_world *world = relay_create(4, 6, 3, 21);
+    struct outcome outcome = replay(world, 250, 4000, 150);
+
+    printf("calm: %u asked, %u in time, %u reset\n", outcome.asked,
+           outcome.in_time, outcome.reset);
+    CU_ASSERT_EQUAL(outcome.reset, 0);
+    CU_ASSERT(outcome.in_time * 100 >= outcome.asked * 99);
+    relay_destroy(world);
+}
+
+/// Twice as much as the slots carry: as much as they carry is answered in
+/// time, and the rest learns at once that it has not run.
+static void
+test_replay_surge(void)
+{
+    struct relay_world *world = relay_create(4, 4, 2, 22);
+    struct outcome outcome = replay(world, 800, 2000, 150);
+    uint32_t capacity = 2000 / 20 * 8;
+
+    printf("surge: %u asked, %u answered, %u in time, %u reset, longest "
+           "%u ms\n",
+           outcome.asked, outcome.answered, outcome.in_time, outcome.reset,
+           outcome.longest_reset_ms);
+    CU_ASSERT(outcome.in_time * 100 >= capacity * 85);
+    CU_ASSERT(outcome.reset > 0);
+    CU_ASSERT(outcome.longest_reset_ms <= 60);
+    CU_ASSERT_EQUAL(outcome.answered + outcome.reset, outcome.asked);
+    relay_destroy(world);
+}
+
+/// One of six upstreams turns ten times slower: the others take its share.
+static void
+test_replay_slow_upstream(void)
+{
+    struct relay_world *world = relay_create(4, 6, 3, 23);
+    struct outcome outcome;
+
+    world->upstreams[2].work_us = 200 * 1000;
+    outcome = replay(world, 300, 4000, 150);
+    printf("slow upstream: %u asked, %u in time, %u reset\n", outcome.asked,
+           outcome.in_time, outcome.reset);
+    CU_ASSERT(outcome.in_time * 100 >= outcome.asked * 95);
+    relay_destroy(world);
+}
+
+/// All callers of one zone, whose upstreams carry a third of them.
+static void
+test_replay_one_zone(void)
+{
+    struct relay_world *world = relay_create(1, 6, 3, 24);
+    struct outcome outcome;
+
+    outcome = replay(world, 600, 3000, 150);
+    printf("one zone: %u asked, %u in time, %u reset\n", outcome.asked,
+           outcome.in_time, outcome.reset);
+    CU_ASSERT(outcome.in_time * 100 >= outcome.asked * 97);
+    relay_destroy(world);
+}
+
+/// A cold upstream among warm ones, under load from four entries: never more
+/// new flows in any second than it bears.
+static void
+test_replay_cold_upstream(void)
+{
+    struct relay_world *world = relay_create(4, 4, 3, 25);
+    struct relay_upstream *cold = &world->upstreams[1];
+    struct outcome outcome;
+    uint32_t most = 0;
+
+    SlPlan_Unref(world->plan);
+    world->plan = relay_plan(2, 6);
+    relay_configure_all(world);
+    cold->held_count = 0;
+    cold->opened = 0;
+    cold->notice.born_ms = 50 * 1000;
+    cold->notice.seq = 0;
+    cold->notice.cold_left_ms = 2500;
+    CU_ASSERT(relay_notice(world, 1));
+    outcome = replay(world, 400, 2400, 150);
+    for (uint32_t i = 0; i < cold->opened; i++) {
+        uint32_t in_window = 0;
+
+        for (uint32_t j = i;
+             j < cold->opened &&
+             cold->opened_us[j] < 1000 * 1000 + 2500 * 1000 &&
+             cold->opened_us[j] - cold->opened_us[i] < 1000 * 1000;
+             j++) {
+            in_window++;
+        }
+        most = in_window > most ? in_window : most;
+    }
+    printf("cold upstream: %u asked, %u in time, %u reset, %u in a second\n",
+           outcome.asked, outcome.in_time, outcome.reset, most);
+    CU_ASSERT(most <= 6 * 3 / 2 + 5);
+    CU_ASSERT(most >= 6);
+    CU_ASSERT(outcome.in_time * 100 >= outcome.asked * 97);
+    relay_destroy(world);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"pace bounds every window", test_pace_bounds_every_window},
+        {"pace after a restart", test_pace_after_restart},
+        {"a flow waits last", test_admission_waits_last},
+        {"what is lost is declined", test_admission_declines_what_is_lost},
+        {"counts come back", test_admission_counts_come_back},
+        {"cold upstreams", test_admission_cold},
+        {"after a returned flow", test_admission_returned},
+        {"near zones first", test_placement_zones},
+        {"entries spread", test_placement_spreads},
+        {"last resorts", test_placement_last_resorts},
+        {"replay: calm", test_replay_calm},
+        {"replay: surge", test_replay_surge},
+        {"replay: a slow upstream", test_replay_slow_upstream},
+        {"replay: one zone", test_replay_one_zone},
+        {"replay: a cold upstream", test_replay_cold_upstream},
+    };
+
+    return RUN_SUITE("balance", CASES);
+}
--- a/test/control_lab.h
+++ b/test/control_lab.h
@@ -40,6 +40,8 @@
     uint32_t whole_parts;
     uint32_t config_objects;
     uint32_t removed_objects;
+    uint32_t documents;
+    uint64_t document_version;
     struct SlVersion config_version;
     bool version_went_back;
     uint32_t objects;
@@ -57,6 +59,10 @@
         lab->version_went_back ||
         SlVersion_Compare(part->to, lab->config_version) < 0;
     lab->config_version = part->to;
+    if (part->document.version != 0) {
+        lab->documents++;
+        lab->document_version = part->document.version;
+    }
 }
 
 static inline void
--- a/test/control_world.h
+++ b/test/control_world.h
@@ -60,6 +60,9 @@
     uint64_t unreachable_us;
     uint64_t heartbeat_us;
     uint64_t election_us;
+    /// Membership without an operator, with the first few nodes as seeds.
+    bool self_forming;
+    uint32_t seeds;
     /// Encoded messages between nodes since the start.
     uint64_t sent_bytes;
     /// Link numbers between nodes; 0 is none.
@@ -285,6 +288,7 @@
         .election_us = world->election_us,
         .snapshot_entries = world->snapshot_entries,
         .unreachable_us = world->unreachable_us,
+        .self_forming = world->self_forming,
     };
     struct SlError error;
 
@@ -292,7 +296,11 @@
     for (uint32_t i = 0; i < world->count; i++) {
         struct SlControlMember *member = &options.members[i];
 
-        if (!world->nodes[i].bootstrap && i >= 1 && !node->bootstrap) {
+        if (world->self_forming && i >= world->seeds) {
+            continue;
+        }
+        if (!world->self_forming && !world->nodes[i].bootstrap && i >= 1 &&
+            !node->bootstrap) {
             continue;
         }
         options.member_count = i + 1;
--- /dev/null
+++ b/test/platform_test.c
@@ -0,0 +1,283 @@
+/* The adapter to the users' platform: its packets, documents and notices. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "platform.h"
+#include "test.h"
+
+static struct SlAddress
+address_of(const char *text)
+{
+    struct SlAddress address;
+
+    CU_ASSERT_EQUAL_FATAL(SlAddress_Parse(text, &address), SL_OK);
+    return address;
+}
+
+/// An opening segment and a reset, byte by byte.
+static void
+test_packets(void)
+{
+    static const uint8_t OPENING[] = {
+        0xa1, 0xb2, 0xc3, 0xd5, 0,    0,    0,    0,    0x9c, 0x41, 0xc6, 0x12,
+        0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0x11, 0x22, 0x33, 0x44,
+        0,    0,    0,    0,    0x08, 0,    0,    0,    0,    0,    0,    0};
+    static const uint8_t RESET[] = {
+        0,    0,    0,    0,    0,    0,    0,    0,    0x01, 0xbb, 0x64, 0x40,
+        0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0,    0,    0,    0,
+        0,    0,    0,    0,    0x02, 0,    0,    0,    0,    0,    0,    0};
+    struct SlAddress caller = address_of("100.64.0.7:40001");
+    struct SlAddress service = address_of("198.18.0.1:443");
+    uint8_t reset[SL_SEGMENT_RESET_BYTES];
+    struct SlSegment segment;
+    struct SlFlowKey key;
+
+    CU_ASSERT_EQUAL(
+        PLATFORM_SEGMENTS.parse(OPENING, sizeof(OPENING), &segment), SL_OK);
+    CU_ASSERT_EQUAL(segment.flags, SL_SEGMENT_OPEN);
+    CU_ASSERT_EQUAL(segment.seq, 0x11223344);
+    CU_ASSERT(SlAddress_Equal(&segment.source, &caller));
+    CU_ASSERT(SlAddress_Equal(&segment.destination, &service));
+    key = SlSegment_CallerKey(&segment);
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.build_reset(&key, 0, reset),
+                    sizeof(RESET));
+    CU_ASSERT_EQUAL(memcmp(reset, RESET, sizeof(RESET)), 0);
+    (void)PLATFORM_SEGMENTS.build_reset(&key, 0x01020304, reset);
+    CU_ASSERT_EQUAL(memcmp(reset + 20, "\1\2\3\4", 4), 0);
+}
+
+static void
+test_packet_faults(void)
+{
+    uint8_t bytes[36 + 1201] = {0};
+    struct SlSegment segment;
+
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 35, &segment),
+                    SL_MALFORMED);
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 36, &segment), SL_OK);
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 37, &segment),
+                    SL_MALFORMED);
+    bytes[34] = 1201 >> 8;
+    bytes[35] = 1201 & 0xff;
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, sizeof(bytes), &segment),
+                    SL_MALFORMED);
+    memset(bytes, 0xff, sizeof(bytes));
+    bytes[34] = 0;
+    bytes[35] = 0;
+    CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 36, &segment), SL_OK);
+    CU_ASSERT(segment.flags & SL_SEGMENT_RETURNED);
+    PLATFORM_SEGMENTS.clear_returned(bytes);
+    CU_ASSERT_EQUAL(bytes[28], 0xff & ~16);
+}
+
+static const char CONFIG[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"orders\",\"host\":\"198.18.0.1\","
+    "\"path_prefix\":\"/8080/\",\"type\":\"non_idempotent\","
+    "\"timeout_ms\":1500,\"slo_ms\":150,\"priority\":1,"
+    "\"service\":\"workroom\",\"max_attempts\":2},"
+    "{\"name\":\"pages\",\"host\":\"198.18.0.1\","
+    "\"path_prefix\":\"/8443/\",\"type\":\"download\","
+    "\"timeout_ms\":5000,\"slo_ms\":500,\"priority\":2,"
+    "\"backends\":[{\"service\":\"workroom\",\"weight\":90},"
+    "{\"service\":\"catalogue\",\"weight\":10}]}],"
+    "\"services\":[{\"name\":\"workroom\",\"health_path\":\"/health\","
+    "\"max_conns\":2000,\"cold_start_s\":2.5,\"cold_per_s\":12.0},"
+    "{\"name\":\"catalogue\",\"health_path\":\"/health\","
+    "\"max_conns\":1000,\"cold_start_s\":2.0,\"cold_per_s\":0.0}],"
+    "\"limits\":{\"idle_timeout_ms\":15000},\"later\":[1,2]}";
+
+static enum SlStatus
+read_text(const char *text, struct SlPlan **plan)
+{
+    struct SlError error;
+    uint64_t version;
+
+    return platform_read_plan((const uint8_t *)text, strlen(text), plan,
+                              &version, &error);
+}
+
+static void
+test_config(void)
+{
+    struct SlPlan *plan = NULL;
+    struct SlAddress address = address_of("198.18.0.1:8443");
+    const struct SlPlanRoute *route;
+    const struct SlPlanService *service;
+
+    CU_ASSERT_EQUAL_FATAL(read_text(CONFIG, &plan), SL_OK);
+    CU_ASSERT_EQUAL(SlPlan_Version(plan), 7);
+    CU_ASSERT_EQUAL(SlPlan_IdleMs(plan), 15000);
+    CU_ASSERT_EQUAL(SlPlan_RouteCount(plan), 2);
+    route = SlPlan_FindRoute(plan, &address);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+    CU_ASSERT_EQUAL(route->kind, SL_TRAFFIC_DOWNLOAD);
+    CU_ASSERT_EQUAL(route->timeout_ms, 5000);
+    CU_ASSERT_EQUAL(route->objective_ms, 500);
+    CU_ASSERT_EQUAL(route->share_count, 2);
+    CU_ASSERT_EQUAL(route->shares[1].weight, 10);
+    service = SlPlan_ServiceAt(plan, SlPlan_FindService(plan, "workroom"));
+    CU_ASSERT_EQUAL(service->cold_ms, 2500);
+    CU_ASSERT_EQUAL(service->cold_flows_per_s, 12);
+    CU_ASSERT_EQUAL(service->capacity_flows, 2000);
+    SlPlan_Unref(plan);
+}
+
+/// The text with one part replaced.
+static const char *
+with(const char *from, const char *to, char *text, size_t room_bytes)
+{
+    const char *at = strstr(CONFIG, from);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+    snprintf(text, room_bytes, "%.*s%s%s", (int)(at - CONFIG), CONFIG, to,
+             at + strlen(from));
+    return text;
+}
+
+static void
+test_config_faults(void)
+{
+    static const char *const FAULTS[][2] = {
+        {"\"version\":7", "\"version\":0"},
+        {"\"version\":7", "\"version\":\"7\""},
+        {"\"version\":7,", ""},
+        {"\"timeout_ms\":1500", "\"timeout_ms\":0"},
+        {"\"timeout_ms\":1500,", ""},
+        {"\"timeout_ms\":1500", "\"timeout_ms\":-1"},
+        {"\"service\":\"workroom\",\"max", "\"service\":\"nobody\",\"max"},
+        {"\"service\":\"workroom\",\"max", "\"max"},
+        {"/8443/", "/8080/"},
+        {"/8443/", "/"},
+        {"/8443/", "/70000/"},
+        {"/8443/", "/84x3/"},
+        {"\"host\":\"198.18.0.1\"", "\"host\":\"somewhere\""},
+        {"\"weight\":90", "\"weight\":0.5"},
+        {",\"weight\":10", ""},
+        {"\"weight\":90},{\"service\":\"catalogue\",\"weight\":10}",
+         "\"weight\":0},{\"service\":\"catalogue\",\"weight\":0}"},
+        {"\"name\":\"catalogue\"", "\"name\":\"workroom\""},
+        {"\"routes\":[", "\"roads\":["},
+        {"\"max_conns\":1000", "\"max_conns\":\"many\""},
+        {"\"limits\":{\"idle_timeout_ms\":15000}",
+         "\"limits\":{\"idle_timeout_ms\":true}"},
+    };
+    char text[sizeof(CONFIG) + 100];
+
+    for (size_t i = 0; i < sizeof(FAULTS) / sizeof(FAULTS[0]); i++) {
+        CU_ASSERT_NOT_EQUAL(
+            read_text(with(FAULTS[i][0], FAULTS[i][1], text, sizeof(text)),
+                      NULL),
+            SL_OK);
+    }
+    for (size_t length = 0; length + 1 < sizeof(CONFIG) - 1; length += 7) {
+        snprintf(text, sizeof(text), "%.*s", (int)length, CONFIG);
+        CU_ASSERT_EQUAL(read_text(text, NULL), SL_MALFORMED);
+    }
+    CU_ASSERT_EQUAL(read_text("[]", NULL), SL_INVALID);
+}
+
+static void
+test_document(void)
+{
+    struct SlBuffer packed = {.bytes = NULL};
+    struct SlBuffer plain = {.bytes = NULL};
+    struct SlPlan *plan = NULL;
+    struct SlError error;
+
+    CU_ASSERT_EQUAL(platform_pack_document((const uint8_t *)CONFIG,
+                                           sizeof(CONFIG) - 1, &packed),
+                    SL_OK);
+    CU_ASSERT(packed.length_bytes < sizeof(CONFIG) / 2);
+    CU_ASSERT_EQUAL(
+        platform_unpack_document(packed.bytes, packed.length_bytes, &plain),
+        SL_OK);
+    CU_ASSERT_EQUAL(plain.length_bytes, sizeof(CONFIG) - 1);
+    CU_ASSERT_EQUAL(memcmp(plain.bytes, CONFIG, sizeof(CONFIG) - 1), 0);
+    CU_ASSERT_EQUAL(PLATFORM_PLANS.decode(packed.bytes, packed.length_bytes,
+                                          &plan, &error),
+                    SL_OK);
+    SlPlan_Unref(plan);
+    for (size_t i = 0; i < packed.length_bytes; i += 3) {
+        CU_ASSERT_NOT_EQUAL(
+            PLATFORM_PLANS.decode(packed.bytes, i, &plan, &error), SL_OK);
+    }
+    SlBuffer_Release(&packed);
+    SlBuffer_Release(&plain);
+}
+
+static const char NOTICE[] =
+    "{\"service\":\"workroom\",\"address\":\"10.1.0.9:8080\","
+    "\"zone\":\"ub-a\",\"version\":\"v1\",\"concurrency\":3,"
+    "\"state\":\"ready\",\"cold_left_ms\":1900,\"seq\":4,\"born\":17000}";
+
+static void
+test_notice(void)
+{
+    struct SlUpstreamNotice notice;
+
+    CU_ASSERT_EQUAL(platform_read_notice("i-1", (const uint8_t *)NOTICE,
+                                         sizeof(NOTICE) - 1, &notice),
+                    SL_OK);
+    CU_ASSERT_STRING_EQUAL(notice.id, "i-1");
+    CU_ASSERT_STRING_EQUAL(notice.service, "workroom");
+    CU_ASSERT_EQUAL(notice.slots, 3);
+    CU_ASSERT_EQUAL(notice.cold_left_ms, 1900);
+    CU_ASSERT_EQUAL(notice.seq, 4);
+    CU_ASSERT_EQUAL(notice.born_ms, 17000);
+    CU_ASSERT_FALSE(notice.draining);
+}
+
+/// What another writer may send names no upstream.
+static void
+test_foreign_notices(void)
+{
+    static const char *const PARTS[][2] = {
+        {"\"service\":\"workroom\",", ""},
+        {"\"workroom\"", "7"},
+        {"\"ready\"", "\"resting\""},
+        {"\"ready\"", "null"},
+        {"\"concurrency\":3", "\"concurrency\":0"},
+        {"\"concurrency\":3", "\"concurrency\":\"3\""},
+        {"\"cold_left_ms\":1900", "\"cold_left_ms\":-1"},
+        {"\"seq\":4", "\"seq\":4.5"},
+        {"\"seq\":4,", ""},
+        {"\"born\":17000", "\"born\":\"now\""},
+        {"\"zone\":\"ub-a\",", ""},
+    };
+    struct SlUpstreamNotice notice;
+    char text[sizeof(NOTICE) + 40];
+
+    for (size_t i = 0; i < sizeof(PARTS) / sizeof(PARTS[0]); i++) {
+        const char *at = strstr(NOTICE, PARTS[i][0]);
+
+        snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - NOTICE), NOTICE,
+                 PARTS[i][1], at + strlen(PARTS[i][0]));
+        CU_ASSERT_EQUAL(platform_read_notice("i-1", (const uint8_t *)text,
+                                             strlen(text), &notice),
+                        SL_MALFORMED);
+    }
+    CU_ASSERT_EQUAL(platform_read_notice("i-1", (const uint8_t *)NOTICE,
+                                         sizeof(NOTICE) - 2, &notice),
+                    SL_MALFORMED);
+    CU_ASSERT_EQUAL(platform_read_notice("", (const uint8_t *)NOTICE,
+                                         sizeof(NOTICE) - 1, &notice),
+                    SL_MALFORMED);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"packets", test_packets},
+        {"packet faults", test_packet_faults},
+        {"configuration", test_config},
+        {"configuration faults", test_config_faults},
+        {"document", test_document},
+        {"notice", test_notice},
+        {"foreign notices", test_foreign_notices},
+    };
+
+    return RUN_SUITE("platform", CASES);
+}
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -81,6 +81,10 @@
     uint64_t done_us;
     uint32_t resets;
     uint32_t answers;
+    /// The entry that it opened its flow through, and whether it has sent its
+    /// request.
+    uint32_t entry;
+    bool asked;
 };
 
 struct relay_message {
@@ -564,6 +568,7 @@
         .service = relay_address("198.18.0", 1, RELAY_PORT),
         .protocol = 6};
     caller->seq = (uint32_t)relay_random(world);
+    caller->entry = entry;
     caller->state = CALLER_OPENING;
     caller->began_us = world->now_us;
     relay_send(world, entry, caller, SL_SEGMENT_OPEN, 0);
