Hand segments to the tests' upstreams as a queue does

Cause: the sanitized relay_test failed (heap-use-after-free in note_request): the stand-in upstream gave a segment back inside the call that handed it over, so the agent removed the flow that it was working on. Ruled out in the product: its sink queues, and nothing comes back within a call; the header now says that a sink must not call back.

--- a/packages/coordination/include/savoryledge/coordination/relay.h
+++ b/packages/coordination/include/savoryledge/coordination/relay.h
@@ -19,6 +19,8 @@
 
 struct SlRelaySink;
 
+/// What a core may ask for. Calls return at once, and must not call back into
+/// the core.
 struct SlRelaySinkType {
     /// Sends a segment straight to a caller.
     void (*send_to_caller)(struct SlRelaySink *sink,
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -91,6 +91,8 @@
     struct relay_message *next;
     uint64_t due_us;
     uint32_t to;
+    /// For the upstream beside that agent, not for the agent.
+    bool for_upstream;
     struct SlAddress from;
     uint32_t length_bytes;
     uint8_t bytes[SL_RELAY_MAX_BYTES];
@@ -301,19 +303,15 @@
     return upstream->busy_until_us[soonest];
 }
 
-static void
-relay_to_upstream(struct SlRelaySink *sink, const uint8_t *bytes,
-                  uint32_t length_bytes)
+/// A segment arrives at an upstream.
+static inline void
+upstream_receive(struct relay_world *world, uint32_t at, const uint8_t *bytes)
 {
-    struct relay_node *node = (struct relay_node *)sink;
-    struct relay_world *world = node->world;
-    uint32_t at = (uint32_t)(node - world->nodes) - world->entry_count;
     struct relay_upstream *upstream = &world->upstreams[at];
     struct standin_segment wire;
     struct held_flow *flow;
     struct SlFlowKey key;
 
-    CU_ASSERT_EQUAL_FATAL(length_bytes, sizeof(wire));
     memcpy(&wire, bytes, sizeof(wire));
     if (upstream->silent) {
         return;
@@ -338,6 +336,24 @@
     }
 }
 
+static void
+relay_to_upstream(struct SlRelaySink *sink, const uint8_t *bytes,
+                  uint32_t length_bytes)
+{
+    struct relay_node *node = (struct relay_node *)sink;
+    struct relay_world *world = node->world;
+    struct relay_message *message = calloc(1, sizeof(*message));
+
+    CU_ASSERT_EQUAL_FATAL(length_bytes, sizeof(struct standin_segment));
+    message->due_us = world->now_us;
+    message->to = (uint32_t)(node - world->nodes);
+    message->for_upstream = true;
+    message->length_bytes = length_bytes;
+    memcpy(message->bytes, bytes, length_bytes);
+    *world->last = message;
+    world->last = &message->next;
+}
+
 static void
 relay_no_event(struct SlRelaySink *sink, const struct SlEvent *event)
 {
@@ -587,29 +603,57 @@
     relay_send(world, entry, caller, SL_SEGMENT_ACK, 100);
 }
 
+static inline void
+relay_deliver(struct relay_world *world, const struct relay_message *message)
+{
+    struct relay_node *node = &world->nodes[message->to];
+    struct SlRelayFrame frame;
+
+    if (message->for_upstream) {
+        upstream_receive(world, message->to - world->entry_count,
+                         message->bytes);
+        return;
+    }
+    CU_ASSERT_EQUAL_FATAL(
+        SlRelayFrame_Decode(message->bytes, message->length_bytes, &frame),
+        SL_OK);
+    if (!node->dark && node->entry != NULL) {
+        SlRelayEntry_Frame(node->entry, &node->sink, world->now_us, &frame);
+    }
+    if (!node->dark && node->agent != NULL) {
+        SlRelayAgent_Frame(node->agent, &node->sink, world->now_us,
+                           &message->from, &frame);
+    }
+}
+
+/// Takes the first message that is due off the queue; NULL when none is.
+static inline struct relay_message *
+relay_take_due(struct relay_world *world)
+{
+    struct relay_message **place = &world->first;
+    struct relay_message *message;
+
+    while (*place != NULL && (*place)->due_us > world->now_us) {
+        place = &(*place)->next;
+    }
+    message = *place;
+    if (message == NULL) {
+        return NULL;
+    }
+    *place = message->next;
+    if (message->next == NULL) {
+        world->last = place;
+    }
+    return message;
+}
+
 static inline void
 relay_deliver_due(struct relay_world *world)
 {
-    while (world->first != NULL && world->first->due_us <= world->now_us) {
-        struct relay_message *message = world->first;
-        struct relay_node *node = &world->nodes[message->to];
-        struct SlRelayFrame frame;
+    struct relay_message *message;
 
-        world->first = message->next;
-        if (world->first == NULL) {
-            world->last = &world->first;
-        }
-        CU_ASSERT_EQUAL_FATAL(
-            SlRelayFrame_Decode(message->bytes, message->length_bytes, &frame),
-            SL_OK);
-        if (!node->dark && node->entry != NULL) {
-            SlRelayEntry_Frame(node->entry, &node->sink, world->now_us,
-                               &frame);
-        }
-        if (!node->dark && node->agent != NULL) {
-            SlRelayAgent_Frame(node->agent, &node->sink, world->now_us,
-                               &message->from, &frame);
-        }
+    while ((message = relay_take_due(world)) != NULL) {
+        relay_deliver(world, message);
         free(message);
     }
 }
