Go on by the former announcement until an upstream speaks

Change: a restarted agent takes the slots that the process before it had announced, for 1.5 s at most, and announces nothing itself until its upstream has spoken. An upstream that had said that it leaves is not taken up; one that may be cold is paced as if it were.

Ruled out: waiting at the entry for agents that do not know yet, which holds callers back for the same time.

--- a/packages/coordination/include/savoryledge/coordination/relay.h
+++ b/packages/coordination/include/savoryledge/coordination/relay.h
@@ -49,6 +49,8 @@
     /// When the process started, by the wall clock, milliseconds since 1970;
     /// 0 when unknown.
     uint64_t start_wall_ms;
+    /// Agents: the service that the upstream belongs to.
+    char service[SL_NAME_BYTES];
 };
 
 #endif
--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -8,6 +8,10 @@
 /// upstream said that it leaves or its zone was taken out, no more than a
 /// cold one bears.
 ///
+/// Until its upstream has spoken, a restarted agent goes on by what the
+/// configuration holds of the process before, for as long as the upstream
+/// takes to speak.
+///
 /// After a restart the agent does not know the flows that its upstream holds.
 /// Until it has run for as long as a flow may be idle it hands segments of
 /// unknown flows to the upstream, which gives back what it does not hold.
@@ -71,6 +75,9 @@
 bool
 SlRelayAgent_Gone(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                   uint64_t now_us, const char *id);
+/// True while it goes on by the word of the process before it.
+bool
+SlRelayAgent_Assumes(const struct SlRelayAgent *agent, uint64_t now_us);
 /// What is known of the upstream; false when nothing is.
 bool
 SlRelayAgent_Upstream(const struct SlRelayAgent *agent,
--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -21,6 +21,9 @@
     bool learn_controls;
     /// What this process announces of itself (kind SL_KIND_NODE).
     struct SlObject announce;
+    /// Announce nothing before SlReplica_Announce was called: what a process
+    /// before this one announced stays in force until then.
+    bool hold_announcement;
     /// Without fresh word of control for this long the process is cut off;
     /// 0 takes 1.5 s.
     uint64_t lease_us;
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -12,8 +12,13 @@
 enum SlRelayReason
 SlRelayAgent_ClosedFor(const struct SlRelayAgent *agent, uint64_t now_us)
 {
-    if (agent->plan == NULL || !agent->known || agent->upstream.draining ||
-        agent->stopping || agent->held_out) {
+    bool assumed =
+        agent->assumed_slots > 0 && SlRelayAgent_Assumes(agent, now_us);
+
+    if (agent->plan == NULL || agent->stopping || agent->held_out) {
+        return SL_RELAY_LEAVING;
+    }
+    if (agent->known ? agent->upstream.draining : !assumed) {
         return SL_RELAY_LEAVING;
     }
     if (agent->zone_out) {
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -17,6 +17,9 @@
     /// this process ran.
     FIRST_NOTICES = 1,
     DEFAULT_CAPACITY_FLOWS = 2000,
+    /// Upstreams speak about each second; one that is there has spoken by
+    /// then.
+    ASSUME_US = 1500 * 1000,
     /// A process takes longer than this from its first notice to its end and
     /// the start of the next.
     RESTART_MS = 100,
@@ -45,6 +48,8 @@
     agent->flows.seed = options->seed;
     agent->complete_at_us = now_us + DEFAULT_IDLE_US;
     agent->admission.slots = 1;
+    agent->assume_until_us = now_us + ASSUME_US;
+    agent->upstream_heard_us = now_us;
     agent->admission.capacity_flows = DEFAULT_CAPACITY_FLOWS;
     agent->admission.cold_limit = COLD_FLOWS;
     SlPace_Exhaust(&agent->admission.pace, now_us);
@@ -75,13 +80,15 @@
 read_service(struct SlRelayAgent *agent)
 {
     const struct SlPlanService *service;
+    const char *name =
+        agent->known ? agent->upstream.service : agent->options.service;
     uint32_t cold_limit;
 
     agent->service = SL_PLAN_NO_SERVICE;
-    if (agent->plan == NULL || !agent->known) {
+    if (agent->plan == NULL) {
         return;
     }
-    agent->service = SlPlan_FindService(agent->plan, agent->upstream.service);
+    agent->service = SlPlan_FindService(agent->plan, name);
     if (agent->service == SL_PLAN_NO_SERVICE) {
         return;
     }
@@ -97,6 +104,30 @@
     }
 }
 
+bool
+SlRelayAgent_Assumes(const struct SlRelayAgent *agent, uint64_t now_us)
+{
+    return agent->noticed_us == 0 && now_us < agent->assume_until_us;
+}
+
+/// What the process before announced: it is in force until this one has heard
+/// from the upstream and announces itself. Whether the upstream is cold is
+/// not told there, so it is taken for cold meanwhile.
+static void
+read_former(struct SlRelayAgent *agent, const struct SlConfig *config)
+{
+    const struct SlObject *self =
+        SlConfig_Find(config, SL_KIND_NODE, agent->options.name);
+
+    agent->assumed_slots = 0;
+    if (agent->noticed_us != 0 || self == NULL || self->node.leaving) {
+        return;
+    }
+    agent->assumed_slots = self->node.slots;
+    agent->admission.slots = self->node.slots;
+    agent->admission.cold_until_us = agent->assume_until_us;
+}
+
 /// An operator's hold on this one upstream.
 static bool
 is_held_out(const struct SlRelayAgent *agent, const struct SlConfig *config)
@@ -130,6 +161,7 @@
     agent->version = SlConfig_Version(config);
     agent->zone_out = SlConfig_ZoneOut(config, agent->options.zone);
     agent->held_out = is_held_out(agent, config);
+    read_former(agent, config);
     read_service(agent);
     SlRelayAgent_Event(
         agent, sink, now_us,
@@ -212,6 +244,7 @@
 {
     struct SlUpstreamNotice former = agent->upstream;
     bool was_known = agent->known;
+    uint64_t former_us = agent->noticed_us;
     uint64_t cold_us =
         now_us + (uint64_t)notice->cold_left_ms * US_PER_MS + COLD_MARGIN_US;
 
@@ -227,8 +260,10 @@
     agent->noticed_us = now_us;
     agent->upstream_heard_us = now_us;
     agent->admission.slots = notice->slots;
-    if (notice->cold_left_ms > 0) {
-        agent->admission.cold_until_us = cold_us;
+    agent->admission.cold_until_us =
+        notice->cold_left_ms > 0 ? cold_us : agent->admission.cold_until_us;
+    if (former_us == 0 && notice->cold_left_ms == 0) {
+        agent->admission.cold_until_us = 0;
     }
     read_service(agent);
     if (!was_known || !is_same_start(&former, notice) ||
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -66,6 +66,9 @@
     bool held_out;
     bool stopping;
     bool known;
+    /// Slots by the word of the process before; 0 it took no new flows.
+    uint32_t assumed_slots;
+    uint64_t assume_until_us;
     struct SlUpstreamNotice upstream;
     uint64_t noticed_us;
     /// Last sign of life from the upstream: a segment or a notice.
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -149,7 +149,11 @@
     struct SlMessage message = {.kind = SL_MESSAGE_ANNOUNCE,
                                 .announce = replica->options.announce};
 
-    message.announce.node.leaving = replica->leaving;
+    if (replica->options.hold_announcement) {
+        return;
+    }
+    message.announce.node.leaving =
+        replica->leaving || replica->options.announce.node.leaving;
     replica->last_announce_us = now_us;
     sink->type->send_message(sink, replica->control.link, &message);
 }
@@ -532,6 +536,7 @@
                    uint64_t now_us, const struct SlObject *announce)
 {
     replica->options.announce = *announce;
+    replica->options.hold_announcement = false;
     if (replica->control.link != 0) {
         send_announce(replica, sink, now_us);
     }
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -186,6 +186,8 @@
     fill_announcement(shell, &options.replica.announce);
     if (options.relay) {
         fill_relay_announcement(shell, &options.replica.announce);
+        options.replica.hold_announcement =
+            (shell->settings.node.roles & SL_ROLE_AGENT) != 0;
     }
     shell->announcement = options.replica.announce;
     if (shell->recording.recorder != NULL) {
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -263,6 +263,7 @@
     options->format = relay->adapter->segments;
     randombytes_buf(&options->seed, sizeof(options->seed));
     options->start_wall_ms = relay->shell->boot / US_PER_MS;
+    memcpy(options->service, settings->relay.service, SL_NAME_BYTES);
 }
 
 static enum SlStatus
@@ -399,6 +400,10 @@
         return;
     }
     known = SlRelayAgent_Upstream(relay->agent, &notice);
+    if (!relay->announced && !relay->shell->stopping &&
+        SlRelayAgent_Assumes(relay->agent, now_us)) {
+        return;
+    }
     leaving = !known || notice.draining || relay->shell->stopping;
     if (relay->announced && leaving == relay->announced_leaving &&
         notice.slots == relay->announced_slots) {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -341,6 +341,55 @@
     relay_destroy(world);
 }
 
+/// All agents are killed and back before their upstreams speak again: new
+/// flows go on by what was announced before, but not to one that had said
+/// that it leaves, and not for long.
+static void
+test_before_upstreams_speak(void)
+{
+    struct relay_world *world = relay_create(1, 3, 2, 14);
+    struct SlObject leaving =
+        *SlConfig_Find(world->config, SL_KIND_NODE, "agent-1");
+    uint32_t opened = world->upstreams[1].opened;
+
+    leaving.node.leaving = true;
+    CU_ASSERT_EQUAL(SlConfig_Put(world->config, &leaving), SL_OK);
+    for (uint32_t i = 0; i < 3; i++) {
+        world->upstreams[i].mute = true;
+        relay_restart(world, 1 + i);
+    }
+    for (uint32_t i = 0; i < 5; i++) {
+        uint32_t caller = relay_exchange(world, 0);
+
+        CU_ASSERT_EQUAL(world->callers[caller].state, CALLER_ANSWERED);
+    }
+    CU_ASSERT_EQUAL(world->upstreams[1].opened, opened);
+    relay_run(world, 1500);
+    CU_ASSERT_EQUAL(world->callers[relay_exchange(world, 0)].state,
+                    CALLER_RESET);
+    relay_destroy(world);
+}
+
+/// The same where upstreams are bounded while they are cold: they may be.
+static void
+test_cold_before_upstreams_speak(void)
+{
+    struct relay_world *world = relay_create(2, 1, 2, 15);
+    uint32_t opened;
+
+    SlPlan_Unref(world->plan);
+    world->plan = relay_plan(2, 2);
+    world->upstreams[0].mute = true;
+    relay_restart(world, 2);
+    opened = world->upstreams[0].opened;
+    for (uint32_t i = 0; i < 10; i++) {
+        (void)relay_open(world, i % 2);
+        relay_run(world, 100);
+    }
+    CU_ASSERT(world->upstreams[0].opened - opened <= 2 * 3 / 2 + 5);
+    relay_destroy(world);
+}
+
 int
 main(void)
 {
@@ -360,6 +409,8 @@
         {"an unknown route", test_unknown_route},
         {"the caller chooses", test_caller_chooses},
         {"malformed input", test_malformed},
+        {"before upstreams speak", test_before_upstreams_speak},
+        {"cold before upstreams speak", test_cold_before_upstreams_speak},
     };
 
     return RUN_SUITE("relay", CASES);
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -54,6 +54,8 @@
     uint32_t most;
     uint64_t work_us;
     bool silent;
+    /// It does not speak of itself.
+    bool mute;
     uint32_t held_count;
     struct held_flow held[RELAY_HELD_MAX];
     uint32_t opened;
@@ -401,6 +403,7 @@
 
     memcpy(options.name, node->name, sizeof(options.name));
     snprintf(options.zone, sizeof(options.zone), "%s", zone);
+    snprintf(options.service, sizeof(options.service), "orders");
     if (at < world->entry_count) {
         node->entry = SlRelayEntry_Create(&options);
     }
@@ -690,7 +693,8 @@
         relay_answer_due(world, i);
     }
     for (uint32_t i = 0; i < world->agent_count; i++) {
-        if (world->steps % RELAY_NOTICE_STEPS == 0) {
+        if (world->steps % RELAY_NOTICE_STEPS == 0 &&
+            !world->upstreams[i].mute) {
             (void)relay_notice(world, i);
         }
     }
