Let flows wait for a slot in the agent when all upstreams are full

Cause: after an outage everybody asks again at once.

Ruled out: a longer queue at the upstream, which serves in order of arrival and makes everybody late; only first-in-first-out in the agent, which under lasting overload answers nobody in time.

Change: balance/wait_room.h; the age of an opening segment counts; an opening holds a slot for 150 ms.

--- a/packages/balance/include/savoryledge/balance/admission.h
+++ b/packages/balance/include/savoryledge/balance/admission.h
@@ -6,9 +6,9 @@
 /// Load pattern: more requests arrive than the upstream's slots carry, for a
 /// while or for good, and long flows that cannot be moved bring work of their
 /// own. A flow that would only wait here goes to an upstream with a free slot;
-/// when there is none it waits here as long as its objective can still be met
-/// or, failing that, half of its timeout; what cannot be met is declined at
-/// once, while "has not run" is still true.
+/// when there is none it is queued at the upstream, up to twice the slots, or
+/// waits in front of it (wait_room.h); what cannot be met is declined at once,
+/// while "has not run" is still true.
 
 #include <stdbool.h>
 #include <stdint.h>
--- /dev/null
+++ b/packages/balance/include/savoryledge/balance/wait_room.h
@@ -0,0 +1,65 @@
+#ifndef SAVORYLEDGE_BALANCE_WAIT_ROOM_H
+#define SAVORYLEDGE_BALANCE_WAIT_ROOM_H
+
+/// New flows that wait in front of an upstream whose slots are taken.
+///
+/// Load pattern: a burst, as after an outage, when everybody who was cut off
+/// asks again at once. Refusals would be repeated within milliseconds and use
+/// up the callers' tries before the burst is over; the upstream itself queues
+/// only a few, in the order of their arrival. Here a flow that can still meet
+/// its objective goes before one that cannot (the newest of them first, so
+/// that at least some are in time), and those that are late anyway go in
+/// their order. Higher priorities go first.
+///
+/// Under lasting overload waiting only makes everybody late: once flows have
+/// waited without a break for a second, those that cannot meet their objective
+/// are given up at once.
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    SL_WAIT_ROOM_MAX = 96,
+};
+
+struct SlWaiting {
+    /// Chosen by the owner; names the flow.
+    uint64_t ticket;
+    uint64_t since_us;
+    /// Time after since_us at which an answer is late, and at which waiting
+    /// is over.
+    uint64_t objective_us;
+    uint64_t limit_us;
+    /// 0 is the highest.
+    uint32_t priority;
+};
+
+/// Zero-initialise it.
+struct SlWaitRoom {
+    uint32_t count;
+    struct SlWaiting items[SL_WAIT_ROOM_MAX];
+    /// Since when somebody waits, but for short breaks; meaningless while
+    /// nobody does.
+    uint64_t busy_since_us;
+    /// When somebody last came, or was let in.
+    uint64_t waited_us;
+};
+
+/// Returns false when the room is full.
+bool
+SlWaitRoom_Add(struct SlWaitRoom *room, uint64_t now_us,
+               const struct SlWaiting *waiting);
+/// Takes out the flow to go on with; false when nobody waits.
+/// answer_us: usual time from there to the answer.
+bool
+SlWaitRoom_Next(struct SlWaitRoom *room, uint64_t now_us, uint64_t answer_us,
+                struct SlWaiting *next);
+/// Takes out one flow that is to be given up now; false when there is none.
+bool
+SlWaitRoom_GiveUp(struct SlWaitRoom *room, uint64_t now_us, uint64_t answer_us,
+                  struct SlWaiting *given_up);
+/// Takes a flow out that is over for another reason.
+void
+SlWaitRoom_Remove(struct SlWaitRoom *room, uint64_t ticket);
+
+#endif
--- a/packages/balance/src/admission.c
+++ b/packages/balance/src/admission.c
@@ -20,6 +20,9 @@
     /// Requests that wait at the upstream at most: it queues a few more than
     /// it works on, and sheds what comes then.
     QUEUE_MAX = 9,
+    /// Flows handed to the upstream at most, per slot, when they are late: a
+    /// caller's way there and back is shorter than one short answer.
+    QUEUE_FACTOR = 2,
 };
 
 bool
@@ -52,15 +55,23 @@
     return (uint64_t)(load - slots + 1) * answer_time(admission) / slots;
 }
 
-/// With no other upstream left: is it worth waiting here?
+/// With no other upstream left: is it worth handing the flow over before a
+/// slot is free? As long as it will be answered within its objective: requests
+/// on flows that are open already queue there too, and cannot be held back.
+/// Beyond that a few, so that slots are never idle for the time that a caller
+/// takes to send its request.
 static bool
-may_wait(const struct SlAdmission *admission, const struct SlAdmissionAsk *ask)
+may_queue(const struct SlAdmission *admission,
+          const struct SlAdmissionAsk *ask)
 {
     uint64_t done_us = SlAdmission_WaitUs(admission) + answer_time(admission);
+    uint32_t load = load_of(admission);
 
-    return load_of(admission) < admission->slots + QUEUE_MAX &&
-           (done_us <= (uint64_t)ask->objective_ms * US_PER_MS ||
-            done_us <= (uint64_t)ask->timeout_ms * US_PER_MS / 2);
+    if (done_us <= (uint64_t)ask->objective_ms * US_PER_MS) {
+        return load < admission->slots + QUEUE_MAX;
+    }
+    return load < admission->slots * QUEUE_FACTOR &&
+           done_us <= (uint64_t)ask->timeout_ms * US_PER_MS / 2;
 }
 
 enum SlRelayReason
@@ -75,7 +86,7 @@
         if (!ask->last) {
             return SL_RELAY_BUSY;
         }
-        if (!may_wait(admission, ask)) {
+        if (!may_queue(admission, ask)) {
             return SL_RELAY_FULL;
         }
     }
--- a/packages/common/include/savoryledge/common/segment.h
+++ b/packages/common/include/savoryledge/common/segment.h
@@ -42,6 +42,9 @@
     uint32_t seq;
     uint32_t ack;
     uint32_t payload_bytes;
+    /// Opening segments: how long ago the caller sent its first copy,
+    /// milliseconds; 0 when the format does not tell.
+    uint32_t age_ms;
 };
 
 struct SlSegmentFormat {
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -1,12 +1,19 @@
 /// Offers: which new flows the upstream gets. Here every rule about new flows
 /// is kept, whatever an entry believes.
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "relay_agent_core.h"
 
 enum {
     /// An upstream announces itself about each second; without a sign of
     /// life for three times that it is taken for gone.
     UPSTREAM_LOST_US = 3600 * 1000,
+    US_PER_MS = 1000,
+    /// A caller gives its opening segment up 1.4 s after it first sent it;
+    /// what is left is for the answer, or for another try.
+    WAIT_MAX_US = 900 * 1000,
 };
 
 enum SlRelayReason
@@ -73,6 +80,34 @@
     sink->type->send_frame(sink, &flow->entry, &frame);
 }
 
+static void
+log_admit(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+          uint64_t now_us, const struct SlAgentFlow *flow, const char *reason)
+{
+    SlRelayAgent_Event(agent, sink, now_us,
+                       (struct SlEvent){.number = SL_EVENT_RELAY_ADMIT,
+                                        .flow = &flow->item.key,
+                                        .reason = reason,
+                                        .value = agent->admission.in_progress +
+                                                 agent->admission.opening,
+                                        .limit = agent->admission.slots});
+}
+
+/// Hands the opening segment of a flow over that was let in.
+static void
+begin_flow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+           uint64_t now_us, struct SlAgentFlow *flow,
+           const struct SlSegment *segment)
+{
+    flow->state = SL_AGENT_OPENING;
+    flow->began_us = now_us;
+    flow->counted_opening = true;
+    flow->counted_flow = true;
+    SlRelayIndex_Wait(&agent->flows, &flow->item);
+    agent->counters.admitted++;
+    SlAgentFlow_Deliver(agent, sink, now_us, flow, segment);
+}
+
 static void
 admit(struct SlRelayAgent *agent, struct SlRelaySink *sink, uint64_t now_us,
       const struct SlAddress *from, const struct SlSegment *segment,
@@ -87,31 +122,94 @@
         SlRelayAgent_Decline(agent, sink, now_us, from, key, SL_RELAY_FULL);
         return;
     }
-    flow->counted_opening = true;
-    flow->counted_flow = true;
     flow->caller_first = segment->seq;
-    SlRelayIndex_Wait(&agent->flows, &flow->item);
-    agent->counters.admitted++;
-    SlAgentFlow_Deliver(agent, sink, now_us, flow, segment);
+    begin_flow(agent, sink, now_us, flow, segment);
     send_accept(agent, sink, now_us, flow);
-    SlRelayAgent_Event(
-        agent, sink, now_us,
-        (struct SlEvent){
-            .number = SL_EVENT_RELAY_ADMIT,
-            .flow = key,
-            .reason = SlAdmission_IsCold(&agent->admission, now_us) ? "cold"
-                                                                    : "room",
-            .value = agent->admission.in_progress + agent->admission.opening,
-            .limit = agent->admission.slots});
+    log_admit(agent, sink, now_us, flow,
+              SlAdmission_IsCold(&agent->admission, now_us) ? "cold" : "room");
+}
+
+static uint64_t
+wait_limit_us(const struct SlPlanRoute *route)
+{
+    uint64_t limit_us = (uint64_t)route->timeout_ms * US_PER_MS / 2;
+
+    return limit_us < WAIT_MAX_US ? limit_us : WAIT_MAX_US;
+}
+
+/// Keeps a flow until a slot is free. False when there is no place.
+static bool
+wait_for_slot(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+              uint64_t now_us, const struct SlAddress *from,
+              const struct SlSegment *segment, const struct SlFlowKey *key,
+              const struct SlPlanRoute *route)
+{
+    struct SlWaiting waiting = {.since_us = now_us,
+                                .objective_us =
+                                    (uint64_t)route->objective_ms * US_PER_MS,
+                                .limit_us = wait_limit_us(route),
+                                .priority = route->priority};
+    struct SlAgentFlow *flow =
+        SlAgentFlow_Add(agent, now_us, key, SL_AGENT_WAITING, from);
+
+    if (flow == NULL) {
+        return false;
+    }
+    waiting.ticket = (uint64_t)(uintptr_t)flow;
+    flow->caller_first = segment->seq;
+    flow->opening = malloc(segment->length_bytes);
+    if (flow->opening == NULL ||
+        !SlWaitRoom_Add(&agent->wait_room, now_us, &waiting)) {
+        SlAgentFlow_Remove(agent, flow);
+        return false;
+    }
+    memcpy(flow->opening, segment->bytes, segment->length_bytes);
+    flow->opening_bytes = segment->length_bytes;
+    send_accept(agent, sink, now_us, flow);
+    log_admit(agent, sink, now_us, flow, "waits");
+    return true;
 }
 
 /// A copy of an opening segment goes where the first went.
 static bool
 is_copy(const struct SlAgentFlow *flow, const struct SlSegment *segment)
 {
+    bool first = flow != NULL && (flow->state == SL_AGENT_OPENING ||
+                                  flow->state == SL_AGENT_WAITING);
+
     return flow != NULL && flow->state != SL_AGENT_ENDED &&
-           (flow->state != SL_AGENT_OPENING ||
-            flow->caller_first == segment->seq);
+           (!first || flow->caller_first == segment->seq);
+}
+
+static void
+take_copy(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+          uint64_t now_us, const struct SlAddress *from,
+          struct SlAgentFlow *flow, const struct SlSegment *segment)
+{
+    flow->entry = *from;
+    if (flow->state != SL_AGENT_WAITING) {
+        SlAgentFlow_Deliver(agent, sink, now_us, flow, segment);
+    }
+    send_accept(agent, sink, now_us, flow);
+}
+
+/// Decides on a flow that is new here.
+static enum SlRelayReason
+judge(struct SlRelayAgent *agent, uint64_t now_us,
+      const struct SlPlanRoute *route, bool last)
+{
+    enum SlRelayReason reason = SlRelayAgent_ClosedFor(agent, now_us);
+    struct SlAdmissionAsk ask = {.last = last};
+
+    if (reason != SL_RELAY_REASON_NONE) {
+        return reason;
+    }
+    if (!is_own(agent, route)) {
+        return SL_RELAY_FOREIGN;
+    }
+    ask.objective_ms = route->objective_ms;
+    ask.timeout_ms = route->timeout_ms;
+    return SlAdmission_Judge(&agent->admission, now_us, &ask);
 }
 
 void
@@ -122,33 +220,96 @@
 {
     struct SlFlowKey key = SlSegment_CallerKey(segment);
     struct SlAgentFlow *flow = SlAgentFlow_Find(agent, &key);
-    enum SlRelayReason reason = SlRelayAgent_ClosedFor(agent, now_us);
-    const struct SlPlanRoute *route = NULL;
-    struct SlAdmissionAsk ask = {.last = offer->last};
+    const struct SlPlanRoute *route =
+        agent->plan != NULL ? SlPlan_FindRoute(agent->plan, &key.service)
+                            : NULL;
+    enum SlRelayReason reason;
+    bool may_wait;
 
     if (is_copy(flow, segment)) {
-        flow->entry = *from;
-        SlAgentFlow_Deliver(agent, sink, now_us, flow, segment);
-        send_accept(agent, sink, now_us, flow);
+        take_copy(agent, sink, now_us, from, flow, segment);
         return;
     }
     if (flow != NULL) {
         SlAgentFlow_Remove(agent, flow);
     }
-    if (agent->plan != NULL) {
-        route = SlPlan_FindRoute(agent->plan, &key.service);
-    }
-    if (reason == SL_RELAY_REASON_NONE && !is_own(agent, route)) {
-        reason = SL_RELAY_FOREIGN;
-    }
+    reason = judge(agent, now_us, route, offer->last);
+    /* A cold upstream opens slowly: others are asked first. */
+    may_wait = offer->last && (reason == SL_RELAY_FULL ||
+                               (reason == SL_RELAY_COLD &&
+                                offer->tried_count + 1 >= SL_RELAY_TRIED_MAX));
     if (reason == SL_RELAY_REASON_NONE) {
-        ask.objective_ms = route->objective_ms;
-        ask.timeout_ms = route->timeout_ms;
-        reason = SlAdmission_Judge(&agent->admission, now_us, &ask);
+        admit(agent, sink, now_us, from, segment, &key);
     }
-    if (reason != SL_RELAY_REASON_NONE) {
+    else if (!may_wait ||
+             !wait_for_slot(agent, sink, now_us, from, segment, &key, route)) {
         SlRelayAgent_Decline(agent, sink, now_us, from, &key, reason);
-        return;
     }
-    admit(agent, sink, now_us, from, segment, &key);
+}
+
+/// Takes a flow off the wait room's hands, and out of the table.
+static void
+give_up_waiting(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                uint64_t now_us, struct SlAgentFlow *flow,
+                enum SlRelayReason reason)
+{
+    struct SlFlowKey key = flow->item.key;
+    struct SlAddress entry = flow->entry;
+
+    SlAgentFlow_Remove(agent, flow);
+    SlRelayAgent_Decline(agent, sink, now_us, &entry, &key, reason);
+}
+
+/// Lets the next waiting flow in. False when none waits, or none may be let
+/// in now.
+static bool
+serve_next(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+           uint64_t now_us)
+{
+    struct SlWaiting next;
+    struct SlSegment segment;
+    struct SlAgentFlow *flow;
+    const struct SlPlanRoute *route;
+    enum SlRelayReason reason;
+
+    if (!SlWaitRoom_Next(&agent->wait_room, now_us, agent->admission.answer_us,
+                         &next)) {
+        return false;
+    }
+    flow = (struct SlAgentFlow *)(uintptr_t)next.ticket;
+    route = agent->plan != NULL
+                ? SlPlan_FindRoute(agent->plan, &flow->item.key.service)
+                : NULL;
+    reason = judge(agent, now_us, route, true);
+    if (reason == SL_RELAY_FULL || reason == SL_RELAY_COLD) {
+        (void)SlWaitRoom_Add(&agent->wait_room, now_us, &next);
+        return false;
+    }
+    if (reason != SL_RELAY_REASON_NONE ||
+        agent->options.format->parse(flow->opening, flow->opening_bytes,
+                                     &segment) != SL_OK) {
+        give_up_waiting(agent, sink, now_us, flow, reason);
+        return true;
+    }
+    begin_flow(agent, sink, now_us, flow, &segment);
+    log_admit(agent, sink, now_us, flow, "waited");
+    free(flow->opening);
+    flow->opening = NULL;
+    return true;
+}
+
+void
+SlRelayAgent_ServeWaiting(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                          uint64_t now_us)
+{
+    struct SlWaiting late;
+
+    while (SlWaitRoom_GiveUp(&agent->wait_room, now_us,
+                             agent->admission.answer_us, &late)) {
+        give_up_waiting(agent, sink, now_us,
+                        (struct SlAgentFlow *)(uintptr_t)late.ticket,
+                        SL_RELAY_EXPIRED);
+    }
+    while (serve_next(agent, sink, now_us)) {
+    }
 }
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -5,6 +5,7 @@
 /// configuration and upstream, relay_admit.c answers offers, relay_flow.c
 /// follows the flows that the upstream carries, relay_report.c tells entries.
 
+#include "savoryledge/balance/wait_room.h"
 #include "savoryledge/coordination/relay_agent.h"
 
 #include "relay_index.h"
@@ -12,6 +13,8 @@
 enum SlAgentFlowState {
     /// Let in; the caller has not chosen this upstream yet.
     SL_AGENT_OPENING = 0,
+    /// It waits for a slot, and the upstream knows nothing of it.
+    SL_AGENT_WAITING,
     SL_AGENT_OPEN,
     /// Not known here, but handed to the upstream, which may give it back.
     SL_AGENT_TENTATIVE,
@@ -41,6 +44,9 @@
     bool upstream_closed;
     /// The other entries of the zone know the holder.
     bool announced;
+    /// The opening segment, while the flow waits.
+    uint8_t *opening;
+    uint32_t opening_bytes;
 };
 
 /// An entry as the configuration tells.
@@ -78,6 +84,7 @@
     /// From then on a flow that is not in the table is not at the upstream.
     uint64_t complete_at_us;
     struct SlAdmission admission;
+    struct SlWaitRoom wait_room;
     struct SlRelayIndex flows;
     uint32_t entry_count;
     struct SlAgentEntry *entries;
@@ -142,6 +149,11 @@
                      uint64_t now_us, const struct SlAddress *from,
                      const struct SlSegment *segment,
                      const struct SlRelayFrame *offer);
+/// Lets flows in that wait, as far as there is room, and gives up those that
+/// cannot be answered in time.
+void
+SlRelayAgent_ServeWaiting(struct SlRelayAgent *agent,
+                          struct SlRelaySink *sink, uint64_t now_us);
 void
 SlRelayAgent_Decline(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                      uint64_t now_us, const struct SlAddress *to,
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -422,6 +422,10 @@
                          .value = frame->load.in_progress,
                          .limit = frame->load.slots});
     add_tried(flow, frame->sender);
+    if (frame->reason == SL_RELAY_EXPIRED) {
+        refuse(entry, sink, now_us, flow, SlRelayReason_Name(frame->reason));
+        return;
+    }
     offer_next(entry, sink, now_us, flow, SlRelayReason_Name(frame->reason));
 }
 
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -12,9 +12,10 @@
     SILENT_PAUSE_US = 300 * 1000,
     /// An upstream gives back at once what it does not hold.
     TENTATIVE_US = 40 * 1000,
-    /// A caller sends its request with the third segment; one that has not
-    /// by then chose another upstream, or is gone.
-    OPENING_US = 1500 * 1000,
+    /// A caller sends its request with the third segment, a way there and back
+    /// after the second; one that has not by then chose another upstream, is
+    /// gone, or lost a segment, and holds no slot meanwhile.
+    OPENING_US = 150 * 1000,
     /// Longer than any caller waits for an answer.
     REQUEST_US = 10 * 1000 * 1000,
     /// Flows that last so long are made known to the zone's other entries.
@@ -92,7 +93,11 @@
 SlAgentFlow_Remove(struct SlRelayAgent *agent, struct SlAgentFlow *flow)
 {
     uncount(agent, flow);
+    if (flow->state == SL_AGENT_WAITING) {
+        SlWaitRoom_Remove(&agent->wait_room, (uint64_t)(uintptr_t)flow);
+    }
     SlRelayIndex_Remove(&agent->flows, &flow->item);
+    free(flow->opening);
     free(flow);
 }
 
@@ -190,6 +195,9 @@
 static bool
 is_chosen(const struct SlAgentFlow *flow, uint32_t ack)
 {
+    if (flow->state == SL_AGENT_WAITING) {
+        return false;
+    }
     if (!flow->answered) {
         return flow->state != SL_AGENT_OPENING;
     }
@@ -243,8 +251,9 @@
         }
         return;
     }
-    if ((segment->flags & SL_SEGMENT_ACK) && flow->state != SL_AGENT_ENDED &&
-        !is_chosen(flow, segment->ack)) {
+    if (flow->state == SL_AGENT_WAITING ||
+        ((segment->flags & SL_SEGMENT_ACK) && flow->state != SL_AGENT_ENDED &&
+         !is_chosen(flow, segment->ack))) {
         answer_absent(agent, sink, now_us, from, segment, "not_chosen");
         return;
     }
@@ -327,6 +336,7 @@
     if (flow->state != SL_AGENT_ENDED) {
         note_end(agent, flow, segment, false);
     }
+    SlRelayAgent_ServeWaiting(agent, sink, now_us);
 }
 
 void
@@ -445,5 +455,6 @@
         next = item->waiting_next;
         tick_flow(agent, sink, now_us, flow_of(item));
     }
+    SlRelayAgent_ServeWaiting(agent, sink, now_us);
     expire(agent, now_us);
 }
--- a/packages/protocol/include/savoryledge/protocol/relay.h
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -59,6 +59,8 @@
     SL_RELAY_SILENT,
     /// Its upstream gave the segment back.
     SL_RELAY_RETURNED,
+    /// The flow waited for a slot, and cannot be answered in time any more.
+    SL_RELAY_EXPIRED,
     SL_RELAY_REASON_COUNT
 };
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -47,6 +47,25 @@
     CU_ASSERT_EQUAL(memcmp(reset + 20, "\1\2\3\4", 4), 0);
 }
 
+/// Copies of an opening segment tell how old the first one is.
+static void
+test_copies(void)
+{
+    static const uint32_t AGES_MS[] = {0, 200, 600, 600};
+    uint8_t bytes[36] = {0};
+    struct SlSegment segment;
+
+    for (uint32_t i = 0; i < 4; i++) {
+        bytes[27] = (uint8_t)i;
+        bytes[28] = 8;
+        CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 36, &segment), SL_OK);
+        CU_ASSERT_EQUAL(segment.age_ms, AGES_MS[i]);
+        bytes[28] = 128;
+        CU_ASSERT_EQUAL(PLATFORM_SEGMENTS.parse(bytes, 36, &segment), SL_OK);
+        CU_ASSERT_EQUAL(segment.age_ms, 0);
+    }
+}
+
 static void
 test_packet_faults(void)
 {
@@ -271,6 +290,7 @@
 {
     static const struct test_case CASES[] = {
         {"packets", test_packets},
+        {"copies", test_copies},
         {"packet faults", test_packet_faults},
         {"configuration", test_config},
         {"configuration faults", test_config_faults},
