Say maybe, not no, while an agent has no plan

An agent that had just restarted had no plan yet, took every flow for another service's, and answered that it does not hold it; the entry then had a certain no from every agent (SL1112 held_by_nobody, took_us=301).

Ruled out: the entry's list of agents, which named the holder; late segments.

Change: without a plan an agent answers that it may hold a flow, and drops segments of unknown flows, which their callers send again. A segment that has gone to the holder while it was tried is not sent to it a second time.

--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -223,13 +223,17 @@
     SlAgentFlow_Deliver(agent, sink, now_us, flow, segment);
 }
 
+/// May the upstream hold flows to that address? Without a plan nothing is
+/// certain.
 static bool
-serves(const struct SlRelayAgent *agent, const struct SlFlowKey *key)
+may_serve(const struct SlRelayAgent *agent, const struct SlFlowKey *key)
 {
-    const struct SlPlanRoute *route =
-        agent->plan != NULL ? SlPlan_FindRoute(agent->plan, &key->service)
-                            : NULL;
+    const struct SlPlanRoute *route;
 
+    if (agent->plan == NULL) {
+        return true;
+    }
+    route = SlPlan_FindRoute(agent->plan, &key->service);
     return route != NULL && agent->service != SL_PLAN_NO_SERVICE &&
            SlPlan_Allows(route, agent->service);
 }
@@ -243,7 +247,12 @@
     struct SlAgentFlow *flow = SlAgentFlow_Find(agent, &key);
 
     if (flow == NULL) {
-        if (SlRelayAgent_MayHold(agent, now_us) && serves(agent, &key)) {
+        if (agent->plan == NULL) {
+            /* It may be another service's; the caller sends it again. */
+            agent->counters.dropped++;
+        }
+        else if (SlRelayAgent_MayHold(agent, now_us) &&
+                 may_serve(agent, &key)) {
             try_unknown(agent, sink, now_us, from, &key, segment);
         }
         else {
@@ -378,7 +387,8 @@
         .kind = SL_RELAY_ABSENT, .sender = agent->node_id, .flow = ask->flow};
 
     if (flow == NULL) {
-        if (SlRelayAgent_MayHold(agent, now_us) && serves(agent, &ask->flow)) {
+        if (SlRelayAgent_MayHold(agent, now_us) &&
+            may_serve(agent, &ask->flow)) {
             frame.kind = SL_RELAY_HOLDS;
         }
     }
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -89,13 +89,14 @@
     SlEntryFlow_Remove(entry, flow);
 }
 
+/// first: the segments before it have gone to the holder already.
 static void
 send_kept(struct SlRelayEntry *entry, struct SlRelaySink *sink,
-          const struct SlEntryFlow *flow)
+          const struct SlEntryFlow *flow, uint32_t first)
 {
     const struct SlRelaySearch *search = flow->search;
 
-    for (uint32_t i = 0; i < search->segment_count; i++) {
+    for (uint32_t i = first; i < search->segment_count; i++) {
         (void)SlRelayEntry_Carry(entry, sink, flow, search->segments[i].bytes,
                                  search->segments[i].length_bytes);
     }
@@ -172,6 +173,7 @@
       struct SlEntryFlow *flow, uint64_t holder)
 {
     uint32_t at = SlRelayMembers_Find(&entry->members, holder);
+    bool tried = flow->holder == holder;
 
     flow->holder = holder;
     flow->held = true;
@@ -185,7 +187,7 @@
                                      : NULL,
                          .reason = "found",
                          .value = (int64_t)(now_us - flow->search->began_us)});
-    send_kept(entry, sink, flow);
+    send_kept(entry, sink, flow, tried ? 1 : 0);
     end_search(flow);
     SlRelayIndex_StopWaiting(&entry->flows, &flow->item);
 }
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -50,6 +50,19 @@
     give_input(shell, &shell->control, &input);
 }
 
+/// An address as others reach it.
+static struct SlAddress
+advertised(const struct SlShell *shell, const struct SlAddress *address)
+{
+    const struct SlAddress *advertise = &shell->settings.node.advertise;
+    struct SlAddress reached = *address;
+
+    if (memcmp(advertise->ip, NO_IP, sizeof(NO_IP)) != 0) {
+        memcpy(reached.ip, advertise->ip, sizeof(reached.ip));
+    }
+    return reached;
+}
+
 static void
 fill_announcement(const struct SlShell *shell, struct SlObject *object)
 {
@@ -66,17 +79,11 @@
         (void)SlLabels_Set(&node->announced, "service",
                            settings->relay.service);
     }
-    node->tunnel = settings->node.tunnel;
-    node->link = settings->node.link;
+    node->tunnel = advertised(shell, &settings->node.tunnel);
+    node->link = advertised(shell, &settings->node.link);
     node->boot = shell->boot;
     node->slots = settings->agent.slots;
     node->capacity_flows = settings->agent.capacity_flows;
-    if (memcmp(settings->node.advertise.ip, NO_IP, sizeof(NO_IP)) != 0) {
-        memcpy(node->tunnel.ip, settings->node.advertise.ip,
-               sizeof(node->tunnel.ip));
-        memcpy(node->link.ip, settings->node.advertise.ip,
-               sizeof(node->link.ip));
-    }
 }
 
 /// An agent of the relay leaves until its upstream has spoken: then its slots
@@ -142,7 +149,7 @@
 
     options->relay = shell->settings.relay.adapter[0] != '\0';
     options->control.self_forming = shell->settings.control.self_forming;
-    options->control.link = shell->settings.node.link;
+    options->control.link = advertised(shell, &shell->settings.node.link);
     options->control.heartbeat_us =
         (uint64_t)shell->settings.control.heartbeat_ms * US_PER_MS;
     options->control.election_us =
--- /dev/null
+++ b/soak/processes.c
@@ -0,0 +1,253 @@
+/// The processes of the soak: settings, starts, signals, ends.
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+enum {
+    SEEDS = 3,
+    RESTART_US = 400 * 1000,
+};
+
+static const char *const ROLE_NAMES[] = {"control", "entry", "agent"};
+
+void
+soak_add_node(struct soak *soak, enum soak_role role, uint32_t zone)
+{
+    struct soak_node *node = &soak->nodes[soak->node_count++];
+
+    node->role = role;
+    node->number = soak->node_count;
+    node->zone = zone;
+    node->founder = role == SOAK_CONTROL;
+}
+
+static void
+write_common(const struct soak *soak, const struct soak_node *node, FILE *file)
+{
+    fprintf(file,
+            "[node]\nname = %s-127.%u.1.%u\nzone = zone-%u\nroles = %s\n"
+            "tunnel = 127.%u.0.%u:%u\nlink = 127.%u.0.%u:%u\n"
+            "advertise = 127.%u.1.%u\nlog_to_stdout = yes\n"
+            "log_lines_per_s = 300\nstop_timeout_ms = 4000\n"
+            "[security]\nopen = yes\n[control]\nself_forming = yes\n"
+            "heartbeat_ms = 60\nelection_ms = 450\nseed_port = %u\n",
+            ROLE_NAMES[node->role], soak->net, node->number, node->zone,
+            ROLE_NAMES[node->role], soak->net, node->number, SOAK_LINK_PORT,
+            soak->net, node->number, SOAK_LINK_PORT, soak->net, node->number,
+            SOAK_LINK_PORT);
+    fprintf(file, "seeds = 127.%u.1.1,127.%u.1.2,127.%u.1.3\n", soak->net,
+            soak->net, soak->net);
+}
+
+static void
+write_settings(const struct soak *soak, const struct soak_node *node,
+               const char *path)
+{
+    FILE *file = fopen(path, "we");
+
+    if (file == NULL) {
+        return;
+    }
+    write_common(soak, node, file);
+    if (node->role == SOAK_CONTROL) {
+        fprintf(file, "bootstrap = %s\ndata_folder = %s/data-%u\n",
+                node->founder && node->number <= SEEDS ? "yes" : "no",
+                soak->folder, node->number);
+    }
+    fprintf(file, "[relay]\nadapter = platform\nready = 127.%u.0.%u:%u\n",
+            soak->net, node->number, SOAK_READY_PORT);
+    if (node->role != SOAK_ENTRY) {
+        fprintf(file, "control = 127.%u.0.%u:%u\n", soak->net, node->number,
+                SOAK_CONTROL_PORT);
+    }
+    if (node->role != SOAK_CONTROL) {
+        fprintf(file, "callers = 127.%u.0.%u:%u\n", soak->net, node->number,
+                SOAK_CALLERS_PORT);
+    }
+    if (node->role == SOAK_AGENT) {
+        fprintf(file,
+                "upstream = 127.%u.0.%u:%u\nupstream_sends = 127.%u.0.%u:%u\n"
+                "service = service-%u\n",
+                soak->net, node->number, SOAK_UPSTREAM_PORT, soak->net,
+                node->number, SOAK_UPSTREAM_SENDS_PORT, node->number % 3 / 2);
+    }
+    fclose(file);
+}
+
+static void
+run_program(const struct soak *soak, const char *settings, const char *log)
+{
+    int output = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    execl(soak->program, soak->program, settings, (char *)NULL);
+    _exit(127);
+}
+
+void
+soak_start_node(struct soak *soak, struct soak_node *node)
+{
+    char settings[SOAK_PATH_BYTES + 32];
+    char other[SOAK_PATH_BYTES + 32];
+    uint64_t now_us = SlClock_Monotonic();
+
+    snprintf(settings, sizeof(settings), "%s/node-%u.ini", soak->folder,
+             node->number);
+    snprintf(other, sizeof(other), "%s/data-%u", soak->folder, node->number);
+    mkdir(other, 0755);
+    write_settings(soak, node, settings);
+    snprintf(other, sizeof(other), "%s/node-%u.log", soak->folder,
+             node->number);
+    node->pid = fork();
+    if (node->pid == 0) {
+        run_program(soak, settings, other);
+    }
+    node->paused = false;
+    node->ending = false;
+    node->restart_us = 0;
+    node->disturbed_us = now_us;
+}
+
+void
+soak_signal(struct soak *soak, struct soak_node *node, int number)
+{
+    if (node->pid == 0) {
+        return;
+    }
+    kill(node->pid, number);
+    node->disturbed_us = SlClock_Monotonic();
+    if (number == SIGSTOP) {
+        node->paused = true;
+    }
+    else if (number == SIGCONT) {
+        node->paused = false;
+    }
+    else if (number == SIGKILL || number == SIGTERM) {
+        node->ending = true;
+    }
+    soak->faults++;
+}
+
+static void
+note_end(struct soak *soak, struct soak_node *node, int status,
+         uint64_t now_us)
+{
+    if (!node->ending) {
+        soak_broken(soak, "process %u (%s) ended by itself, status %d",
+                    node->number, ROLE_NAMES[node->role], status);
+    }
+    node->pid = 0;
+    node->paused = false;
+    node->disturbed_us = now_us;
+    node->restart_us = now_us + RESTART_US;
+}
+
+void
+soak_watch_nodes(struct soak *soak, uint64_t now_us)
+{
+    for (uint32_t i = 0; i < soak->node_count; i++) {
+        struct soak_node *node = &soak->nodes[i];
+        int status;
+
+        if (node->pid != 0 && waitpid(node->pid, &status, WNOHANG) > 0) {
+            note_end(soak, node, status, now_us);
+        }
+        if (node->pid == 0 && node->restart_us != 0 &&
+            now_us >= node->restart_us) {
+            node->founder = false;
+            soak_start_node(soak, node);
+        }
+        if (node->pid != 0 && !node->paused && !node->ending) {
+            node->routed_us = now_us;
+        }
+    }
+}
+
+void
+soak_wipe_node(struct soak *soak, const struct soak_node *node)
+{
+    char folder[SOAK_PATH_BYTES + 32];
+    char path[2 * SOAK_PATH_BYTES + 64];
+    struct dirent *entry;
+    DIR *open_folder;
+
+    snprintf(folder, sizeof(folder), "%s/data-%u", soak->folder, node->number);
+    open_folder = opendir(folder);
+    while (open_folder != NULL && (entry = readdir(open_folder)) != NULL) {
+        if (entry->d_name[0] != '.') {
+            snprintf(path, sizeof(path), "%s/%s", folder, entry->d_name);
+            unlink(path);
+        }
+    }
+    if (open_folder != NULL) {
+        closedir(open_folder);
+    }
+}
+
+void
+soak_end_nodes(struct soak *soak)
+{
+    for (uint32_t i = 0; i < soak->node_count; i++) {
+        if (soak->nodes[i].pid != 0) {
+            kill(soak->nodes[i].pid, SIGKILL);
+        }
+    }
+    for (uint32_t i = 0; i < soak->node_count; i++) {
+        if (soak->nodes[i].pid != 0) {
+            (void)waitpid(soak->nodes[i].pid, NULL, 0);
+            soak->nodes[i].pid = 0;
+        }
+    }
+}
+
+static uint32_t
+count_entries(const char *path)
+{
+    DIR *folder = opendir(path);
+    uint32_t count = 0;
+
+    while (folder != NULL && readdir(folder) != NULL) {
+        count++;
+    }
+    if (folder != NULL) {
+        closedir(folder);
+    }
+    return count;
+}
+
+struct soak_usage
+soak_usage_of(const struct soak_node *node)
+{
+    struct soak_usage usage = {.memory_kb = 0};
+    char path[64];
+    char line[256];
+    FILE *file;
+
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)node->pid);
+    file = fopen(path, "re");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        if (strncmp(line, "VmRSS:", 6) == 0) {
+            usage.memory_kb = (uint32_t)strtoul(line + 6, NULL, 10);
+        }
+        if (strncmp(line, "Threads:", 8) == 0) {
+            usage.threads = (uint32_t)strtoul(line + 8, NULL, 10);
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    snprintf(path, sizeof(path), "/proc/%d/fd", (int)node->pid);
+    usage.descriptors = count_entries(path);
+    return usage;
+}
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -390,6 +390,31 @@
     relay_destroy(world);
 }
 
+/// An agent that has restarted and has no plan yet cannot say that it does not
+/// hold a flow.
+static void
+test_asked_before_the_plan(void)
+{
+    struct relay_world *world = relay_create(2, 3, 2, 16);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t at = 2 + relay_holder(world, flow);
+    struct SlPlan *plan = world->plan;
+
+    world->plan = NULL;
+    relay_restart(world, at);
+    relay_request(world, 1, flow);
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[flow].resets, 0);
+    world->plan = plan;
+    relay_configure(world, at);
+    relay_run(world, 800);
+    relay_send(world, 1, &world->callers[flow], SL_SEGMENT_ACK, 100);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[flow].answers, 2);
+    CU_ASSERT_EQUAL(world->callers[flow].resets, 0);
+    relay_destroy(world);
+}
+
 int
 main(void)
 {
@@ -411,6 +436,7 @@
         {"malformed input", test_malformed},
         {"before upstreams speak", test_before_upstreams_speak},
         {"cold before upstreams speak", test_cold_before_upstreams_speak},
+        {"asked before the plan", test_asked_before_the_plan},
     };
 
     return RUN_SUITE("relay", CASES);
