End a search only when every tried agent has spoken

While one agent that may hold a flow was being tried, the caller's next segment went on to the next one, as if the first had said no; when the last one said no, the flow was reset.

Ruled out: the agents' answers (the holder's was maybe); the table of the restarted agent.

The caller's further segments go to the agent that is being tried.

--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -152,8 +152,8 @@
 /// Lets flows in that wait, as far as there is room, and gives up those that
 /// cannot be answered in time.
 void
-SlRelayAgent_ServeWaiting(struct SlRelayAgent *agent,
-                          struct SlRelaySink *sink, uint64_t now_us);
+SlRelayAgent_ServeWaiting(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                          uint64_t now_us);
 void
 SlRelayAgent_Decline(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                      uint64_t now_us, const struct SlAddress *to,
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -455,7 +455,7 @@
                                  segment.length_bytes);
         return;
     }
-    SlRelayEntry_Locate(entry, sink, now_us, flow, &segment);
+    SlRelayEntry_NotThere(entry, sink, now_us, flow, &segment, frame->sender);
 }
 
 static void
--- a/packages/coordination/src/relay_entry_core.h
+++ b/packages/coordination/src/relay_entry_core.h
@@ -66,6 +66,11 @@
 SlRelayEntry_Locate(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                     uint64_t now_us, struct SlEntryFlow *flow,
                     const struct SlSegment *segment);
+/// A segment came back from the agent sender, which does not hold its flow.
+void
+SlRelayEntry_NotThere(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                      uint64_t now_us, struct SlEntryFlow *flow,
+                      const struct SlSegment *segment, uint64_t sender);
 /// An agent answered ASK: HOLDS, or ABSENT without a segment.
 void
 SlRelayEntry_Located(struct SlRelayEntry *entry, struct SlRelaySink *sink,
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -114,6 +114,7 @@
         /* The search stays open: a segment that comes back goes on with it. */
         flow->holder = next;
         flow->held = false;
+        search->tried_us = now_us;
         if (search->segment_count > 0) {
             (void)SlRelayEntry_Carry(entry, sink, flow,
                                      search->segments[0].bytes,
@@ -131,19 +132,42 @@
     end_unheld(entry, sink, now_us, flow);
 }
 
+/// A further segment of a flow that is searched for.
+static void
+add_segment(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+            struct SlEntryFlow *flow, const struct SlSegment *segment)
+{
+    /* The agent that is being tried gets it too: it may be the holder. */
+    if (flow->holder == 0 ||
+        !SlRelayEntry_Carry(entry, sink, flow, segment->bytes,
+                            segment->length_bytes)) {
+        (void)SlRelaySearch_Keep(flow->search, segment->bytes,
+                                 segment->length_bytes);
+    }
+}
+
+void
+SlRelayEntry_NotThere(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                      uint64_t now_us, struct SlEntryFlow *flow,
+                      const struct SlSegment *segment, uint64_t sender)
+{
+    if (flow->search == NULL) {
+        SlRelayEntry_Locate(entry, sink, now_us, flow, segment);
+        return;
+    }
+    if (flow->holder == sender) {
+        flow->holder = 0;
+        go_on(entry, sink, now_us, flow);
+    }
+}
+
 void
 SlRelayEntry_Locate(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                     uint64_t now_us, struct SlEntryFlow *flow,
                     const struct SlSegment *segment)
 {
     if (flow->search != NULL) {
-        if (flow->search->maybe_next > 0 && flow->search->open == 0) {
-            go_on(entry, sink, now_us, flow);
-        }
-        else {
-            (void)SlRelaySearch_Keep(flow->search, segment->bytes,
-                                     segment->length_bytes);
-        }
+        add_segment(entry, sink, flow, segment);
         return;
     }
     flow->holder = 0;
@@ -230,4 +254,11 @@
         search->uncertain = true;
         go_on(entry, sink, now_us, flow);
     }
+    else if (search->open == 0 && flow->holder != 0 &&
+             now_us - search->tried_us > PATIENCE_US) {
+        /* Neither did it give the segment back nor say that it holds it. */
+        flow->holder = 0;
+        search->uncertain = true;
+        go_on(entry, sink, now_us, flow);
+    }
 }
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -29,6 +29,8 @@
     bool uncertain;
     uint32_t maybe_count;
     uint32_t maybe_next;
+    /// When the present one was tried.
+    uint64_t tried_us;
     uint64_t maybe[SL_SEARCH_MAYBE];
     uint32_t segment_count;
     struct {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -415,6 +415,34 @@
     relay_destroy(world);
 }
 
+/// One of two agents that may hold a flow says nothing: the other's no is not
+/// the end of the search, however often the caller sends.
+static void
+test_tried_agent_says_nothing(void)
+{
+    struct relay_world *world = relay_create(2, 2, 2, 17);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, flow);
+    struct SlPlan *plan = world->plan;
+
+    relay_restart(world, 2);
+    relay_restart(world, 3);
+    world->plan = NULL;
+    relay_restart(world, 2 + holder);
+    for (uint32_t i = 0; i < 8; i++) {
+        relay_request(world, 1, flow);
+        relay_run(world, 120);
+        CU_ASSERT_EQUAL(world->callers[flow].resets, 0);
+    }
+    world->plan = plan;
+    relay_configure(world, 2 + holder);
+    relay_run(world, 700);
+    relay_send(world, 1, &world->callers[flow], SL_SEGMENT_ACK, 100);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[flow].answers, 2);
+    relay_destroy(world);
+}
+
 int
 main(void)
 {
@@ -437,6 +465,7 @@
         {"before upstreams speak", test_before_upstreams_speak},
         {"cold before upstreams speak", test_cold_before_upstreams_speak},
         {"asked before the plan", test_asked_before_the_plan},
+        {"a tried agent says nothing", test_tried_agent_says_nothing},
     };
 
     return RUN_SUITE("relay", CASES);
