--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door: each target installs what it needs and builds first.
 
 .PHONY: all setup build demo check replay bench fuzz lint report faults \
-	kill-rounds install clean
+	kill-rounds soak install clean
 
 all: build
 
@@ -36,6 +36,12 @@
 kill-rounds: build
 	@scripts/kill-rounds.sh build 200
 
+# One seed by hand: make soak SEED=n SECONDS=n. Several: scripts/soak.sh.
+SEED ?= 1
+SECONDS ?= 30
+soak: build
+	@scripts/soak.sh build $(SECONDS) 1 $(SEED)
+
 lint: build
 	@scripts/lint.sh build
 
