Do not ask agents that are gone who holds a flow

Four upstreams had been replaced as planned some 20 s before; their agents stay in the registry, marked unreachable, were asked in every search, and their silence forbade the reset. Callers of flows that a loss of power had ended sent again and again for up to ten seconds. The log hid it: "unanswered" was always 0, since it was read after it had been set to 0.

Ruled out: agents without a plan (all had one for seconds), agents that had restarted (they gave the segments back within milliseconds).

Change: an agent whose upstream says that it is gone announces no service any more. An agent that neither control nor the entry has heard for 10 s is not asked. The event counts the agents that stayed silent. relay_test "lost agents" failed first.

--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -71,6 +71,10 @@
 bool
 SlRelayAgent_Notice(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                     uint64_t now_us, const struct SlUpstreamNotice *notice);
+/// True from the word of the upstream that it is gone until another one
+/// speaks: no flow is held here.
+bool
+SlRelayAgent_IsGone(const struct SlRelayAgent *agent);
 /// The start named id of the upstream is over; others are left alone.
 bool
 SlRelayAgent_Gone(struct SlRelayAgent *agent, struct SlRelaySink *sink,
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -235,9 +235,10 @@
     }
     reason = judge(agent, now_us, route, offer->last);
     /* A cold upstream opens slowly: others are asked first. */
-    may_wait = offer->last && (reason == SL_RELAY_FULL ||
-                               (reason == SL_RELAY_COLD &&
-                                offer->tried_count + 1 >= SL_RELAY_TRIED_MAX));
+    may_wait = offer->last && route != NULL &&
+               (reason == SL_RELAY_FULL ||
+                (reason == SL_RELAY_COLD &&
+                 offer->tried_count + 1 >= SL_RELAY_TRIED_MAX));
     if (reason == SL_RELAY_REASON_NONE) {
         admit(agent, sink, now_us, from, segment, &key);
     }
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -257,6 +257,7 @@
     }
     agent->upstream = *notice;
     agent->known = true;
+    agent->gone = false;
     agent->noticed_us = now_us;
     agent->upstream_heard_us = now_us;
     agent->admission.slots = notice->slots;
@@ -282,10 +283,17 @@
         return false;
     }
     agent->known = false;
+    agent->gone = true;
     log_notice(agent, sink, now_us, &agent->upstream, "gone");
     return true;
 }
 
+bool
+SlRelayAgent_IsGone(const struct SlRelayAgent *agent)
+{
+    return agent->gone;
+}
+
 bool
 SlRelayAgent_Upstream(const struct SlRelayAgent *agent,
                       struct SlUpstreamNotice *notice)
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -72,6 +72,8 @@
     bool held_out;
     bool stopping;
     bool known;
+    /// It has said that it is gone, and no other one has spoken since.
+    bool gone;
     /// Slots by the word of the process before; 0 it took no new flows.
     uint32_t assumed_slots;
     uint64_t assume_until_us;
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -117,8 +117,8 @@
     enum SlStatus status = SL_OK;
 
     if (plan != NULL) {
-        status = SlRelayMembers_Build(&members, &entry->members, config, plan,
-                                      entry->options.zone);
+        status = SlRelayMembers_Build(&members, now_us, &entry->members,
+                                      config, plan, entry->options.zone);
     }
     if (status != SL_OK) {
         return status;
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -14,18 +14,19 @@
 };
 
 static bool
-is_asked(const struct SlRelayEntry *entry, const struct SlPlanRoute *route,
-         uint32_t at, bool widened)
+is_asked(const struct SlRelayEntry *entry, uint64_t now_us,
+         const struct SlPlanRoute *route, uint32_t at, bool widened)
 {
     bool own = route != NULL &&
                SlPlan_Allows(route, entry->members.members[at].service);
 
-    return own != widened;
+    return own != widened &&
+           SlRelayMembers_MayHold(&entry->members, at, now_us);
 }
 
 /// Asks the agents of this stage of the search.
 static void
-ask(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+ask(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
     struct SlEntryFlow *flow)
 {
     struct SlRelaySearch *search = flow->search;
@@ -38,7 +39,7 @@
                                  .ack = search->ack};
 
     for (uint32_t at = 0; at < entry->members.count; at++) {
-        if (is_asked(entry, route, at, search->widened)) {
+        if (is_asked(entry, now_us, route, at, search->widened)) {
             sink->type->send_frame(sink, &entry->members.members[at].address,
                                    &frame);
             search->open++;
@@ -64,7 +65,7 @@
                          .flow = &flow->item.key,
                          .reason = "no_certain_answer",
                          .value = (int64_t)(now_us - flow->search->began_us),
-                         .limit = flow->search->open});
+                         .limit = flow->search->silent});
     SlEntryFlow_Remove(entry, flow);
 }
 
@@ -124,7 +125,7 @@
     }
     if (!search->widened) {
         search->widened = true;
-        ask(entry, sink, flow);
+        ask(entry, sink, now_us, flow);
         if (search->open > 0) {
             return;
         }
@@ -180,7 +181,7 @@
     (void)SlRelaySearch_Keep(flow->search, segment->bytes,
                              segment->length_bytes);
     entry->counters.searches++;
-    ask(entry, sink, flow);
+    ask(entry, sink, now_us, flow);
     SlRelayEntry_Event(entry, sink, now_us,
                        (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH,
                                         .flow = &flow->item.key,
@@ -250,6 +251,7 @@
         return;
     }
     if (search->open > 0 && spent_us > PATIENCE_US) {
+        search->silent += search->open;
         search->open = 0;
         search->uncertain = true;
         go_on(entry, sink, now_us, flow);
@@ -258,6 +260,7 @@
              now_us - search->tried_us > PATIENCE_US) {
         /* Neither did it give the segment back nor say that it holds it. */
         flow->holder = 0;
+        search->silent++;
         search->uncertain = true;
         go_on(entry, sink, now_us, flow);
     }
--- a/packages/coordination/src/relay_members.c
+++ b/packages/coordination/src/relay_members.c
@@ -9,6 +9,11 @@
     SILENT_US = 150 * 1000,
     /// One flow in so long tries whether a suspect answers again.
     RETRY_US = 500 * 1000,
+    /// No segment reaches an agent that neither control nor this entry hears.
+    /// After this long, which is more than a caller waits for an answer, its
+    /// flows are over for their callers whether its upstream still runs or
+    /// not.
+    LOST_US = 10 * 1000 * 1000,
 };
 
 bool
@@ -32,8 +37,8 @@
 }
 
 static void
-fill_member(const struct SlConfig *config, const struct SlObject *node,
-            uint32_t service, const char *zone,
+fill_member(uint64_t now_us, const struct SlConfig *config,
+            const struct SlObject *node, uint32_t service, const char *zone,
             const struct SlRelayMembers *former, struct SlCandidate *candidate,
             struct SlRelayMember *member)
 {
@@ -53,6 +58,10 @@
     /* Control may be wrong: a member that it lost is the last resort. */
     if (node->node.unreachable) {
         candidate->suspect = true;
+        member->lost_us = member->lost_us != 0 ? member->lost_us : now_us;
+    }
+    else {
+        member->lost_us = 0;
     }
     memcpy(member->name, node->name, sizeof(member->name));
     member->address = node->node.tunnel;
@@ -60,9 +69,9 @@
 }
 
 static void
-fill(struct SlRelayMembers *members, const struct SlRelayMembers *former,
-     const struct SlConfig *config, const struct SlPlan *plan,
-     const char *zone)
+fill(struct SlRelayMembers *members, uint64_t now_us,
+     const struct SlRelayMembers *former, const struct SlConfig *config,
+     const struct SlPlan *plan, const char *zone)
 {
     uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
 
@@ -72,7 +81,7 @@
             const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
 
             if (service_of(plan, node) == service) {
-                fill_member(config, node, service, zone, former,
+                fill_member(now_us, config, node, service, zone, former,
                             &members->candidates[members->count],
                             &members->members[members->count]);
                 members->count++;
@@ -83,7 +92,7 @@
 }
 
 enum SlStatus
-SlRelayMembers_Build(struct SlRelayMembers *members,
+SlRelayMembers_Build(struct SlRelayMembers *members, uint64_t now_us,
                      const struct SlRelayMembers *former,
                      const struct SlConfig *config, const struct SlPlan *plan,
                      const char *zone)
@@ -102,7 +111,7 @@
         SlRelayMembers_Release(members);
         return SL_NO_MEMORY;
     }
-    fill(members, former, config, plan, zone);
+    fill(members, now_us, former, config, plan, zone);
     return SL_OK;
 }
 
@@ -148,9 +157,19 @@
     candidate->offered =
         candidate->offered > answers ? candidate->offered - answers : 0;
     members->members[at].unanswered_us = 0;
+    members->members[at].lost_us = 0;
     return was_suspect;
 }
 
+bool
+SlRelayMembers_MayHold(const struct SlRelayMembers *members, uint32_t at,
+                       uint64_t now_us)
+{
+    uint64_t lost_us = members->members[at].lost_us;
+
+    return lost_us == 0 || now_us - lost_us < LOST_US;
+}
+
 uint32_t
 SlRelayMembers_NextSilent(struct SlRelayMembers *members, uint32_t at,
                           uint64_t now_us)
--- a/packages/coordination/src/relay_members.h
+++ b/packages/coordination/src/relay_members.h
@@ -17,6 +17,9 @@
     uint64_t unanswered_us;
     /// A suspect is tried again then.
     uint64_t retry_us;
+    /// Since when the configuration calls it unreachable and nothing was heard
+    /// of it here; 0 when it does not.
+    uint64_t lost_us;
 };
 
 /// In order of service, so that those of one stand together; candidates and
@@ -39,7 +42,7 @@
 /// in former, and have not started again since, is kept.
 /// Errors: SL_NO_MEMORY; members is empty then.
 enum SlStatus
-SlRelayMembers_Build(struct SlRelayMembers *members,
+SlRelayMembers_Build(struct SlRelayMembers *members, uint64_t now_us,
                      const struct SlRelayMembers *former,
                      const struct SlConfig *config, const struct SlPlan *plan,
                      const char *zone);
@@ -65,6 +68,12 @@
 SlRelayMembers_NextSilent(struct SlRelayMembers *members, uint32_t at,
                           uint64_t now_us);
 
+/// False for one that has been lost so long that no flow can still go on
+/// there.
+bool
+SlRelayMembers_MayHold(const struct SlRelayMembers *members, uint32_t at,
+                       uint64_t now_us);
+
 /// True when the agent's upstream may be offered new flows, by the
 /// configuration alone.
 bool
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -23,6 +23,8 @@
     uint64_t began_us;
     /// How many of the asked agents have not answered.
     uint32_t open;
+    /// How many did not answer in time, or did nothing when they were tried.
+    uint32_t silent;
     /// Agents of the route's own services are asked first, then the others.
     bool widened;
     /// An asked agent could not answer for certain, or was not asked.
--- a/packages/daemon/src/shell.c
+++ b/packages/daemon/src/shell.c
@@ -99,11 +99,20 @@
 }
 
 void
-shell_announce(struct SlShell *shell, uint64_t now_us, uint32_t slots,
-               bool leaving)
+shell_announce(struct SlShell *shell, uint64_t now_us,
+               const struct shell_presence *presence)
 {
-    shell->announcement.node.slots = slots > 0 ? slots : 1;
-    shell->announcement.node.leaving = leaving;
+    struct SlNodeSpec *node = &shell->announcement.node;
+
+    node->slots = presence->slots > 0 ? presence->slots : 1;
+    node->leaving = presence->leaving;
+    if (presence->gone) {
+        SlLabels_Unset(&node->announced, "service");
+    }
+    else {
+        (void)SlLabels_Set(&node->announced, "service",
+                           shell->settings.relay.service);
+    }
     SlNode_Announce(shell->node, &shell->control.sink, now_us,
                     &shell->announcement);
     shell->has_inputs = true;
--- a/packages/daemon/src/shell_internal.h
+++ b/packages/daemon/src/shell_internal.h
@@ -121,6 +121,15 @@
     } recording;
 };
 
+/// What an agent of the relay says of its upstream in an announcement.
+struct shell_presence {
+    uint32_t slots;
+    /// No new flows.
+    bool leaving;
+    /// No flows at all: the agent belongs to no service then.
+    bool gone;
+};
+
 /// Every input of the cores passes here, and is recorded if asked for.
 void
 give_input(struct SlShell *shell, struct outlet *outlet,
@@ -133,8 +142,8 @@
                   const struct SlChange *change);
 /// Announces the process anew, with what its upstream says.
 void
-shell_announce(struct SlShell *shell, uint64_t now_us, uint32_t slots,
-               bool leaving);
+shell_announce(struct SlShell *shell, uint64_t now_us,
+               const struct shell_presence *presence);
 
 /* shell_record.c */
 /// Begins a recording in path; an empty path ends one. Control thread.
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -35,8 +35,7 @@
     uint64_t plan_document;
     uint64_t generation;
     /// What the process announces, to tell changes.
-    bool announced_leaving;
-    uint32_t announced_slots;
+    struct shell_presence presence;
     bool announced;
 };
 
@@ -393,8 +392,8 @@
 announce(struct shell_relay *relay, uint64_t now_us)
 {
     struct SlUpstreamNotice notice;
+    struct shell_presence presence;
     bool known;
-    bool leaving;
 
     if (relay->agent == NULL) {
         return;
@@ -404,15 +403,19 @@
         SlRelayAgent_Assumes(relay->agent, now_us)) {
         return;
     }
-    leaving = !known || notice.draining || relay->shell->stopping;
-    if (relay->announced && leaving == relay->announced_leaving &&
-        notice.slots == relay->announced_slots) {
+    presence = (struct shell_presence){
+        .slots = notice.slots,
+        .leaving = !known || notice.draining || relay->shell->stopping,
+        .gone = SlRelayAgent_IsGone(relay->agent),
+    };
+    if (relay->announced && presence.leaving == relay->presence.leaving &&
+        presence.gone == relay->presence.gone &&
+        presence.slots == relay->presence.slots) {
         return;
     }
     relay->announced = true;
-    relay->announced_leaving = leaving;
-    relay->announced_slots = notice.slots;
-    shell_announce(relay->shell, now_us, notice.slots, leaving);
+    relay->presence = presence;
+    shell_announce(relay->shell, now_us, &presence);
 }
 
 void
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -114,6 +114,61 @@
     relay_destroy(world);
 }
 
+/// An agent that control has lost may still hold a flow, and forbids the
+/// reset; one that has been lost for long does not, and never one whose
+/// upstream has said that it is gone.
+static void
+test_lost_agents(void)
+{
+    struct relay_world *world = relay_create(2, 4, 2, 18);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, flow);
+    uint32_t other = (holder + 1) % 4;
+    struct SlObject lost = *SlConfig_Find(world->config, SL_KIND_NODE,
+                                          world->nodes[2 + other].name);
+
+    world->nodes[2 + other].dark = true;
+    lost.node.unreachable = true;
+    CU_ASSERT_EQUAL(SlConfig_Put(world->config, &lost), SL_OK);
+    relay_configure_all(world);
+    world->upstreams[holder].held_count = 0;
+    world->upstreams[holder].notice.born_ms = 5000;
+    world->upstreams[holder].notice.seq = 0;
+    CU_ASSERT(relay_notice(world, holder));
+    relay_request(world, 1, flow);
+    relay_run(world, 1000);
+    CU_ASSERT_EQUAL(world->callers[flow].resets, 0);
+
+    relay_run(world, 10000);
+    relay_configure_all(world);
+    relay_request(world, 1, flow);
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[flow].resets, 1);
+    relay_destroy(world);
+}
+
+/// An upstream that has left is no longer one that may hold a flow.
+static void
+test_gone_upstream(void)
+{
+    struct relay_world *world = relay_create(1, 2, 2, 19);
+    struct SlUpstreamNotice *notice = &world->upstreams[1].notice;
+    struct relay_node *node = &world->nodes[2];
+
+    CU_ASSERT(!SlRelayAgent_IsGone(node->agent));
+    CU_ASSERT(!SlRelayAgent_Gone(node->agent, &node->sink, world->now_us,
+                                 "another"));
+    CU_ASSERT(!SlRelayAgent_IsGone(node->agent));
+    CU_ASSERT(SlRelayAgent_Gone(node->agent, &node->sink, world->now_us,
+                                notice->id));
+    CU_ASSERT(SlRelayAgent_IsGone(node->agent));
+    notice->born_ms = 5000;
+    notice->seq = 0;
+    CU_ASSERT(relay_notice(world, 1));
+    CU_ASSERT(!SlRelayAgent_IsGone(node->agent));
+    relay_destroy(world);
+}
+
 /// An agent that answers nothing costs a new flow a few hundredths of a
 /// second, and later ones nothing.
 static void
@@ -453,6 +508,8 @@
          test_returned_segment_reaches_holder},
         {"a reset only when nobody holds the flow",
          test_reset_only_when_nobody_holds},
+        {"lost agents", test_lost_agents},
+        {"an upstream that is gone", test_gone_upstream},
         {"a dark agent is passed by", test_dark_agent_is_passed_by},
         {"a silent upstream is passed by", test_silent_upstream_is_passed_by},
         {"a leaving upstream", test_leaving_upstream},
