Explain the relay's events, also from a collector's file

Cause: explain told nothing but the catalogue's general sentence for events of the relay, and read only one file for each process; a collector puts a time and the process before each line.

Change: sentences for offers, declines, waits, searches and refusals; lines "SECONDS PROCESS <L>SL..." are read. The reason of a segment that the upstream gave back is "given_back" now, since "returned" means a released hold.

--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -374,7 +374,7 @@
                              SL_RELAY_RETURNED);
         return;
     }
-    answer_absent(agent, sink, now_us, &entry, segment, "returned");
+    answer_absent(agent, sink, now_us, &entry, segment, "given_back");
 }
 
 void
@@ -423,7 +423,7 @@
 
     if (flow->state == SL_AGENT_TENTATIVE) {
         if (age_us > TENTATIVE_US) {
-            confirm(agent, sink, now_us, flow, "not_returned");
+            confirm(agent, sink, now_us, flow, "not_given_back");
         }
     }
     else if (flow->state == SL_AGENT_OPENING && !flow->answered) {
--- a/packages/ctl/src/explain_read.c
+++ b/packages/ctl/src/explain_read.c
@@ -11,6 +11,8 @@
     CHUNK_BYTES = 1 << 20,
     FIRST_ROOM = 256,
     US_PER_S = 1000 * 1000,
+    /// A time, a process's name and the beginning of the line.
+    COLLECTED_HEAD_BYTES = 128,
 };
 
 /// What is known of the file being read.
@@ -55,29 +57,67 @@
     line->field_count++;
 }
 
-/// "12.000345" to microseconds.
+/// "12.000345" to microseconds; with fewer digits too.
 static uint64_t
 read_time(const char *text)
 {
     char *rest = NULL;
-    uint64_t seconds = strtoull(text, &rest, 10);
-    uint64_t micros = *rest == '.' ? strtoull(rest + 1, NULL, 10) : 0;
+    uint64_t time_us = strtoull(text, &rest, 10) * US_PER_S;
+    uint64_t unit_us = US_PER_S / 10;
 
-    return seconds * US_PER_S + micros;
+    if (*rest != '.') {
+        return time_us;
+    }
+    for (rest++; *rest >= '0' && *rest <= '9'; rest++) {
+        time_us += (uint64_t)(*rest - '0') * unit_us;
+        unit_us /= 10;
+    }
+    return time_us;
+}
+
+/// A collector's line: seconds, the process and then the line itself. Takes
+/// both out of it and returns the line; NULL when it is another text.
+static const char *
+skip_collected(const char *text, size_t length, uint64_t *time_us,
+               char process[SL_NAME_BYTES])
+{
+    char head[COLLECTED_HEAD_BYTES];
+    const char *time = head;
+    const char *name;
+    const char *line;
+
+    snprintf(head, sizeof(head), "%.*s", (int)length, text);
+    time += strspn(time, " ");
+    name = time + strcspn(time, " ");
+    name += strspn(name, " ");
+    line = name + strcspn(name, " ");
+    if (line == name || line[0] != ' ' || line[1] != '<') {
+        return NULL;
+    }
+    /* What is from before the collector's start is put at its start. */
+    *time_us = time[0] == '-' ? 0 : read_time(time);
+    snprintf(process, SL_NAME_BYTES, "%.*s", (int)(line - name), name);
+    return text + (line + 1 - head);
 }
 
-/// "<6>SL1200 admit t=... key=value ...". Other lines are passed over.
+/// "<6>SL1200 admit t=... key=value ...", of the file's own process or of a
+/// collector. Other lines are passed over.
 static enum SlStatus
 add_line(struct source *source, const char *text, size_t length)
 {
     struct SlTale *tale = source->tale;
-    const char *mark = memchr(text, '>', length);
     const char *end = text + length;
     struct SlTaleLine line = {.number = 0};
+    bool collected = text[0] != '<';
+    const char *mark;
     const char *time;
 
-    if (text[0] != '<' || mark == NULL || end - mark < 8 ||
-        memcmp(mark, ">SL", 3) != 0) {
+    memcpy(line.process, source->process, sizeof(line.process));
+    if (collected) {
+        text = skip_collected(text, length, &line.time_us, line.process);
+    }
+    mark = text != NULL ? memchr(text, '>', (size_t)(end - text)) : NULL;
+    if (mark == NULL || end - mark < 8 || memcmp(mark, ">SL", 3) != 0) {
         return SL_OK;
     }
     line.number = (uint32_t)strtoul(mark + 3, NULL, 10);
@@ -91,9 +131,10 @@
         at += word + 1;
     }
     time = SlTaleLine_Get(&line, "t");
-    line.time_us = time != NULL ? read_time(time) : 0;
-    memcpy(line.process, source->process, sizeof(line.process));
-    if (line.number == SL_EVENT_STARTED &&
+    if (!collected) {
+        line.time_us = time != NULL ? read_time(time) : 0;
+    }
+    if (!collected && line.number == SL_EVENT_STARTED &&
         SlTaleLine_Get(&line, "boot") != NULL) {
         source->offset_us =
             strtoull(SlTaleLine_Get(&line, "boot"), NULL, 10) - line.time_us;
--- a/packages/ctl/src/explain_tell.c
+++ b/packages/ctl/src/explain_tell.c
@@ -60,6 +60,20 @@
     {"hold", "a hold was added"},
     {"release", "a hold was released"},
     {"heard", "it answered again"},
+    {"least_work", "it has the least work for its slots"},
+    {"next", "the one before declined"},
+    {"busy", "all slots are taken"},
+    {"cold", "its upstream is cold, and this second's share is used up"},
+    {"leaving", "it takes no new flows"},
+    {"given_back", "its upstream gave the segment back"},
+    {"expired", "it waited for a slot and could not be answered in time any "
+                "more"},
+    {"waits", "no slot is free; it waits for one"},
+    {"waited", "a slot became free"},
+    {"holder_unknown", "it does not know who holds the flow"},
+    {"held_by_nobody", "all agents that could hold it said no"},
+    {"no_certain_answer", "not every agent that may hold it could say"},
+    {"no_route", "no service has that address"},
     {NULL, NULL},
 };
 
@@ -104,6 +118,26 @@
     {SL_EVENT_DRAINED, "noticed a change of its drain: {why}; {open_flows} "
                        "flows were open"},
     {SL_EVENT_DROP, "dropped a packet of {flow}: {why}"},
+    {SL_EVENT_RELAY_OFFER, "the entry offered {flow} to {node}: {why}; "
+                           "{in_progress} of {slots} slots in use"},
+    {SL_EVENT_RELAY_DECLINED, "heard that {node} declined {flow}: {why}"},
+    {SL_EVENT_RELAY_REFUSED,
+     "reset {flow} after {declined_by} agents declined it, {spent_us} us "
+     "after it came; it has not run. The last one's reason: {why}"},
+    {SL_EVENT_RELAY_SEARCH, "asked {asked} agents who holds {flow}: {why}"},
+    {SL_EVENT_RELAY_SEARCH_ENDED,
+     "ended the search for the holder of {flow} after {took_us} us: {why}; "
+     "{unanswered} agents were silent"},
+    {SL_EVENT_RELAY_CONFIG, "took configuration {plan_version} into use, with "
+                            "{upstreams} upstreams"},
+    {SL_EVENT_RELAY_ADMIT, "let {flow} in: {why}; {in_progress} of {slots} "
+                           "slots in use"},
+    {SL_EVENT_RELAY_DECLINE, "declined {flow}: {why}; {in_progress} of "
+                             "{slots} slots in use; it has not run here"},
+    {SL_EVENT_RELAY_ABSENT, "does not hold {flow}: {why}"},
+    {SL_EVENT_UPSTREAM_NOTICE,
+     "heard that its upstream {node} is {reason}; cold "
+     "for {cold_ms} ms more"},
     {SL_EVENT_COMMITTED, "accepted the change \"{reason}\" of {node}, request "
                          "{request} of client {client}"},
     {SL_EVENT_REJECTED, "turned down a change of {node}: {why}"},
--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -197,11 +197,11 @@
 SlRelayReason_Name(enum SlRelayReason reason)
 {
     static const char *const NAMES[SL_RELAY_REASON_COUNT] = {
-        [SL_RELAY_REASON_NONE] = "none",  [SL_RELAY_BUSY] = "busy",
-        [SL_RELAY_FULL] = "full",         [SL_RELAY_COLD] = "cold",
-        [SL_RELAY_LEAVING] = "leaving",   [SL_RELAY_ZONE_OUT] = "zone_out",
-        [SL_RELAY_FOREIGN] = "foreign",   [SL_RELAY_SILENT] = "silent",
-        [SL_RELAY_RETURNED] = "returned", [SL_RELAY_EXPIRED] = "expired",
+        [SL_RELAY_REASON_NONE] = "none",    [SL_RELAY_BUSY] = "busy",
+        [SL_RELAY_FULL] = "full",           [SL_RELAY_COLD] = "cold",
+        [SL_RELAY_LEAVING] = "leaving",     [SL_RELAY_ZONE_OUT] = "zone_out",
+        [SL_RELAY_FOREIGN] = "foreign",     [SL_RELAY_SILENT] = "silent",
+        [SL_RELAY_RETURNED] = "given_back", [SL_RELAY_EXPIRED] = "expired",
     };
 
     return (uint32_t)reason < SL_RELAY_REASON_COUNT ? NAMES[reason]
