Let flows wait out a cold upstream's pace where it lets them in in time

Load pattern: after a loss of power all upstreams are cold at once for 2 s, while everybody asks again. And a cold upstream with its pace used up reported no work: it was asked first, declined, and the fourth one asked, with the most work, got all that waited (96 at one of four agents, none at the others).

Change: a cold upstream's shortage does not count as lasting; its agent tells what the pace holds back as work, so entries place by it; a flow waits there only if the pace lets it in within the time it may wait.

--- a/packages/balance/include/savoryledge/balance/admission.h
+++ b/packages/balance/include/savoryledge/balance/admission.h
@@ -68,6 +68,16 @@
 /// Time that a flow admitted now would wait for a slot, microseconds.
 uint64_t
 SlAdmission_WaitUs(const struct SlAdmission *admission);
+/// Time until the pace of a cold upstream lets a flow in that comes after so
+/// many others, or it is cold no more; 0 for a warm one. Microseconds.
+uint64_t
+SlAdmission_PacedUs(const struct SlAdmission *admission, uint64_t now_us,
+                    uint32_t ahead);
+/// The same as so many requests in progress: entries then prefer upstreams
+/// where a slot is free sooner, and know when there is none.
+uint32_t
+SlAdmission_HeldBack(const struct SlAdmission *admission, uint64_t now_us,
+                     uint32_t ahead);
 /// True while the upstream is cold.
 bool
 SlAdmission_IsCold(const struct SlAdmission *admission, uint64_t now_us);
--- a/packages/balance/include/savoryledge/balance/pace.h
+++ b/packages/balance/include/savoryledge/balance/pace.h
@@ -28,6 +28,11 @@
 bool
 SlPace_Allow(struct SlPace *pace, uint64_t now_us, uint64_t window_us,
              uint32_t limit);
+/// Time from now_us until a start keeps the bound that comes after so many
+/// others, microseconds.
+uint64_t
+SlPace_WaitUs(const struct SlPace *pace, uint64_t now_us, uint64_t window_us,
+              uint32_t limit, uint32_t ahead);
 /// Forgets what was started before, as if the share of the window up to
 /// now_us were used up: for a process that does not know what it let through
 /// before its restart.
--- a/packages/balance/include/savoryledge/balance/wait_room.h
+++ b/packages/balance/include/savoryledge/balance/wait_room.h
@@ -13,7 +13,8 @@
 ///
 /// Under lasting overload waiting only makes everybody late: once flows have
 /// waited without a break for a second, those that cannot meet their objective
-/// are given up at once.
+/// are given up at once. A shortage whose end is known, as that of a cold
+/// upstream, is no lasting one: the owner says so as long as it is there.
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -58,6 +59,9 @@
 bool
 SlWaitRoom_GiveUp(struct SlWaitRoom *room, uint64_t now_us, uint64_t answer_us,
                   struct SlWaiting *given_up);
+/// The shortage until now ends by itself: the second begins anew.
+void
+SlWaitRoom_Passing(struct SlWaitRoom *room, uint64_t now_us);
 /// Takes a flow out that is over for another reason.
 void
 SlWaitRoom_Remove(struct SlWaitRoom *room, uint64_t ticket);
--- a/packages/balance/src/admission.c
+++ b/packages/balance/src/admission.c
@@ -23,6 +23,9 @@
     /// Flows handed to the upstream at most, per slot, when they are late: a
     /// caller's way there and back is shorter than one short answer.
     QUEUE_FACTOR = 2,
+    /// What a cold upstream holds back counts as at most so many requests a
+    /// slot: less than an upstream that does not answer (placement.c).
+    HELD_BACK_PER_SLOT = 15,
 };
 
 bool
@@ -55,6 +58,37 @@
     return (uint64_t)(load - slots + 1) * answer_time(admission) / slots;
 }
 
+uint64_t
+SlAdmission_PacedUs(const struct SlAdmission *admission, uint64_t now_us,
+                    uint32_t ahead)
+{
+    uint64_t left_us;
+    uint64_t paced_us;
+
+    if (admission->cold_limit == 0 || !SlAdmission_IsCold(admission, now_us)) {
+        return 0;
+    }
+    left_us = admission->cold_until_us - now_us;
+    paced_us = SlPace_WaitUs(&admission->pace, now_us, COLD_WINDOW_US,
+                             admission->cold_limit, ahead);
+    return paced_us < left_us ? paced_us : left_us;
+}
+
+uint32_t
+SlAdmission_HeldBack(const struct SlAdmission *admission, uint64_t now_us,
+                     uint32_t ahead)
+{
+    uint64_t paced_us = SlAdmission_PacedUs(admission, now_us, ahead);
+    uint64_t most = (uint64_t)admission->slots * HELD_BACK_PER_SLOT;
+    uint64_t held = admission->slots +
+                    paced_us * admission->slots / answer_time(admission);
+
+    if (paced_us == 0) {
+        return 0;
+    }
+    return (uint32_t)(held < most ? held : most);
+}
+
 /// With no other upstream left: is it worth handing the flow over before a
 /// slot is free? As long as it will be answered within its objective: requests
 /// on flows that are open already queue there too, and cannot be held back.
--- a/packages/balance/src/wait_room.c
+++ b/packages/balance/src/wait_room.c
@@ -93,6 +93,12 @@
     return false;
 }
 
+void
+SlWaitRoom_Passing(struct SlWaitRoom *room, uint64_t now_us)
+{
+    room->busy_since_us = now_us;
+}
+
 void
 SlWaitRoom_Remove(struct SlWaitRoom *room, uint64_t ticket)
 {
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -137,6 +137,15 @@
     return limit_us < WAIT_MAX_US ? limit_us : WAIT_MAX_US;
 }
 
+/// False when the pace of a cold upstream lets a flow in only after its time.
+static bool
+comes_in_time(const struct SlRelayAgent *agent, uint64_t now_us,
+              const struct SlPlanRoute *route)
+{
+    return SlAdmission_PacedUs(&agent->admission, now_us,
+                               agent->wait_room.count) < wait_limit_us(route);
+}
+
 /// Keeps a flow until a slot is free. False when there is no place.
 static bool
 wait_for_slot(struct SlRelayAgent *agent, struct SlRelaySink *sink,
@@ -234,11 +243,10 @@
         SlAgentFlow_Remove(agent, flow);
     }
     reason = judge(agent, now_us, route, offer->last);
-    /* A cold upstream opens slowly: others are asked first. */
-    may_wait = offer->last && route != NULL &&
-               (reason == SL_RELAY_FULL ||
-                (reason == SL_RELAY_COLD &&
-                 offer->tried_count + 1 >= SL_RELAY_TRIED_MAX));
+    may_wait =
+        offer->last && route != NULL &&
+        (reason == SL_RELAY_FULL ||
+         (reason == SL_RELAY_COLD && comes_in_time(agent, now_us, route)));
     if (reason == SL_RELAY_REASON_NONE) {
         admit(agent, sink, now_us, from, segment, &key);
     }
@@ -305,6 +313,9 @@
 {
     struct SlWaiting late;
 
+    if (SlAdmission_IsCold(&agent->admission, now_us)) {
+        SlWaitRoom_Passing(&agent->wait_room, now_us);
+    }
     while (SlWaitRoom_GiveUp(&agent->wait_room, now_us,
                              agent->admission.answer_us, &late)) {
         give_up_waiting(agent, sink, now_us,
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -19,8 +19,10 @@
     const struct SlAdmission *admission = &agent->admission;
 
     return (struct SlRelayLoad){
-        .in_progress = admission->in_progress + admission->opening +
-                       agent->wait_room.count,
+        .in_progress =
+            admission->in_progress + admission->opening +
+            agent->wait_room.count +
+            SlAdmission_HeldBack(admission, now_us, agent->wait_room.count),
         .slots = admission->slots,
         .flows = admission->flows,
         .answer_us = admission->answer_us,
--- a/packages/protocol/include/savoryledge/protocol/relay.h
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -66,7 +66,8 @@
 
 /// What an agent tells of its upstream.
 struct SlRelayLoad {
-    /// Requests in progress and flows that are opening.
+    /// Requests in progress, flows that are opening or wait for a slot, and
+    /// what the pace of a cold upstream holds back.
     uint32_t in_progress;
     uint32_t slots;
     uint32_t flows;
--- a/test/balance_test.c
+++ b/test/balance_test.c
@@ -93,6 +93,29 @@
     CU_ASSERT_EQUAL(SlAdmission_Judge(&admission, 0, &LAST), SL_RELAY_FULL);
 }
 
+/// How long a start takes that comes after so many others.
+static void
+test_pace_wait(void)
+{
+    struct SlPace pace = {.count = 0};
+    struct SlAdmission cold = {
+        .slots = 3, .cold_limit = 4, .cold_until_us = 2000};
+
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 500, 1000, 4, 3), 0);
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 500, 1000, 4, 4), 1000);
+    CU_ASSERT(SlPace_Allow(&pace, 500, 1000, 4));
+    CU_ASSERT(SlPace_Allow(&pace, 600, 1000, 4));
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 700, 1000, 4, 1), 0);
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 700, 1000, 4, 2), 800);
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 700, 1000, 4, 3), 900);
+    CU_ASSERT_EQUAL(SlPace_WaitUs(&pace, 1550, 1000, 4, 3), 50);
+    CU_ASSERT_EQUAL(SlAdmission_PacedUs(&cold, 500, 0), 0);
+    CU_ASSERT_EQUAL(SlAdmission_HeldBack(&cold, 500, 0), 0);
+    CU_ASSERT_EQUAL(SlAdmission_PacedUs(&cold, 500, 400), 1500);
+    CU_ASSERT_EQUAL(SlAdmission_HeldBack(&cold, 500, 400), 3);
+    CU_ASSERT_EQUAL(SlAdmission_PacedUs(&cold, 2000, 400), 0);
+}
+
 static struct SlWaiting
 waiting_of(uint64_t ticket, uint64_t since_ms, uint32_t priority)
 {
@@ -141,6 +164,22 @@
     }
 }
 
+/// A shortage whose end is known lasts as long as it likes.
+static void
+test_wait_room_passing(void)
+{
+    struct SlWaitRoom room = {.count = 0};
+    struct SlWaiting first = waiting_of(1, 0, 2);
+    struct SlWaiting second = waiting_of(2, 700, 2);
+
+    CU_ASSERT(SlWaitRoom_Add(&room, 0, &first));
+    CU_ASSERT(SlWaitRoom_Add(&room, 700 * 1000, &second));
+    CU_ASSERT_EQUAL(given_up_of(&room, 750), 1);
+    SlWaitRoom_Passing(&room, 1100 * 1000);
+    CU_ASSERT_EQUAL(given_up_of(&room, 1100), 0);
+    CU_ASSERT_EQUAL(given_up_of(&room, 1450), 2);
+}
+
 /// Nobody waits for longer than the limit; once somebody has waited all the
 /// time for a second, nobody waits who cannot be in time.
 static void
@@ -536,17 +575,55 @@
     relay_destroy(world);
 }
 
+/// All upstreams are cold at once, as after a loss of power. Whoever comes in
+/// the last 0.3 s of that time waits for its end in place of being reset,
+/// though flows have waited for more than a second by then: each waits 0.75 s
+/// at most, so about 110 wait at the end, and the slots carry 600 a second.
+static void
+test_replay_all_cold(void)
+{
+    struct relay_world *world = relay_create(4, 4, 3, 27);
+    struct outcome outcome;
+    uint64_t warm_us = world->now_us + 2000 * 1000;
+    uint32_t reset_at_end = 0;
+
+    SlPlan_Unref(world->plan);
+    world->plan = relay_plan(2, 2);
+    relay_configure_all(world);
+    for (uint32_t i = 0; i < 4; i++) {
+        world->upstreams[i].notice.born_ms = 50 * 1000;
+        world->upstreams[i].notice.seq = 0;
+        world->upstreams[i].notice.cold_left_ms = 2000;
+        CU_ASSERT(relay_notice(world, i));
+    }
+    outcome = replay(world, 150, 3000, 150);
+    for (uint32_t i = 0; i < world->caller_count; i++) {
+        const struct relay_caller *caller = &world->callers[i];
+
+        reset_at_end += caller->state == CALLER_RESET &&
+                        caller->began_us >= warm_us - 300 * 1000;
+    }
+    printf("all cold: %u asked, %u answered, %u in time, %u reset, %u of them "
+           "near the end\n",
+           outcome.asked, outcome.answered, outcome.in_time, outcome.reset,
+           reset_at_end);
+    CU_ASSERT_EQUAL(reset_at_end, 0);
+    relay_destroy(world);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"pace bounds every window", test_pace_bounds_every_window},
+        {"time until a start", test_pace_wait},
         {"pace after a restart", test_pace_after_restart},
         {"a flow waits last", test_admission_waits_last},
         {"what is lost is declined", test_admission_declines_what_is_lost},
         {"order of waiting", test_wait_room_order},
         {"waiting ends", test_wait_room_gives_up},
         {"waiting is bounded", test_wait_room_bound},
+        {"a shortage that ends", test_wait_room_passing},
         {"counts come back", test_admission_counts_come_back},
         {"cold upstreams", test_admission_cold},
         {"after a returned flow", test_admission_returned},
@@ -559,6 +636,7 @@
         {"replay: a slow upstream", test_replay_slow_upstream},
         {"replay: one zone", test_replay_one_zone},
         {"replay: a cold upstream", test_replay_cold_upstream},
+        {"replay: all upstreams cold", test_replay_all_cold},
     };
 
     return RUN_SUITE("balance", CASES);
