Note requests whose callers left before the answer

Cause: of a request that timed out, the logs told only that its flow had been let in. Change: event SL1220 "unanswered" with the time waited and the usual one, when a caller closes or resets a flow whose request its upstream has not answered, and a counter at the metrics address. Callers that leave without a segment are still told only by the admission. explain refuses an empty name, which is a part of every flow. relay_test "a caller leaves" failed first.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -86,6 +86,8 @@
      "A segment reached an agent whose upstream does not hold its flow."},
     {SL_EVENT_UPSTREAM_NOTICE, SL_LEVEL_NOTICE, "upstream_notice", "seq",
      "cold_ms", "What an upstream says of itself changed."},
+    {SL_EVENT_RELAY_UNANSWERED, SL_LEVEL_INFO, "unanswered", "waited_us",
+     "usual_us", "A caller left before its request was answered."},
     {SL_EVENT_ELECTED, SL_LEVEL_NOTICE, "elected", "term", "votes",
      "A control instance became leader."},
     {SL_EVENT_STEPPED_DOWN, SL_LEVEL_NOTICE, "stepped_down", "term", NULL,
--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -43,6 +43,8 @@
     uint64_t declined;
     uint64_t returned;
     uint64_t absent;
+    /// Requests whose callers left before the answer.
+    uint64_t unanswered;
     uint64_t adopted;
     uint64_t malformed;
     uint64_t dropped;
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -153,6 +153,26 @@
     }
 }
 
+/// The caller gives up on a request that the upstream has.
+static void
+note_unanswered(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                uint64_t now_us, const struct SlAgentFlow *flow,
+                const struct SlSegment *segment)
+{
+    if (!flow->requested || flow->caller_closed ||
+        !(segment->flags & (SL_SEGMENT_CLOSE | SL_SEGMENT_RESET))) {
+        return;
+    }
+    agent->counters.unanswered++;
+    SlRelayAgent_Event(
+        agent, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_UNANSWERED,
+                         .flow = &flow->item.key,
+                         .reason = "caller_left",
+                         .value = (int64_t)(now_us - flow->requested_us),
+                         .limit = agent->admission.answer_us});
+}
+
 void
 SlAgentFlow_Deliver(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                     uint64_t now_us, struct SlAgentFlow *flow,
@@ -162,6 +182,7 @@
     agent->counters.delivered++;
     sink->type->send_to_upstream(sink, segment->bytes, segment->length_bytes);
     note_request(agent, now_us, flow, segment);
+    note_unanswered(agent, sink, now_us, flow, segment);
     if (flow->state != SL_AGENT_ENDED) {
         note_end(agent, flow, segment, true);
     }
--- a/packages/ctl/src/explain.c
+++ b/packages/ctl/src/explain.c
@@ -242,8 +242,12 @@
 {
     const char *name = ctl->options.words[0];
     struct SlTale tale = {.count = 0};
-    int code = read_files(&ctl->options, &tale);
+    int code;
 
+    if (name[0] == '\0') {
+        return SlCtl_Usage("explain", "needs a name; an empty one is in all");
+    }
+    code = read_files(&ctl->options, &tale);
     if (code == SL_EXIT_GOOD && tell_lines(&tale, test, name) == 0) {
         fprintf(stderr, "%s: nothing is told of it in these files\n", name);
         code = SL_EXIT_NOT_FOUND;
--- a/packages/ctl/src/explain_tell.c
+++ b/packages/ctl/src/explain_tell.c
@@ -135,6 +135,9 @@
     {SL_EVENT_RELAY_DECLINE, "declined {flow}: {why}; {in_progress} of "
                              "{slots} slots in use; it has not run here"},
     {SL_EVENT_RELAY_ABSENT, "does not hold {flow}: {why}"},
+    {SL_EVENT_RELAY_UNANSWERED,
+     "delivered a request of {flow} that its upstream had not answered after "
+     "{waited_us} us, when the caller left; usual are {usual_us} us"},
     {SL_EVENT_UPSTREAM_NOTICE,
      "heard that its upstream {node} is {reason}; cold "
      "for {cold_ms} ms more"},
--- a/scripts/check.d/explain.sh
+++ b/scripts/check.d/explain.sh
@@ -18,6 +18,11 @@
     cat out/explain.txt
     exit 1
 }
+if "$1/savoryledgectl" explain flow "" test/logs/collected.log \
+    >out/explain.txt 2>&1; then
+    echo "an empty name was taken"
+    exit 1
+fi
 if "$1/savoryledgectl" explain flow tcp:192.0.2.1:1 test/logs/collected.log \
     2>out/explain.txt; then
     echo "an unknown flow was explained"
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -498,6 +498,32 @@
     relay_destroy(world);
 }
 
+/// A caller that leaves before its answer came is noted, one that has it is
+/// not.
+static void
+test_caller_leaves(void)
+{
+    struct relay_world *world = relay_create(1, 1, 2, 20);
+    uint32_t served = relay_exchange(world, 0);
+    uint32_t left;
+    struct SlRelayAgentCounters counters;
+
+    relay_send(world, 0, &world->callers[served], SL_SEGMENT_RESET, 0);
+    relay_run(world, 10);
+    SlRelayAgent_Counters(world->nodes[1].agent, &counters);
+    CU_ASSERT_EQUAL(counters.unanswered, 0);
+    world->upstreams[0].work_us = 60 * 1000 * 1000;
+    left = relay_open(world, 0);
+    relay_run(world, 10);
+    relay_request(world, 0, left);
+    relay_run(world, 900);
+    relay_send(world, 0, &world->callers[left], SL_SEGMENT_RESET, 0);
+    relay_run(world, 10);
+    SlRelayAgent_Counters(world->nodes[1].agent, &counters);
+    CU_ASSERT_EQUAL(counters.unanswered, 1);
+    relay_destroy(world);
+}
+
 int
 main(void)
 {
@@ -523,6 +549,7 @@
         {"cold before upstreams speak", test_cold_before_upstreams_speak},
         {"asked before the plan", test_asked_before_the_plan},
         {"a tried agent says nothing", test_tried_agent_says_nothing},
+        {"a caller leaves", test_caller_leaves},
     };
 
     return RUN_SUITE("relay", CASES);
