--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -126,7 +126,8 @@
     begin_flow(agent, sink, now_us, flow, segment);
     send_accept(agent, sink, now_us, flow);
     log_admit(agent, sink, now_us, flow,
-              SlAdmission_IsCold(&agent->admission, now_us) ? "cold" : "room");
+              SlAdmission_IsCold(&agent->admission, now_us) ? "cold_share"
+                                                            : "room");
 }
 
 static uint64_t
--- a/packages/ctl/src/explain_tell.c
+++ b/packages/ctl/src/explain_tell.c
@@ -64,6 +64,8 @@
     {"next", "the one before declined"},
     {"busy", "all slots are taken"},
     {"cold", "its upstream is cold, and this second's share is used up"},
+    {"cold_share", "its upstream is cold, and this second's share is not used "
+                   "up"},
     {"leaving", "it takes no new flows"},
     {"given_back", "its upstream gave the segment back"},
     {"expired", "it waited for a slot and could not be answered in time any "
