Limit the log's lines in any second, warnings about flows too

Change: windows of half a second with a third of the limit each; everything about a flow is limited, a quarter of it kept for warnings and notices. log_thread_test "a limit of lines" failed first (bound: the limit, and what is not limited).

--- a/packages/daemon/src/log.c
+++ b/packages/daemon/src/log.c
@@ -16,6 +16,14 @@
     /// Lines that come within this time are written together.
     WRITE_PAUSE_US = 50 * 1000,
     US_PER_SECOND = 1000 * 1000,
+    /// Lines are counted in windows of half a second; any second touches three
+    /// of them at most, so each gets a third of the limit.
+    WINDOW_US = US_PER_SECOND / 2,
+    WINDOWS_TOUCHED = 3,
+    /// Of a window's lines, how many in four may be of level info or debug:
+    /// the rest is kept for warnings and refusals.
+    INFO_SHARE = 3,
+    ALL_SHARES = 4,
     NS_PER_US = 1000,
     NS_PER_SECOND = 1000 * 1000 * 1000,
     CHUNK_BYTES = 64 * 1024,
@@ -35,10 +43,10 @@
     _Atomic int level;
     _Atomic uint64_t lost;
     uint64_t lost_said;
-    /// Lines of level info in the present second, and those left out in it.
+    /// Limited lines of the present window, and those left out in it.
     uint32_t limit_per_s;
-    uint64_t second;
-    uint32_t in_second;
+    uint64_t window;
+    uint32_t in_window;
     uint32_t suppressed;
     pthread_t writer;
     /// Guards the ring; never held while writing to the descriptor.
@@ -249,25 +257,38 @@
     }
 }
 
-/// Counts a line of level info; false when this second has had its share.
-/// suppressed: lines left out in the second that ended, 0 none.
+/// What can come with every packet, or is of level info.
 static bool
-has_share(struct SlLog *log, uint64_t now_us, uint32_t *suppressed)
+is_limited(const struct SlEvent *event, const struct SlEventRow *row)
 {
-    uint64_t second = now_us / US_PER_SECOND;
+    return event->flow != NULL || row->level >= SL_LEVEL_INFO;
+}
+
+/// Counts a limited line; false when its window has had its share.
+/// suppressed: lines left out in the window that ended, 0 none.
+static bool
+has_share(struct SlLog *log, uint64_t now_us, enum SlLevel level,
+          uint32_t *suppressed)
+{
+    uint64_t window = now_us / WINDOW_US;
+    uint32_t share;
     bool allowed;
 
     *suppressed = 0;
     pthread_mutex_lock(&log->lock);
-    if (second != log->second) {
+    if (window != log->window) {
         *suppressed = log->suppressed;
-        log->second = second;
-        log->in_second = 0;
+        log->window = window;
+        log->in_window = 0;
         log->suppressed = 0;
     }
-    allowed = log->limit_per_s == 0 || log->in_second < log->limit_per_s;
+    share = log->limit_per_s / WINDOWS_TOUCHED;
+    if (level >= SL_LEVEL_INFO) {
+        share = share * INFO_SHARE / ALL_SHARES;
+    }
+    allowed = log->limit_per_s == 0 || log->in_window < share;
     if (allowed) {
-        log->in_second++;
+        log->in_window++;
     }
     else {
         log->suppressed++;
@@ -289,8 +310,8 @@
     if (row != NULL && (int)row->level > atomic_load(&log->level)) {
         return;
     }
-    if (row != NULL && row->level >= SL_LEVEL_INFO) {
-        allowed = has_share(log, event->now_us, &suppressed);
+    if (row != NULL && is_limited(event, row)) {
+        allowed = has_share(log, event->now_us, row->level, &suppressed);
         if (suppressed > 0) {
             said.value = suppressed;
             write_event(log, &said);
--- a/packages/daemon/src/log.h
+++ b/packages/daemon/src/log.h
@@ -21,8 +21,9 @@
 void
 SlLog_Event(struct SlLog *log, const struct SlEvent *event);
 
-/// At most so many lines of level info and debug in a second; 0 sets no
-/// limit, as at the start. Lines left out are counted and said.
+/// At most so many lines in any second that are about a flow or of level info
+/// and debug; 0 sets no limit, as at the start. A quarter is kept for warnings
+/// and notices about flows. Lines left out are counted and said.
 void
 SlLog_SetLimit(struct SlLog *log, uint32_t lines_per_s);
 void
--- a/test/log_thread_test.c
+++ b/test/log_thread_test.c
@@ -107,12 +107,89 @@
     CU_ASSERT_EQUAL(reading.lines, 1);
 }
 
+/// The most lines that have times within one second, wherever it begins.
+static uint64_t
+most_in_a_second(const char *text)
+{
+    uint64_t times_us[8192];
+    uint64_t most = 0;
+    uint32_t count = 0;
+
+    for (const char *at = text; (at = strstr(at, " t=")) != NULL; at++) {
+        char *rest;
+        uint64_t seconds = strtoull(at + 3, &rest, 10);
+
+        times_us[count++] =
+            seconds * 1000 * 1000 + strtoull(rest + 1, NULL, 10);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t in_second = 0;
+
+        for (uint32_t j = i;
+             j < count && times_us[j] - times_us[i] < 1000 * 1000; j++) {
+            in_second++;
+        }
+        most = in_second > most ? in_second : most;
+    }
+    return most;
+}
+
+/// A limit holds for every second, wherever it begins, and for warnings about
+/// flows too, which are preferred; what does not concern a flow is written
+/// (two lines in a second here), as is what was left out (four).
+static void
+test_limit(void)
+{
+    static char text[512 * 1024];
+    struct SlFlowKey flow = {.protocol = 6};
+    struct SlLog *log;
+    size_t used = 0;
+    ssize_t got;
+    int ends[2];
+
+    CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+    CU_ASSERT(fcntl(ends[1], F_SETPIPE_SZ, 512 * 1024) > 0);
+    log = SlLog_Create(ends[1], SL_LEVEL_INFO);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(log);
+    SlLog_SetLimit(log, 40);
+    for (uint64_t ms = 700; ms < 2700; ms++) {
+        struct SlEvent offer = {.number = SL_EVENT_RELAY_OFFER,
+                                .flow = &flow,
+                                .now_us = ms * 1000};
+        struct SlEvent refused = {.number = SL_EVENT_RELAY_REFUSED,
+                                  .flow = &flow,
+                                  .now_us = ms * 1000};
+        struct SlEvent failed = {
+            .number = SL_EVENT_FAILED, .reason = "test", .now_us = ms * 1000};
+
+        SlLog_Event(log, &offer);
+        if (ms % 2 == 0) {
+            SlLog_Event(log, &refused);
+        }
+        if (ms % 500 == 0) {
+            SlLog_Event(log, &failed);
+        }
+    }
+    SlLog_Destroy(log);
+    close(ends[1]);
+    while ((got = read(ends[0], text + used, sizeof(text) - 1 - used)) > 0) {
+        used += (size_t)got;
+    }
+    close(ends[0]);
+    CU_ASSERT(most_in_a_second(text) <= 40 + 6);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "SL1110"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "SL1108"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "t=2.500000 reason=test"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "SL1604"));
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"a stuck reader never stops a writer",
          test_stuck_reader_never_stops_a_writer},
+        {"a limit of lines", test_limit},
         {"the level holds back and may change",
          test_level_holds_back_and_may_change},
     };
