Build an entry's list of agents in one pass, and find agents by halving

Load pattern: 2,400 agents of 210 services, where each announcement is a new configuration at every entry. Cause, from the new benchmark at that size: the list was built with one pass over all agents for each service, and looked up from its beginning for each segment of a flow. The thread that carries packets stood still for 110 ms with each change.

Change: one pass counts, one fills; lookups go by a sorted list. relay_test "many services" holds that offers go to the route's own service.

--- /dev/null
+++ b/bench/relay_bench.c
@@ -0,0 +1,348 @@
+/// The relay at the target's size: what a new flow and a further segment of
+/// one cost at an entry, what a flow takes of memory, what a new configuration
+/// takes at an entry and at an agent, and how much the log writes.
+
+#include <fcntl.h>
+#include <malloc.h>
+#include <unistd.h>
+
+#include "bench.h"
+#include "log.h"
+#include "savoryledge/coordination/relay_agent.h"
+#include "savoryledge/coordination/relay_entry.h"
+#include "segment_standin.h"
+
+enum {
+    SERVICES = 210,
+    AGENTS = 2400,
+    ENTRIES = 420,
+    FLOWS = 20000,
+    ROUNDS = 21,
+    /// The limit of the platform's settings.
+    LOG_LINES_PER_S = 150,
+    LOG_SECONDS = 5,
+    CALM_FLOWS_PER_S = 20,
+    WORST_FLOWS_PER_S = 5000,
+    PORT_FIRST = 1024,
+    PORTS = 60000,
+};
+
+/// Encodes what the entry sends, as the daemon does, and drops it.
+struct sink {
+    struct SlRelaySink sink;
+    struct SlLog *log;
+    uint64_t frames;
+};
+
+static void
+drop_segment(struct SlRelaySink *sink, const struct SlAddress *caller,
+             const uint8_t *bytes, uint32_t length_bytes)
+{
+    (void)sink;
+    (void)caller;
+    (void)bytes;
+    (void)length_bytes;
+}
+
+static void
+drop_upstream(struct SlRelaySink *sink, const uint8_t *bytes,
+              uint32_t length_bytes)
+{
+    (void)sink;
+    (void)bytes;
+    (void)length_bytes;
+}
+
+static void
+encode_frame(struct SlRelaySink *sink, const struct SlAddress *to,
+             const struct SlRelayFrame *frame)
+{
+    uint8_t bytes[SL_RELAY_MAX_BYTES];
+
+    (void)to;
+    ((struct sink *)sink)->frames += SlRelayFrame_Encode(frame, bytes) > 0;
+}
+
+static void
+log_event(struct SlRelaySink *sink, const struct SlEvent *event)
+{
+    struct SlLog *log = ((struct sink *)sink)->log;
+
+    if (log != NULL) {
+        SlLog_Event(log, event);
+    }
+}
+
+static const struct SlRelaySinkType SINK = {
+    .send_to_caller = drop_segment,
+    .send_to_upstream = drop_upstream,
+    .send_frame = encode_frame,
+    .event = log_event,
+};
+
+static struct SlAddress
+numbered(const char *net, uint32_t number, uint16_t port)
+{
+    char text[SL_ADDRESS_TEXT_BYTES];
+    struct SlAddress address;
+
+    snprintf(text, sizeof(text), "%s.%u.%u", net, number / 256, number % 256);
+    address = bench_address(text);
+    address.port = port;
+    return address;
+}
+
+static struct SlConfig *
+target_config(void)
+{
+    struct SlConfig *config = SlConfig_Create();
+
+    SlConfig_SetVersion(config, (struct SlVersion){.term = 1, .index = 1});
+    for (uint32_t i = 0; i < AGENTS; i++) {
+        struct SlObject object = {.kind = SL_KIND_NODE,
+                                  .node = {.roles = SL_ROLE_AGENT,
+                                           .boot = 1,
+                                           .slots = 2,
+                                           .capacity_flows = 2000}};
+        char service[SL_NAME_BYTES];
+
+        snprintf(object.name, sizeof(object.name), "agent-%u", i);
+        snprintf(object.node.zone, sizeof(object.node.zone), "zone-%u", i % 5);
+        snprintf(service, sizeof(service), "service-%u", i % SERVICES);
+        object.node.node_id = SlNode_Id(object.name);
+        object.node.tunnel = numbered("10.1", i, 7000);
+        (void)SlLabels_Set(&object.node.announced, "service", service);
+        if (SlConfig_Put(config, &object) != SL_OK) {
+            abort();
+        }
+    }
+    for (uint32_t i = 0; i < ENTRIES; i++) {
+        struct SlObject object = {.kind = SL_KIND_NODE,
+                                  .node = {.roles = SL_ROLE_ENTRY, .boot = 1}};
+
+        snprintf(object.name, sizeof(object.name), "entry-%u", i);
+        snprintf(object.node.zone, sizeof(object.node.zone), "zone-%u", i % 5);
+        object.node.node_id = SlNode_Id(object.name);
+        object.node.tunnel = numbered("10.2", i, 7000);
+        if (SlConfig_Put(config, &object) != SL_OK) {
+            abort();
+        }
+    }
+    return config;
+}
+
+static struct SlPlan *
+target_plan(void)
+{
+    struct SlPlan *plan = SlPlan_Create(1);
+    struct SlError error;
+
+    SlPlan_SetIdle(plan, 15000);
+    for (uint32_t i = 0; i < SERVICES; i++) {
+        struct SlPlanService service = {.capacity_flows = 2000};
+        struct SlPlanRoute route = {.timeout_ms = 1500,
+                                    .objective_ms = 150,
+                                    .share_count = 1,
+                                    .shares = {{.service = i, .weight = 1}}};
+
+        snprintf(service.name, sizeof(service.name), "service-%u", i);
+        snprintf(route.name, sizeof(route.name), "route-%u", i);
+        route.address = numbered("198.18", i, 443);
+        if (SlPlan_AddService(plan, &service, &error) != SL_OK ||
+            SlPlan_AddRoute(plan, &route, &error) != SL_OK) {
+            abort();
+        }
+    }
+    if (SlPlan_Finish(plan, &error) != SL_OK) {
+        abort();
+    }
+    return plan;
+}
+
+static struct standin_segment
+segment_of(uint32_t flow, uint8_t flags)
+{
+    return (struct standin_segment){
+        .source = numbered("10.9", flow / PORTS,
+                           (uint16_t)(PORT_FIRST + flow % PORTS)),
+        .destination = numbered("198.18", flow % SERVICES, 443),
+        .seq = 1000,
+        .ack = flags & SL_SEGMENT_OPEN ? 0 : 5000,
+        .flags = flags,
+    };
+}
+
+static void
+give(struct SlRelayEntry *entry, struct sink *sink, uint64_t now_us,
+     const struct standin_segment *segment)
+{
+    SlRelayEntry_Segment(entry, &sink->sink, now_us, (const uint8_t *)segment,
+                         sizeof(*segment));
+}
+
+/// The agent that the flow was offered to is not known here: the first of the
+/// service answers for it.
+static void
+accept_flow(struct SlRelayEntry *entry, struct sink *sink, uint64_t now_us,
+            const struct standin_segment *segment, uint32_t flow)
+{
+    char name[SL_NAME_BYTES];
+    struct SlRelayFrame frame = {
+        .kind = SL_RELAY_HOLDS,
+        .certain = true,
+        .flow = {.caller = segment->source,
+                 .service = segment->destination,
+                 .protocol = 6},
+    };
+
+    snprintf(name, sizeof(name), "agent-%u", flow % SERVICES);
+    frame.sender = SlNode_Id(name);
+    SlRelayEntry_Frame(entry, &sink->sink, now_us, &frame);
+}
+
+static struct SlRelayEntry *
+create_entry(struct sink *sink, const struct SlConfig *config,
+             struct SlPlan *plan)
+{
+    struct SlRelayOptions options = {
+        .name = "entry", .zone = "zone-0", .format = &STANDIN_FORMAT};
+    struct SlRelayEntry *entry = SlRelayEntry_Create(&options);
+
+    if (entry == NULL ||
+        SlRelayEntry_SetConfig(entry, &sink->sink, 1, config, plan) != SL_OK) {
+        abort();
+    }
+    return entry;
+}
+
+static void
+measure_flows(const struct SlConfig *config, struct SlPlan *plan)
+{
+    struct sink sink = {.sink = {.type = &SINK}};
+    struct SlRelayEntry *entry = create_entry(&sink, config, plan);
+    struct standin_segment *opens = calloc(FLOWS, sizeof(*opens));
+    struct standin_segment *further = calloc(FLOWS, sizeof(*further));
+    size_t before = mallinfo2().uordblks;
+    uint64_t offer_ns;
+    uint64_t carry_ns;
+
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        opens[i] = segment_of(i, SL_SEGMENT_OPEN);
+        further[i] = segment_of(i, SL_SEGMENT_ACK);
+    }
+    offer_ns = bench_cpu_ns();
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        give(entry, &sink, 1000, &opens[i]);
+    }
+    offer_ns = bench_cpu_ns() - offer_ns;
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        accept_flow(entry, &sink, 1000, &opens[i], i);
+    }
+    carry_ns = bench_cpu_ns();
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        give(entry, &sink, 2000, &further[i]);
+    }
+    carry_ns = bench_cpu_ns() - carry_ns;
+    printf("relay_offer_cost %.0f ns\n", (double)offer_ns / FLOWS);
+    printf("relay_carry_cost %.0f ns\n", (double)carry_ns / FLOWS);
+    printf("relay_bytes_per_flow %.1f bytes\n",
+           (double)(mallinfo2().uordblks - before) / FLOWS);
+    SlRelayEntry_Destroy(entry);
+    free(further);
+    free(opens);
+}
+
+static void
+measure_config(const struct SlConfig *config, struct SlPlan *plan)
+{
+    struct sink sink = {.sink = {.type = &SINK}};
+    struct SlRelayEntry *entry = create_entry(&sink, config, plan);
+    double took_ms[ROUNDS];
+
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        uint64_t began_ns = bench_cpu_ns();
+
+        (void)SlRelayEntry_SetConfig(entry, &sink.sink, 2, config, plan);
+        took_ms[i] = (double)(bench_cpu_ns() - began_ns) / 1e6;
+    }
+    printf("relay_config_ms %.2f ms\n", bench_quartile(took_ms, ROUNDS));
+    SlRelayEntry_Destroy(entry);
+}
+
+static void
+measure_agent_config(const struct SlConfig *config, struct SlPlan *plan)
+{
+    struct sink sink = {.sink = {.type = &SINK}};
+    struct SlRelayOptions options = {.name = "agent-0",
+                                     .zone = "zone-0",
+                                     .service = "service-0",
+                                     .format = &STANDIN_FORMAT};
+    struct SlRelayAgent *agent = SlRelayAgent_Create(&options, 1);
+    double took_ms[ROUNDS];
+
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        uint64_t began_ns = bench_cpu_ns();
+
+        (void)SlRelayAgent_SetConfig(agent, &sink.sink, 2, config, plan);
+        took_ms[i] = (double)(bench_cpu_ns() - began_ns) / 1e6;
+    }
+    printf("relay_agent_config_ms %.2f ms\n", bench_quartile(took_ms, ROUNDS));
+    SlRelayAgent_Destroy(agent);
+}
+
+/// Flows arrive at a rate for some seconds of the entry's clock.
+static void
+measure_log(const struct SlConfig *config, struct SlPlan *plan,
+            const char *name, uint32_t flows_per_s)
+{
+    struct sink sink = {.sink = {.type = &SINK}};
+    struct SlRelayEntry *entry = create_entry(&sink, config, plan);
+    uint64_t lines = 0;
+    uint64_t bytes = 0;
+    char chunk[4096];
+    ssize_t got;
+    int ends[2];
+
+    if (pipe(ends) != 0 || fcntl(ends[1], F_SETPIPE_SZ, 1 << 20) < 0) {
+        abort();
+    }
+    sink.log = SlLog_Create(ends[1], SL_LEVEL_INFO);
+    SlLog_SetLimit(sink.log, LOG_LINES_PER_S);
+    for (uint32_t i = 0; i < flows_per_s * LOG_SECONDS; i++) {
+        struct standin_segment open = segment_of(i, SL_SEGMENT_OPEN);
+        uint64_t now_us = 1000 * 1000 + (uint64_t)i * 1000000 / flows_per_s;
+
+        give(entry, &sink, now_us, &open);
+        accept_flow(entry, &sink, now_us, &open, i);
+    }
+    SlLog_Destroy(sink.log);
+    close(ends[1]);
+    while ((got = read(ends[0], chunk, sizeof(chunk))) > 0) {
+        bytes += (uint64_t)got;
+        for (ssize_t i = 0; i < got; i++) {
+            lines += chunk[i] == '\n';
+        }
+    }
+    close(ends[0]);
+    printf("relay_log_lines_%s %.1f lines/s\n", name,
+           (double)lines / LOG_SECONDS);
+    printf("relay_log_bytes_%s %.0f bytes/s\n", name,
+           (double)bytes / LOG_SECONDS);
+    SlRelayEntry_Destroy(entry);
+}
+
+int
+main(void)
+{
+    struct SlConfig *config = target_config();
+    struct SlPlan *plan = target_plan();
+
+    measure_flows(config, plan);
+    measure_config(config, plan);
+    measure_agent_config(config, plan);
+    measure_log(config, plan, "calm", CALM_FLOWS_PER_S);
+    measure_log(config, plan, "worst", WORST_FLOWS_PER_S);
+    SlPlan_Unref(plan);
+    SlConfig_Destroy(config);
+    return 0;
+}
--- a/packages/coordination/src/relay_members.c
+++ b/packages/coordination/src/relay_members.c
@@ -68,27 +68,59 @@
     member->boot = node->node.boot;
 }
 
+static int
+compare_places(const void *a, const void *b)
+{
+    const struct SlRelayMemberPlace *x = a;
+    const struct SlRelayMemberPlace *y = b;
+
+    return (x->node_id > y->node_id) - (x->node_id < y->node_id);
+}
+
+/// Counts the members of each service, and leaves in first where those of
+/// each begin. services: room for the service of each node.
+static void
+count(struct SlRelayMembers *members, const struct SlConfig *config,
+      const struct SlPlan *plan, uint32_t *services)
+{
+    uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
+
+    for (uint32_t i = 0; i < nodes; i++) {
+        services[i] = service_of(plan, SlConfig_At(config, SL_KIND_NODE, i));
+        if (services[i] != SL_PLAN_NO_SERVICE) {
+            members->first[services[i] + 1]++;
+            members->count++;
+        }
+    }
+    for (uint32_t i = 0; i < members->service_count; i++) {
+        members->first[i + 1] += members->first[i];
+    }
+}
+
+/// next: where the next member of each service goes.
 static void
 fill(struct SlRelayMembers *members, uint64_t now_us,
      const struct SlRelayMembers *former, const struct SlConfig *config,
-     const struct SlPlan *plan, const char *zone)
+     const char *zone, const uint32_t *services, uint32_t *next)
 {
     uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
+    uint32_t filled = 0;
 
-    for (uint32_t service = 0; service < members->service_count; service++) {
-        members->first[service] = members->count;
-        for (uint32_t i = 0; i < nodes; i++) {
-            const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
+    memcpy(next, members->first, members->service_count * sizeof(*next));
+    for (uint32_t i = 0; i < nodes; i++) {
+        const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
+        uint32_t at;
 
-            if (service_of(plan, node) == service) {
-                fill_member(now_us, config, node, service, zone, former,
-                            &members->candidates[members->count],
-                            &members->members[members->count]);
-                members->count++;
-            }
+        if (services[i] == SL_PLAN_NO_SERVICE) {
+            continue;
         }
+        at = next[services[i]]++;
+        fill_member(now_us, config, node, services[i], zone, former,
+                    &members->candidates[at], &members->members[at]);
+        members->places[filled++] = (struct SlRelayMemberPlace){
+            .node_id = node->node.node_id, .at = at};
     }
-    members->first[members->service_count] = members->count;
+    qsort(members->places, filled, sizeof(*members->places), compare_places);
 }
 
 enum SlStatus
@@ -98,21 +130,29 @@
                      const char *zone)
 {
     uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
+    uint32_t services = SlPlan_ServiceCount(plan);
+    uint32_t *service_of_node = calloc(nodes + 1, sizeof(*service_of_node));
+    uint32_t *next = calloc(services + 1, sizeof(*next));
+    enum SlStatus status = SL_NO_MEMORY;
 
-    *members = (struct SlRelayMembers){
-        .service_count = SlPlan_ServiceCount(plan),
-    };
+    *members = (struct SlRelayMembers){.service_count = services};
     members->candidates = calloc(nodes + 1, sizeof(*members->candidates));
     members->members = calloc(nodes + 1, sizeof(*members->members));
-    members->first =
-        calloc(members->service_count + 1, sizeof(*members->first));
-    if (members->candidates == NULL || members->members == NULL ||
-        members->first == NULL) {
+    members->first = calloc(services + 1, sizeof(*members->first));
+    members->places = calloc(nodes + 1, sizeof(*members->places));
+    if (service_of_node != NULL && next != NULL &&
+        members->candidates != NULL && members->members != NULL &&
+        members->first != NULL && members->places != NULL) {
+        count(members, config, plan, service_of_node);
+        fill(members, now_us, former, config, zone, service_of_node, next);
+        status = SL_OK;
+    }
+    else {
         SlRelayMembers_Release(members);
-        return SL_NO_MEMORY;
     }
-    fill(members, now_us, former, config, plan, zone);
-    return SL_OK;
+    free(service_of_node);
+    free(next);
+    return status;
 }
 
 void
@@ -121,15 +161,27 @@
     free(members->candidates);
     free(members->members);
     free(members->first);
+    free(members->places);
     *members = (struct SlRelayMembers){.count = 0};
 }
 
 uint32_t
 SlRelayMembers_Find(const struct SlRelayMembers *members, uint64_t node_id)
 {
-    for (uint32_t i = 0; i < members->count; i++) {
-        if (members->candidates[i].node_id == node_id) {
-            return i;
+    uint32_t low = 0;
+    uint32_t high = members->count;
+
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+
+        if (members->places[middle].node_id == node_id) {
+            return members->places[middle].at;
+        }
+        if (members->places[middle].node_id < node_id) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
         }
     }
     return SL_RELAY_NO_MEMBER;
--- a/packages/coordination/src/relay_members.h
+++ b/packages/coordination/src/relay_members.h
@@ -32,6 +32,11 @@
     /// end.
     uint32_t service_count;
     uint32_t *first;
+    /// Sorted by node_id, for lookups.
+    struct SlRelayMemberPlace {
+        uint64_t node_id;
+        uint32_t at;
+    } * places;
 };
 
 enum {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -524,6 +524,115 @@
     relay_destroy(world);
 }
 
+enum {
+    MANY_SERVICES = 40,
+    MANY_AGENTS = 300,
+};
+
+/// Where the last offer went.
+struct offers {
+    struct SlRelaySink sink;
+    struct SlAddress to;
+    uint32_t count;
+};
+
+static void
+note_offer(struct SlRelaySink *sink, const struct SlAddress *to,
+           const struct SlRelayFrame *frame)
+{
+    struct offers *offers = (struct offers *)sink;
+
+    if (frame->kind == SL_RELAY_OFFER) {
+        offers->to = *to;
+        offers->count++;
+    }
+}
+
+static void
+no_event(struct SlRelaySink *sink, const struct SlEvent *event)
+{
+    (void)sink;
+    (void)event;
+}
+
+static const struct SlRelaySinkType OFFERS = {.send_frame = note_offer,
+                                              .event = no_event};
+
+/// Agent i serves service i % MANY_SERVICES, at port 1 + i; one in seven
+/// names no service of the plan.
+static struct SlConfig *
+many_agents(void)
+{
+    struct SlConfig *config = SlConfig_Create();
+
+    for (uint32_t i = 0; i < MANY_AGENTS; i++) {
+        struct SlObject agent = {
+            .kind = SL_KIND_NODE,
+            .node = {.roles = SL_ROLE_AGENT, .boot = 1, .slots = 2}};
+        char service[SL_NAME_BYTES];
+
+        snprintf(agent.name, sizeof(agent.name), "agent-%u", i * 7919 % 1000);
+        snprintf(service, sizeof(service), "%s-%u",
+                 i % 7 == 6 ? "other" : "service", i % MANY_SERVICES);
+        agent.node.node_id = SlNode_Id(agent.name);
+        agent.node.tunnel = relay_address("10.0.0", 1, (uint16_t)(1 + i));
+        CU_ASSERT_EQUAL(
+            SlLabels_Set(&agent.node.announced, "service", service), SL_OK);
+        CU_ASSERT_EQUAL(SlConfig_Put(config, &agent), SL_OK);
+    }
+    return config;
+}
+
+/// Among many services and agents, an offer goes to the route's own service.
+static void
+test_many_services(void)
+{
+    struct SlRelayOptions options = {.name = "entry",
+                                     .format = &STANDIN_FORMAT};
+    struct offers offers = {.sink = {.type = &OFFERS}};
+    struct SlRelayEntry *entry = SlRelayEntry_Create(&options);
+    struct SlConfig *config = many_agents();
+    struct SlPlan *plan = SlPlan_Create(1);
+    struct SlError error;
+
+    for (uint32_t i = 0; i < MANY_SERVICES; i++) {
+        struct SlPlanService service = {.capacity_flows = 10};
+        struct SlPlanRoute route = {.timeout_ms = 1000,
+                                    .share_count = 1,
+                                    .shares = {{.service = i, .weight = 1}}};
+
+        snprintf(service.name, sizeof(service.name), "service-%u", i);
+        snprintf(route.name, sizeof(route.name), "route-%u", i);
+        route.address = relay_address("198.18.0", i, RELAY_PORT);
+        CU_ASSERT_EQUAL(SlPlan_AddService(plan, &service, &error), SL_OK);
+        CU_ASSERT_EQUAL(SlPlan_AddRoute(plan, &route, &error), SL_OK);
+    }
+    CU_ASSERT_EQUAL(SlPlan_Finish(plan, &error), SL_OK);
+    for (uint32_t round = 0; round < 2; round++) {
+        CU_ASSERT_EQUAL(
+            SlRelayEntry_SetConfig(entry, &offers.sink, 1000, config, plan),
+            SL_OK);
+        for (uint32_t i = 0; i < MANY_SERVICES * 20; i++) {
+            struct standin_segment open;
+
+            memset(&open, 0, sizeof(open));
+            open.source = relay_address("192.0.2", round, (uint16_t)(1 + i));
+            open.destination =
+                relay_address("198.18.0", i % MANY_SERVICES, RELAY_PORT);
+            open.flags = SL_SEGMENT_OPEN;
+            SlRelayEntry_Segment(entry, &offers.sink, 1000,
+                                 (const uint8_t *)&open, sizeof(open));
+            CU_ASSERT_EQUAL(offers.count, round * MANY_SERVICES * 20 + i + 1);
+            CU_ASSERT_EQUAL((offers.to.port - 1u) % MANY_SERVICES,
+                            i % MANY_SERVICES);
+            CU_ASSERT((offers.to.port - 1u) % 7 != 6);
+        }
+    }
+    SlRelayEntry_Destroy(entry);
+    SlPlan_Unref(plan);
+    SlConfig_Destroy(config);
+}
+
 int
 main(void)
 {
@@ -550,6 +659,7 @@
         {"asked before the plan", test_asked_before_the_plan},
         {"a tried agent says nothing", test_tried_agent_says_nothing},
         {"a caller leaves", test_caller_leaves},
+        {"many services", test_many_services},
     };
 
     return RUN_SUITE("relay", CASES);
