Bound what an agent spends on reports of its load

Load pattern: an agent of a large site is spoken to by dozens of entries within two seconds, and its load changes all the time. Cause: each of them was told ten times a second, 59 bytes each with headers: 100 listeners take 59 KB/s, and the 29 that the target means for each agent 17 KB/s, of 7 KB/s for control.

Ruled out: dearer placement by older reports.

--- a/bench/relay_bench.c
+++ b/bench/relay_bench.c
@@ -23,6 +23,7 @@
     LOG_SECONDS = 5,
     CALM_FLOWS_PER_S = 20,
     WORST_FLOWS_PER_S = 5000,
+    HEADERS_BYTES = 28,
     PORT_FIRST = 1024,
     PORTS = 60000,
 };
@@ -252,6 +253,41 @@
     free(opens);
 }
 
+/// The largest report and offer on the wire, UDP and IPv4 headers included.
+static void
+measure_frames(void)
+{
+    struct standin_segment open = segment_of(1, SL_SEGMENT_OPEN);
+    struct SlRelayFrame report = {.kind = SL_RELAY_REPORT,
+                                  .sender = UINT64_MAX,
+                                  .load = {.in_progress = 100,
+                                           .slots = 100,
+                                           .flows = 2000,
+                                           .answer_us = 100000}};
+    struct SlRelayFrame offer = {.kind = SL_RELAY_OFFER,
+                                 .sender = UINT64_MAX,
+                                 .plan_version = 1000000,
+                                 .last = true,
+                                 .segment = (const uint8_t *)&open,
+                                 .segment_bytes = sizeof(open)};
+    struct SlRelayFrame ask = {.kind = SL_RELAY_ASK,
+                               .sender = UINT64_MAX,
+                               .plan_version = 1000000,
+                               .ack = UINT32_MAX,
+                               .flow = {.caller = open.source,
+                                        .service = open.destination,
+                                        .protocol = 6}};
+    uint8_t bytes[SL_RELAY_MAX_BYTES];
+
+    printf("relay_report_bytes %u bytes\n",
+           SlRelayFrame_Encode(&report, bytes) + HEADERS_BYTES);
+    printf("relay_offer_extra_bytes %u bytes\n",
+           SlRelayFrame_Encode(&offer, bytes) + HEADERS_BYTES -
+               (uint32_t)sizeof(open));
+    printf("relay_ask_bytes %u bytes\n",
+           SlRelayFrame_Encode(&ask, bytes) + HEADERS_BYTES);
+}
+
 static void
 measure_config(const struct SlConfig *config, struct SlPlan *plan)
 {
@@ -338,6 +374,7 @@
     struct SlPlan *plan = target_plan();
 
     measure_flows(config, plan);
+    measure_frames();
     measure_config(config, plan);
     measure_agent_config(config, plan);
     measure_log(config, plan, "calm", CALM_FLOWS_PER_S);
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -9,6 +9,10 @@
 
 enum {
     REPORT_US = 100 * 1000,
+    /// A report takes 59 bytes with its headers, and a node may spend 7 KB/s
+    /// on control: 3 KB/s are left for reports.
+    REPORTS_PER_S = 50,
+    US_PER_S = 1000 * 1000,
     /// An entry that sent nothing for so long is not told.
     LISTENS_US = 2 * 1000 * 1000,
 };
@@ -119,11 +123,12 @@
 {
     struct SlRelayFrame frame = {.kind = SL_RELAY_REPORT,
                                  .sender = agent->node_id};
+    uint64_t told = 0;
+    uint64_t pause_us;
 
     if (now_us < agent->report_due_us) {
         return;
     }
-    agent->report_due_us = now_us + REPORT_US;
     frame.load = SlRelayAgent_Load(agent, now_us);
     for (uint32_t i = 0; i < agent->entry_count; i++) {
         struct SlAgentEntry *entry = &agent->entries[i];
@@ -132,8 +137,12 @@
             is_news(&frame.load, &entry->told)) {
             entry->told = frame.load;
             sink->type->send_frame(sink, &entry->address, &frame);
+            told++;
         }
     }
+    pause_us = told * US_PER_S / REPORTS_PER_S;
+    agent->report_due_us =
+        now_us + (pause_us > REPORT_US ? pause_us : REPORT_US);
 }
 
 static const struct SlAgentEntry *
