Keep what an agent learned before its upstream's first word

At 30.42 s the caller went through another entry: 48 agents asked, 24 of them restarted less than 15 s before, so they said maybe; 16 were tried, the 17th to 24th never. Searches ended after 33 ms as no_certain_answer, again and again, and the segments that were given back went to other upstreams.

Ruled out: the holder's silence (unanswered=0, took_us=33362); the 10 s after which a lost agent is not asked (it had not been lost that long).

Change: the first word after the agent's own start removes nothing; another start of the upstream removes what it held, but not flows that still wait, which it never had. As many agents are tried as a service may have upstreams (64). relay_test "the first notice after a restart", "many may hold it" and "a flow waits through a start" failed first.

--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -210,12 +210,16 @@
             notice->born_ms + RESTART_MS >= agent->options.start_wall_ms);
 }
 
-/// Another start of the upstream holds nothing of what the former held.
+/// Another start of the upstream holds nothing of what the former held. The
+/// first word after this process's own start tells of no such thing: what was
+/// learned meanwhile stands.
 static void
 begin_upstream(struct SlRelayAgent *agent, uint64_t now_us,
                const struct SlUpstreamNotice *notice)
 {
-    SlAgentFlow_RemoveAll(agent);
+    if (agent->noticed_us != 0) {
+        SlAgentFlow_RemoveHeld(agent);
+    }
     agent->admission.full_until_us = 0;
     agent->admission.answer_us = 0;
     agent->silent_until_us = 0;
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -116,6 +116,9 @@
 SlAgentFlow_Remove(struct SlRelayAgent *agent, struct SlAgentFlow *flow);
 void
 SlAgentFlow_RemoveAll(struct SlRelayAgent *agent);
+/// Removes all but those that still wait, which the upstream never had.
+void
+SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent);
 /// Hands a caller's segment of a known flow to the upstream.
 void
 SlAgentFlow_Deliver(struct SlRelayAgent *agent, struct SlRelaySink *sink,
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -109,6 +109,21 @@
     }
 }
 
+void
+SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent)
+{
+    struct SlRelayItem *item = SlRelayIndex_Oldest(&agent->flows);
+
+    while (item != NULL) {
+        struct SlRelayItem *newer = item->newer;
+
+        if (flow_of(item)->state != SL_AGENT_WAITING) {
+            SlAgentFlow_Remove(agent, flow_of(item));
+        }
+        item = newer;
+    }
+}
+
 static void
 end_flow(struct SlRelayAgent *agent, struct SlAgentFlow *flow)
 {
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -13,8 +13,9 @@
     /// Segments of one flow that wait; later ones are dropped, and sent again
     /// by the caller.
     SL_SEARCH_SEGMENTS = 4,
-    /// Agents that may hold the flow and have to be tried one by one.
-    SL_SEARCH_MAYBE = 16,
+    /// Agents that may hold the flow and have to be tried one by one; as many
+    /// as a service has upstreams.
+    SL_SEARCH_MAYBE = 64,
     /// Agents asked at most in one search.
     SL_SEARCH_ASKED = 512,
 };
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -524,6 +524,89 @@
     relay_destroy(world);
 }
 
+/// What an agent learns between its restart and the first word of its
+/// upstream is not forgotten with that word.
+static void
+test_first_notice_after_restart(void)
+{
+    struct relay_world *world = relay_create(2, 3, 2, 22);
+    uint32_t flow = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, flow);
+    uint32_t young;
+
+    for (uint32_t i = 0; i < 3; i++) {
+        world->upstreams[i].mute = true;
+        world->upstreams[i].notice.seq = 30;
+        relay_restart(world, 2 + i);
+    }
+    relay_request(world, 0, flow);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[flow].answers, 2);
+    young = relay_exchange(world, 0);
+    CU_ASSERT_EQUAL(world->callers[young].state, CALLER_ANSWERED);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT(relay_notice(world, i));
+        world->upstreams[i].returned = 0;
+    }
+    relay_request(world, 1, flow);
+    relay_request(world, 1, young);
+    relay_run(world, 200);
+    CU_ASSERT_EQUAL(world->callers[flow].answers, 3);
+    CU_ASSERT_EQUAL(world->callers[young].answers, 2);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_EQUAL(world->upstreams[i].returned, 0);
+    }
+    CU_ASSERT_EQUAL(relay_holder(world, flow), holder);
+    relay_destroy(world);
+}
+
+/// All agents of a large service have restarted, and any of them may hold the
+/// flow: it is found all the same.
+static void
+test_many_may_hold(void)
+{
+    struct relay_world *world = relay_create(2, RELAY_AGENTS, 2, 23);
+
+    for (uint32_t i = 0; i < 8; i++) {
+        uint32_t flow = relay_exchange(world, 0);
+
+        for (uint32_t at = 0; at < RELAY_AGENTS; at++) {
+            world->upstreams[at].notice.seq = 30;
+            relay_restart(world, 2 + at);
+            CU_ASSERT(relay_notice(world, at));
+        }
+        relay_request(world, 1, flow);
+        relay_run(world, 300);
+        CU_ASSERT_EQUAL(world->callers[flow].answers, 2);
+        CU_ASSERT_EQUAL(world->callers[flow].resets, 0);
+    }
+    relay_destroy(world);
+}
+
+/// A flow that waits when its upstream starts anew is not lost: it has not
+/// been there yet.
+static void
+test_waits_through_a_start(void)
+{
+    struct relay_world *world = relay_create(1, 1, 1, 24);
+    uint32_t waiting = 0;
+
+    world->upstreams[0].work_us = 300 * 1000;
+    do {
+        waiting = relay_open(world, 0);
+        relay_run(world, 5);
+    } while (waiting < 20 && world->callers[waiting].state == CALLER_WAITING);
+    CU_ASSERT_EQUAL(world->callers[waiting].state, CALLER_OPENING);
+    world->upstreams[0].held_count = 0;
+    world->upstreams[0].busy_until_us[0] = 0;
+    world->upstreams[0].notice.born_ms = 9000;
+    world->upstreams[0].notice.seq = 0;
+    CU_ASSERT(relay_notice(world, 0));
+    relay_run(world, 100);
+    CU_ASSERT_EQUAL(world->callers[waiting].state, CALLER_WAITING);
+    relay_destroy(world);
+}
+
 enum {
     MANY_SERVICES = 40,
     MANY_AGENTS = 300,
@@ -712,6 +795,9 @@
         {"asked before the plan", test_asked_before_the_plan},
         {"a tried agent says nothing", test_tried_agent_says_nothing},
         {"a caller leaves", test_caller_leaves},
+        {"the first notice after a restart", test_first_notice_after_restart},
+        {"many may hold it", test_many_may_hold},
+        {"a flow waits through a start", test_waits_through_a_start},
         {"many services", test_many_services},
         {"reports are bounded", test_reports_are_bounded},
     };
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -15,7 +15,7 @@
 
 enum {
     RELAY_ENTRIES = 4,
-    RELAY_AGENTS = 12,
+    RELAY_AGENTS = 24,
     RELAY_CALLERS = 4096,
     RELAY_HELD_MAX = 4096,
     RELAY_WAY_US = 500,
