--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -33,7 +33,7 @@
     uint32_t slots;
     bool draining;
     /// How much longer it is cold, milliseconds.
-    uint32_t cold_left_ms;
+    uint32_t cold_remaining_ms;
 };
 
 struct SlRelayAgentCounters {
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -239,7 +239,7 @@
                                         .node = notice->id,
                                         .reason = reason,
                                         .value = (int64_t)notice->seq,
-                                        .limit = notice->cold_left_ms});
+                                        .limit = notice->cold_remaining_ms});
 }
 
 bool
@@ -249,8 +249,9 @@
     struct SlUpstreamNotice former = agent->upstream;
     bool was_known = agent->known;
     uint64_t former_us = agent->noticed_us;
-    uint64_t cold_us =
-        now_us + (uint64_t)notice->cold_left_ms * US_PER_MS + COLD_MARGIN_US;
+    uint64_t cold_us = now_us +
+                       (uint64_t)notice->cold_remaining_ms * US_PER_MS +
+                       COLD_MARGIN_US;
 
     if (is_late(agent, notice)) {
         log_notice(agent, sink, now_us, notice, "late");
@@ -265,9 +266,10 @@
     agent->noticed_us = now_us;
     agent->upstream_heard_us = now_us;
     agent->admission.slots = notice->slots;
-    agent->admission.cold_until_us =
-        notice->cold_left_ms > 0 ? cold_us : agent->admission.cold_until_us;
-    if (former_us == 0 && notice->cold_left_ms == 0) {
+    agent->admission.cold_until_us = notice->cold_remaining_ms > 0
+                                         ? cold_us
+                                         : agent->admission.cold_until_us;
+    if (former_us == 0 && notice->cold_remaining_ms == 0) {
         agent->admission.cold_until_us = 0;
     }
     read_service(agent);
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -16,8 +16,6 @@
     /// Agents that may hold the flow and have to be tried one by one; as many
     /// as a service has upstreams.
     SL_SEARCH_MAYBE = 64,
-    /// Agents asked at most in one search.
-    SL_SEARCH_ASKED = 512,
 };
 
 struct SlRelaySearch {
--- a/test/balance_test.c
+++ b/test/balance_test.c
@@ -552,7 +552,7 @@
     cold->opened = 0;
     cold->notice.born_ms = 50 * 1000;
     cold->notice.seq = 0;
-    cold->notice.cold_left_ms = 2500;
+    cold->notice.cold_remaining_ms = 2500;
     CU_ASSERT(relay_notice(world, 1));
     outcome = replay(world, 400, 2400, 150);
     for (uint32_t i = 0; i < cold->opened; i++) {
@@ -593,7 +593,7 @@
     for (uint32_t i = 0; i < 4; i++) {
         world->upstreams[i].notice.born_ms = 50 * 1000;
         world->upstreams[i].notice.seq = 0;
-        world->upstreams[i].notice.cold_left_ms = 2000;
+        world->upstreams[i].notice.cold_remaining_ms = 2000;
         CU_ASSERT(relay_notice(world, i));
     }
     outcome = replay(world, 150, 3000, 150);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -242,7 +242,7 @@
     CU_ASSERT_STRING_EQUAL(notice.id, "i-1");
     CU_ASSERT_STRING_EQUAL(notice.service, "workroom");
     CU_ASSERT_EQUAL(notice.slots, 3);
-    CU_ASSERT_EQUAL(notice.cold_left_ms, 1900);
+    CU_ASSERT_EQUAL(notice.cold_remaining_ms, 1900);
     CU_ASSERT_EQUAL(notice.seq, 4);
     CU_ASSERT_EQUAL(notice.born_ms, 17000);
     CU_ASSERT_FALSE(notice.draining);
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -693,9 +693,10 @@
         relay_answer_due(world, i);
     }
     for (uint32_t i = 0; i < world->agent_count; i++) {
-        uint32_t *cold_left_ms = &world->upstreams[i].notice.cold_left_ms;
+        uint32_t *cold_remaining_ms =
+            &world->upstreams[i].notice.cold_remaining_ms;
 
-        *cold_left_ms -= *cold_left_ms > 0;
+        *cold_remaining_ms -= *cold_remaining_ms > 0;
         if (world->steps % RELAY_NOTICE_STEPS == 0 &&
             !world->upstreams[i].mute) {
             (void)relay_notice(world, i);
