--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -10,8 +10,9 @@
 enum {
     REPORT_US = 100 * 1000,
     /// A report takes 59 bytes with its headers, and a node may spend 7 KB/s
-    /// on control: 3 KB/s are left for reports.
-    REPORTS_PER_S = 50,
+    /// on control, 0.1 of it with control instances. Half as many reports cost
+    /// 0.01 of worth on a day of surges (docs/MEASURES.md).
+    REPORTS_PER_S = 100,
     US_PER_S = 1000 * 1000,
     /// An entry that sent nothing for so long is not told.
     LISTENS_US = 2 * 1000 * 1000,
