Let soaks beside each other take different addresses

Both chose by the place of a seed in the list alone.

Change: a soak claims its net by a listening socket, and takes the next free one if it is taken. Ruled out: a fault of the product; the soak ended before it started a process (exit 2, no fault played).

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -23,7 +23,8 @@
     fi
 }
 export -f soak_one
-# Each run has loopback addresses of its own.
+# Each run has loopback addresses of its own; one that another soak has taken
+# is passed over.
 i=0
 for seed in "$@"; do
     i=$((i + 1))
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -2,12 +2,15 @@
 /// and ends with a line that counts what was broken.
 
 #include <argtable2.h>
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include "soak.h"
 
@@ -21,6 +24,10 @@
     ANSWERED_PERCENT = 95,
     MEMORY_KB = 64 * 1024,
     DESCRIPTORS_MORE = 64,
+    /// Nets of 127.0.0.0/8 that no other program of the project uses.
+    FIRST_NET = 80,
+    NETS = 100,
+    CLAIM_PORT = 7999,
     FAILED = 1,
     USAGE = 2,
 };
@@ -394,20 +401,47 @@
     SlLoop_Destroy(soak.loop);
 }
 
+/// Takes the first free net from soak.net on, and holds it as long as the
+/// descriptor is open: soaks beside each other do not share addresses.
+/// Returns the descriptor, -1 when all are taken.
+static int
+claim_net(void)
+{
+    uint32_t wanted = soak.net;
+
+    for (uint32_t i = 0; i < NETS; i++) {
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons(CLAIM_PORT)};
+        int claim = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+        soak.net = FIRST_NET + (wanted - FIRST_NET + i) % NETS;
+        address.sin_addr.s_addr = htonl(127u << 24 | soak.net << 16 | 1);
+        if (claim >= 0 &&
+            bind(claim, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+            listen(claim, 1) == 0) {
+            return claim;
+        }
+        close(claim);
+    }
+    return -1;
+}
+
 int
 main(int argc, char **argv)
 {
     struct arg_int *seed =
         arg_int1("s", "seed", "N", "the schedule of faults");
     struct arg_int *seconds = arg_int1("t", "seconds", "N", "of faults");
-    struct arg_int *net =
-        arg_int1("n", "net", "N", "second byte of addresses");
+    struct arg_int *net = arg_int1(
+        "n", "net", "N",
+        "second byte of addresses, 80 to 179; the next free one is taken");
     struct arg_int *size = arg_int0("z", "size", "N", "agents; 9 by default");
     struct arg_file *program = arg_file1(NULL, NULL, "PROGRAM", "to soak");
     struct arg_file *folder = arg_file1(NULL, NULL, "FOLDER", "for its files");
     struct arg_end *end = arg_end(4);
     void *table[] = {seed, seconds, net, size, program, folder, end};
     uint32_t agents;
+    int claim;
 
     if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) != 0) {
         fprintf(stderr, "usage: soak_main");
@@ -427,6 +461,11 @@
     soak.faults_until_us =
         soak.start_us + LEAD_US + (uint64_t)seconds->ival[0] * US_PER_S;
     soak.end_us = soak.faults_until_us + CALM_US;
+    claim = claim_net();
+    if (claim < 0) {
+        fprintf(stderr, "soak_main: no free net\n");
+        return USAGE;
+    }
     build_site(4, agents / 3 > 3 ? agents / 3 : 3, agents);
     if (open_all() != SL_OK) {
         fprintf(stderr, "soak_main: cannot open its addresses\n");
@@ -434,6 +473,7 @@
     }
     run();
     close_all();
+    close(claim);
     printf("seed %llu: %u faults, %llu asked, %llu answered, %llu reset, "
            "%llu expired, %u broken\n",
            (unsigned long long)soak.seed, soak.faults,
