Bound how many agents an entry asks in a tick

Load pattern: a zone returns, its entries have just started and know no flow, each of its callers' flows has to be searched for, and a service has 156 upstreams.

Ruled out: links (48 KB/s), missing plans, agents that decline.

Change: 128 questions in a tick, one search at least; later searches wait. relay_test "searches take turns" fails without the bound (most asked in a tick 960, bound 256: a tick of the test may touch two of the entry's).

--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -589,6 +589,7 @@
 SlRelayEntry_Tick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                   uint64_t now_us)
 {
+    entry->questions = 0;
     tick_waiting(entry, sink, now_us);
     tick_members(entry, sink, now_us);
     expire(entry, now_us);
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -11,6 +11,11 @@
     PATIENCE_US = 150 * 1000,
     /// A whole search, with agents tried one by one.
     GIVE_UP_US = 600 * 1000,
+    /// Agents asked in a tick, at most: an entry with a tenth of a core sends
+    /// and hears about 6,000 questions a second with half of it. Later
+    /// searches wait for their turn: answers that come too late would only be
+    /// asked for again.
+    QUESTIONS_MAX = 128,
 };
 
 static bool
@@ -24,6 +29,10 @@
            SlRelayMembers_MayHold(&entry->members, at, now_us);
 }
 
+static void
+go_on(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
+      struct SlEntryFlow *flow);
+
 /// Asks the agents of this stage of the search.
 static void
 ask(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
@@ -45,6 +54,31 @@
             search->open++;
         }
     }
+    search->asked_us = now_us;
+    entry->questions += search->open;
+}
+
+/// May one more search ask in this tick? The first always may.
+static bool
+has_turn(const struct SlRelayEntry *entry)
+{
+    return entry->questions == 0 ||
+           entry->questions + entry->members.count <= QUESTIONS_MAX;
+}
+
+static void
+begin_asking(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+             uint64_t now_us, struct SlEntryFlow *flow)
+{
+    ask(entry, sink, now_us, flow);
+    SlRelayEntry_Event(entry, sink, now_us,
+                       (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH,
+                                        .flow = &flow->item.key,
+                                        .reason = "holder_unknown",
+                                        .value = flow->search->open});
+    if (flow->search->open == 0) {
+        go_on(entry, sink, now_us, flow);
+    }
 }
 
 static void
@@ -181,15 +215,9 @@
     (void)SlRelaySearch_Keep(flow->search, segment->bytes,
                              segment->length_bytes);
     entry->counters.searches++;
-    ask(entry, sink, now_us, flow);
-    SlRelayEntry_Event(entry, sink, now_us,
-                       (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH,
-                                        .flow = &flow->item.key,
-                                        .reason = "holder_unknown",
-                                        .value = flow->search->open});
     SlRelayIndex_Wait(&entry->flows, &flow->item);
-    if (flow->search->open == 0) {
-        go_on(entry, sink, now_us, flow);
+    if (has_turn(entry)) {
+        begin_asking(entry, sink, now_us, flow);
     }
 }
 
@@ -250,7 +278,12 @@
         give_up(entry, sink, now_us, flow);
         return;
     }
-    if (search->open > 0 && spent_us > PATIENCE_US) {
+    if (search->asked_us == 0) {
+        if (has_turn(entry)) {
+            begin_asking(entry, sink, now_us, flow);
+        }
+    }
+    else if (search->open > 0 && now_us - search->asked_us > PATIENCE_US) {
         search->silent += search->open;
         search->open = 0;
         search->uncertain = true;
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -20,6 +20,8 @@
 
 struct SlRelaySearch {
     uint64_t began_us;
+    /// When this stage's question was sent; 0 while it waits for its turn.
+    uint64_t asked_us;
     /// How many of the asked agents have not answered.
     uint32_t open;
     /// How many did not answer in time, or did nothing when they were tried.
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -583,6 +583,42 @@
     relay_destroy(world);
 }
 
+/// Many flows move to an entry that knows none of them, and every agent may
+/// be asked for each: the entry asks a bounded number in a tick, and finds
+/// all.
+static void
+test_searches_take_turns(void)
+{
+    struct relay_world *world = relay_create(2, RELAY_AGENTS, 2, 25);
+    uint32_t most = 0;
+    uint32_t before;
+
+    for (uint32_t i = 0; i < 40; i++) {
+        (void)relay_open(world, 0);
+        relay_run(world, 2);
+    }
+    relay_run(world, 20);
+    before = world->frames[SL_RELAY_ASK];
+    for (uint32_t i = 0; i < 40; i++) {
+        CU_ASSERT_EQUAL(world->callers[i].state, CALLER_WAITING);
+        relay_request(world, 1, i);
+    }
+    for (uint32_t tick = 0; tick < 30; tick++) {
+        relay_run(world, 20);
+        most = world->frames[SL_RELAY_ASK] - before > most
+                   ? world->frames[SL_RELAY_ASK] - before
+                   : most;
+        before = world->frames[SL_RELAY_ASK];
+    }
+    CU_ASSERT(most > 0);
+    CU_ASSERT(most <= 2 * 128);
+    for (uint32_t i = 0; i < 40; i++) {
+        CU_ASSERT_EQUAL(world->callers[i].answers, 1);
+        CU_ASSERT_EQUAL(world->callers[i].resets, 0);
+    }
+    relay_destroy(world);
+}
+
 /// A flow that waits when its upstream starts anew is not lost: it has not
 /// been there yet.
 static void
@@ -799,6 +835,7 @@
         {"the first notice after a restart", test_first_notice_after_restart},
         {"many may hold it", test_many_may_hold},
         {"a flow waits through a start", test_waits_through_a_start},
+        {"searches take turns", test_searches_take_turns},
         {"many services", test_many_services},
         {"reports are bounded", test_reports_are_bounded},
     };
