--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -257,7 +257,7 @@
     }
 }
 
-/// Takes a flow off the wait room's hands, and out of the table.
+/// Declines a flow that the wait room has given up, and forgets it.
 static void
 give_up_waiting(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                 uint64_t now_us, struct SlAgentFlow *flow,
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -10,8 +10,8 @@
 enum {
     REPORT_US = 100 * 1000,
     /// A report takes 59 bytes with its headers, and a node may spend 7 KB/s
-    /// on control, 0.1 of it with control instances. Half as many reports cost
-    /// 0.01 of worth on a day of surges (docs/MEASURES.md).
+    /// on control, 0.1 of it with control instances. With half as many, more
+    /// answers are late in surges (docs/MEASURES.md).
     REPORTS_PER_S = 100,
     US_PER_S = 1000 * 1000,
     /// An entry that sent nothing for so long is not told.
