--- /dev/null
+++ b/packages/balance/include/savoryledge/balance/patience.h
@@ -0,0 +1,59 @@
+#ifndef SAVORYLEDGE_BALANCE_PATIENCE_H
+#define SAVORYLEDGE_BALANCE_PATIENCE_H
+
+/// How long an answer may take, and how many questions may be under way.
+///
+/// Load pattern: answers queue on the process's own link or for its own
+/// processor. Taking them for missing repeats the questions, and the queue
+/// grows by what it delays. So patience follows the answer times that are
+/// seen (RFC 6298), and the rate of questions gives way as soon as answers
+/// take longer than on an idle way (RFC 6817), before any is lost.
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// Zero-initialise.
+struct SlPatience {
+    uint64_t smoothed_us;
+    uint64_t deviation_us;
+    /// The least answer time seen, which is that of an idle way.
+    uint64_t least_us;
+    /// Patience is doubled so often, since nothing was heard at all.
+    uint32_t doublings;
+};
+
+/// An answer came that long after its question.
+void
+SlPatience_Answered(struct SlPatience *patience, uint64_t took_us);
+/// Nothing is heard though much was asked: the fault is on this side.
+void
+SlPatience_Double(struct SlPatience *patience);
+/// How long to wait for an answer, microseconds: at least least_us, one second
+/// at most.
+uint64_t
+SlPatience_Us(const struct SlPatience *patience, uint64_t least_us);
+/// True when answers take clearly longer than on an idle way.
+bool
+SlPatience_IsQueueing(const struct SlPatience *patience);
+
+/// Questions that may be sent from one tick to the next: more while answers
+/// come at once, half as many when they queue. Zero-initialise.
+struct SlQuestionBudget {
+    uint32_t limit;
+    uint32_t spent;
+    uint64_t halved_us;
+};
+
+/// A tick: what the last one left is not carried over.
+void
+SlQuestionBudget_Tick(struct SlQuestionBudget *budget, uint64_t now_us,
+                      const struct SlPatience *patience);
+/// Takes count questions from the budget; false when they do not fit. The
+/// first of a tick always do.
+bool
+SlQuestionBudget_Take(struct SlQuestionBudget *budget, uint32_t count);
+/// Questions that are left in this tick.
+uint32_t
+SlQuestionBudget_Left(const struct SlQuestionBudget *budget);
+
+#endif
--- a/packages/balance/include/savoryledge/balance/placement.h
+++ b/packages/balance/include/savoryledge/balance/placement.h
@@ -10,7 +10,8 @@
 /// counts at once, a little chance keeps entries with the same reports apart,
 /// and another zone is used when the near ones have clearly more to do. Long
 /// answers stay near until the near upstreams are full, as they are what
-/// traffic between zones is made of.
+/// traffic between zones is made of. A flow goes to one of its homes (homes.h)
+/// while one has a free slot, so that any entry finds it there.
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -21,8 +22,11 @@
 /// One upstream as the entry knows it.
 struct SlCandidate {
     uint64_t node_id;
-    /// In the zone of this entry.
+    /// Number of its availability zone, and whether that is this entry's.
+    uint32_t zone;
     bool near;
+    /// A home of the flow that is being placed or looked for.
+    bool home;
     /// May be offered new flows at all, by the configuration in force.
     bool open;
     /// Offers stayed without an answer lately.
@@ -54,4 +58,9 @@
                     const uint64_t *tried, uint32_t tried_count,
                     int32_t chosen);
 
+/// A step of splitmix64 (Steele, Lea and Flood, 2014): spreads its argument
+/// over all 64 bits.
+uint64_t
+SlPlacement_Mix(uint64_t value);
+
 #endif
--- a/packages/balance/src/placement.c
+++ b/packages/balance/src/placement.c
@@ -10,6 +10,9 @@
     FAR_SCORE = 350,
     /// For long answers: the near upstreams are full first.
     FAR_SCORE_DOWNLOAD = 3000,
+    /// An upstream that is none of the flow's homes is taken when the homes
+    /// have their slots taken.
+    AWAY_SCORE = 1000,
     /// Entries that got the same reports differ by up to so much.
     CHANCE_SCORE = 200,
     /// A slow one is taken when the others have their slots taken and as much
@@ -46,9 +49,8 @@
     return candidate->load.in_progress + candidate->offered;
 }
 
-/// A step of splitmix64 (Steele, Lea and Flood, 2014): one draw a candidate.
-static uint64_t
-mix(uint64_t value)
+uint64_t
+SlPlacement_Mix(uint64_t value)
 {
     value += 0x9e3779b97f4a7c15u;
     value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -66,6 +68,9 @@
     if (!candidate->near) {
         score += kind == SL_TRAFFIC_DOWNLOAD ? FAR_SCORE_DOWNLOAD : FAR_SCORE;
     }
+    if (!candidate->home) {
+        score += AWAY_SCORE;
+    }
     if (candidate->slow) {
         score += SLOW_SCORE;
     }
@@ -75,7 +80,7 @@
     if (candidate->load.closed) {
         score += CLOSED_SCORE;
     }
-    return score + mix(random ^ candidate->node_id) % CHANCE_SCORE;
+    return score + SlPlacement_Mix(random ^ candidate->node_id) % CHANCE_SCORE;
 }
 
 int32_t
--- a/packages/coordination/include/savoryledge/coordination/relay_entry.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_entry.h
@@ -4,9 +4,10 @@
 /// The entry of the relay. See relay.h.
 ///
 /// It remembers which agent holds a flow. A segment of a flow that it does
-/// not know waits while the agents are asked, 300 ms at most. A flow is reset
-/// only when every agent of its services said for certain that it does not
-/// hold it.
+/// not know waits while agents are asked: those where the flow was placed in
+/// all likelihood (balance/homes.h), then all others, for many flows at once.
+/// A flow is reset only when every agent of its services said for certain that
+/// it does not hold it.
 
 #include "savoryledge/coordination/relay.h"
 
@@ -25,6 +26,17 @@
     uint64_t not_found;
     uint64_t searches_given_up;
     uint64_t dropped;
+    /// Frames sent to agents, and those of them that ask for holders.
+    uint64_t frames;
+    uint64_t questions;
+    /// Questions that all agents get, for many flows at once.
+    uint64_t rounds;
+    /// Agents that turned suspect.
+    uint64_t suspects;
+    /// How long it waits for an agent's answer at present, and how many
+    /// questions it may send in a tick.
+    uint64_t patience_us;
+    uint64_t question_limit;
     uint64_t flows;
 };
 
--- a/packages/coordination/src/relay_admit.c
+++ b/packages/coordination/src/relay_admit.c
@@ -60,6 +60,7 @@
 
     agent->counters.declined++;
     sink->type->send_frame(sink, to, &frame);
+    SlRelayAgent_Told(agent, to, &frame.load);
     SlRelayAgent_Event(agent, sink, now_us,
                        (struct SlEvent){.number = SL_EVENT_RELAY_DECLINE,
                                         .flow = key,
@@ -78,6 +79,7 @@
                                  .load = SlRelayAgent_Load(agent, now_us)};
 
     sink->type->send_frame(sink, &flow->entry, &frame);
+    SlRelayAgent_Told(agent, &flow->entry, &frame.load);
 }
 
 static void
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -371,6 +371,10 @@
         SlAgentFlow_Asked(agent, sink, now_us, from, frame);
         return;
     }
+    if (frame->kind == SL_RELAY_ASK_MANY) {
+        SlAgentFlow_AskedMany(agent, sink, now_us, from, frame);
+        return;
+    }
     if ((frame->kind != SL_RELAY_OFFER && frame->kind != SL_RELAY_CARRY) ||
         agent->options.format->parse(frame->segment, frame->segment_bytes,
                                      &segment) != SL_OK) {
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -62,7 +62,7 @@
     uint64_t kept_us;
 };
 
-/// An entry as the configuration tells.
+/// An entry as the configuration tells. An agent has them sorted by node_id.
 struct SlAgentEntry {
     uint64_t node_id;
     uint64_t boot;
@@ -157,6 +157,11 @@
 SlAgentFlow_Asked(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                   uint64_t now_us, const struct SlAddress *from,
                   const struct SlRelayFrame *ask);
+/// An entry asks which of many flows this agent holds.
+void
+SlAgentFlow_AskedMany(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                      uint64_t now_us, const struct SlAddress *from,
+                      const struct SlRelayFrame *ask);
 /// Flows that wait for their upstream, and flows that are over.
 void
 SlAgentFlow_Tick(struct SlRelayAgent *agent, struct SlRelaySink *sink,
@@ -212,6 +217,11 @@
 void
 SlRelayAgent_HeardEntry(struct SlRelayAgent *agent, uint64_t now_us,
                         uint64_t node_id);
+/// An entry learned the load from an answer to its offer: from then on another
+/// load is news to it.
+void
+SlRelayAgent_Told(struct SlRelayAgent *agent, const struct SlAddress *address,
+                  const struct SlRelayLoad *load);
 /// Tells entries that talk to this agent of a changed load.
 void
 SlRelayAgent_Report(struct SlRelayAgent *agent, struct SlRelaySink *sink,
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -4,9 +4,12 @@
 #include <string.h>
 
 enum {
-    /// An agent answers an offer within a few milliseconds. Later than this
-    /// the next one gets it, well before the caller repeats the segment.
-    OFFER_PATIENCE_US = 60 * 1000,
+    /// An agent answers an offer within a few milliseconds. Later than this,
+    /// or than answers usually take, the next one gets it.
+    OFFER_LEAST_US = 60 * 1000,
+    /// An agent that answers nothing for so long, at least, is suspect: one
+    /// that is only short of processor answers within a tenth of a second.
+    SILENT_LEAST_US = 150 * 1000,
     /// Offers of one flow: as many as fit the caller's first repetitions.
     OFFERS_MAX = 4,
     /// A flow that was never held is forgotten when its caller has given up.
@@ -107,6 +110,7 @@
     }
     SlRelayIndex_Release(&entry->flows);
     SlRelayMembers_Release(&entry->members);
+    SlRelayRound_Release(&entry->round);
     SlPlan_Unref(entry->plan);
     free(entry);
 }
@@ -148,6 +152,14 @@
     entry->cut_off = cut_off;
 }
 
+void
+SlRelayEntry_Send(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                  uint32_t at, const struct SlRelayFrame *frame)
+{
+    entry->counters.frames++;
+    sink->type->send_frame(sink, &entry->members.members[at].address, frame);
+}
+
 bool
 SlRelayEntry_Carry(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                    const struct SlEntryFlow *flow, const uint8_t *bytes,
@@ -162,7 +174,7 @@
     if (flow->holder == 0 || at == SL_RELAY_NO_MEMBER) {
         return false;
     }
-    sink->type->send_frame(sink, &entry->members.members[at].address, &frame);
+    SlRelayEntry_Send(entry, sink, at, &frame);
     entry->counters.carried++;
     return true;
 }
@@ -204,18 +216,20 @@
     uint32_t service = SlPlan_ServiceOf(route, &flow->item.key);
     uint32_t first = members->first[service];
     uint32_t count = members->first[service + 1] - first;
-    const struct SlCandidate *candidates = &members->candidates[first];
+    struct SlCandidate *candidates = &members->candidates[first];
     struct SlRelayFrame frame = {.kind = SL_RELAY_OFFER,
                                  .sender = entry->node_id,
                                  .plan_version = SlPlan_Version(entry->plan),
                                  .tried_count = flow->tried_count,
                                  .segment = bytes,
                                  .segment_bytes = length_bytes};
-    int32_t chosen =
-        SlPlacement_Choose(candidates, count, flow->tried, flow->tried_count,
-                           route->kind, next_random(entry));
+    int32_t chosen;
     uint32_t at;
 
+    SlRelayMembers_MarkHomes(members, service, &flow->item.key);
+    chosen =
+        SlPlacement_Choose(candidates, count, flow->tried, flow->tried_count,
+                           route->kind, next_random(entry));
     if (chosen == SL_PLACEMENT_NONE) {
         refuse(entry, sink, now_us, flow,
                count == 0 ? "no_upstream" : "none_left");
@@ -233,7 +247,7 @@
     SlRelayMembers_Offered(members, at, now_us);
     SlRelayIndex_Wait(&entry->flows, &flow->item);
     entry->counters.offered++;
-    sink->type->send_frame(sink, &members->members[at].address, &frame);
+    SlRelayEntry_Send(entry, sink, at, &frame);
     SlRelayEntry_Event(
         entry, sink, now_us,
         (struct SlEvent){
@@ -350,6 +364,10 @@
     else {
         SlRelayIndex_Use(&entry->flows, now_us, &flow->item);
     }
+    if (flow->search == NULL && now_us < flow->quiet_until_us) {
+        entry->counters.dropped++;
+        return;
+    }
     if (flow->search != NULL ||
         !SlRelayEntry_Carry(entry, sink, flow, segment->bytes,
                             segment->length_bytes)) {
@@ -389,13 +407,31 @@
     }
 }
 
+/// Learns from the first offer of a flow how long an agent takes to answer. An
+/// answer that waited for the upstream tells nothing of the way.
 static void
-take_accept(struct SlRelayEntry *entry, struct SlEntryFlow *flow,
-            const struct SlRelayFrame *frame)
+note_offer_answer(struct SlRelayEntry *entry, uint64_t now_us,
+                  const struct SlEntryFlow *flow,
+                  const struct SlRelayFrame *frame)
+{
+    uint64_t first = flow->tried_count > 0 ? flow->tried[0] : flow->holder;
+    bool at_once =
+        frame->kind == SL_RELAY_ACCEPT || frame->reason == SL_RELAY_BUSY ||
+        frame->reason == SL_RELAY_COLD || frame->reason == SL_RELAY_LEAVING;
+
+    if (at_once && !flow->held && flow->offers > 0 && frame->sender == first) {
+        SlPatience_Answered(&entry->patience, now_us - flow->began_us);
+    }
+}
+
+static void
+take_accept(struct SlRelayEntry *entry, uint64_t now_us,
+            struct SlEntryFlow *flow, const struct SlRelayFrame *frame)
 {
     if (flow == NULL || flow->search != NULL) {
         return;
     }
+    note_offer_answer(entry, now_us, flow, frame);
     if (!flow->held || flow->holder == 0) {
         flow->holder = frame->sender;
         flow->held = true;
@@ -414,6 +450,7 @@
         flow->holder != frame->sender) {
         return;
     }
+    note_offer_answer(entry, now_us, flow, frame);
     SlRelayEntry_Event(
         entry, sink, now_us,
         (struct SlEvent){.number = SL_EVENT_RELAY_DECLINED,
@@ -472,7 +509,8 @@
     if (at == SL_RELAY_NO_MEMBER) {
         return;
     }
-    if (SlRelayMembers_Heard(&entry->members, at, &frame->load, answers)) {
+    if (SlRelayMembers_Heard(&entry->members, at, now_us, &frame->load,
+                             answers)) {
         SlRelayEntry_Event(
             entry, sink, now_us,
             (struct SlEvent){.number = SL_EVENT_UPSTREAM_CLEARED,
@@ -481,6 +519,22 @@
     }
 }
 
+/// An agent says unasked that it holds a flow. flow: NULL when the entry does
+/// not know it.
+static void
+take_holder(struct SlRelayEntry *entry, uint64_t now_us,
+            struct SlEntryFlow *flow, const struct SlRelayFrame *frame)
+{
+    if (flow == NULL) {
+        flow = add_flow(entry, now_us, &frame->flow);
+    }
+    if (flow != NULL && flow->holder == 0) {
+        flow->holder = frame->sender;
+        flow->held = true;
+        flow->quiet_until_us = 0;
+    }
+}
+
 void
 SlRelayEntry_Frame(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                    uint64_t now_us, const struct SlRelayFrame *frame)
@@ -490,10 +544,14 @@
     if (entry->plan == NULL) {
         return;
     }
+    if (entry->blames_itself) {
+        entry->blames_itself = false;
+        SlRelayMembers_ForgetOffers(&entry->members);
+    }
     switch (frame->kind) {
     case SL_RELAY_ACCEPT:
         note_answer(entry, sink, now_us, frame);
-        take_accept(entry, find_flow(entry, &frame->flow), frame);
+        take_accept(entry, now_us, find_flow(entry, &frame->flow), frame);
         break;
     case SL_RELAY_DECLINE:
         note_answer(entry, sink, now_us, frame);
@@ -514,15 +572,13 @@
         if (flow != NULL && flow->search != NULL) {
             SlRelayEntry_Located(entry, sink, now_us, flow, frame);
         }
-        else if (flow == NULL && frame->kind == SL_RELAY_HOLDS &&
-                 frame->certain) {
-            flow = add_flow(entry, now_us, &frame->flow);
-            if (flow != NULL) {
-                flow->holder = frame->sender;
-                flow->held = true;
-            }
+        else if (frame->kind == SL_RELAY_HOLDS && frame->certain) {
+            take_holder(entry, now_us, flow, frame);
         }
         break;
+    case SL_RELAY_HOLDS_MANY:
+        SlRelayEntry_RoundAnswered(entry, sink, now_us, frame);
+        break;
     default:
         entry->counters.malformed++;
         break;
@@ -533,6 +589,7 @@
 tick_waiting(struct SlRelayEntry *entry, struct SlRelaySink *sink,
              uint64_t now_us)
 {
+    uint64_t patience_us = SlPatience_Us(&entry->patience, OFFER_LEAST_US);
     struct SlRelayItem *next;
 
     for (struct SlRelayItem *item = entry->flows.waiting; item != NULL;
@@ -543,30 +600,52 @@
         if (flow->search != NULL) {
             SlRelayEntry_LocateTick(entry, sink, now_us, flow);
         }
-        else if (now_us - flow->offered_us > OFFER_PATIENCE_US) {
+        else if (now_us - flow->offered_us > patience_us) {
             add_tried(flow, flow->holder);
             offer_next(entry, sink, now_us, flow, "no_answer");
         }
     }
 }
 
+/// Marks agents that answer nothing as suspect. When hardly any answers, the
+/// entry itself is cut off or late: then it waits for longer, and marks none
+/// until it hears again.
 static void
 tick_members(struct SlRelayEntry *entry, struct SlRelaySink *sink,
              uint64_t now_us)
 {
-    uint32_t at = SlRelayMembers_NextSilent(&entry->members, 0, now_us);
+    uint64_t silent_us = SlPatience_Us(&entry->patience, SILENT_LEAST_US);
+    uint32_t at = 0;
 
-    while (at != SL_RELAY_NO_MEMBER) {
-        const struct SlRelayMember *member = &entry->members.members[at];
+    if (entry->blames_itself) {
+        return;
+    }
+    if (SlRelayMembers_AreMostSilent(&entry->members, now_us, silent_us)) {
+        SlRelayEntry_Event(entry, sink, now_us,
+                           (struct SlEvent){.number = SL_EVENT_RELAY_LATE,
+                                            .reason = "most_are_silent",
+                                            .value = (int64_t)silent_us});
+        SlPatience_Double(&entry->patience);
+        entry->blames_itself = true;
+        return;
+    }
+    for (;; at++) {
+        const struct SlRelayMember *member;
 
+        at = SlRelayMembers_NextSilent(&entry->members, at, now_us, silent_us);
+        if (at == SL_RELAY_NO_MEMBER) {
+            return;
+        }
+        member = &entry->members.members[at];
+        entry->counters.suspects++;
         SlRelayEntry_Event(
             entry, sink, now_us,
             (struct SlEvent){.number = SL_EVENT_UPSTREAM_SUSPECT,
                              .node = member->name,
                              .reason = "no_answer",
                              .value =
-                                 (int64_t)(now_us - member->unanswered_us)});
-        at = SlRelayMembers_NextSilent(&entry->members, at + 1, now_us);
+                                 (int64_t)(now_us - member->unanswered_us),
+                             .limit = (int64_t)silent_us});
     }
 }
 
@@ -627,8 +706,9 @@
 SlRelayEntry_Tick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                   uint64_t now_us)
 {
-    entry->questions = 0;
+    SlQuestionBudget_Tick(&entry->budget, now_us, &entry->patience);
     tick_waiting(entry, sink, now_us);
+    SlRelayEntry_RoundTick(entry, sink, now_us);
     tick_members(entry, sink, now_us);
     judge_upstreams(entry, sink, now_us);
     expire(entry, now_us);
@@ -649,7 +729,7 @@
 bool
 SlRelayEntry_Busy(const struct SlRelayEntry *entry)
 {
-    return entry->flows.waiting != NULL;
+    return entry->flows.waiting != NULL || entry->round.number != 0;
 }
 
 void
@@ -658,4 +738,6 @@
 {
     *counters = entry->counters;
     counters->flows = entry->flows.count;
+    counters->patience_us = SlPatience_Us(&entry->patience, OFFER_LEAST_US);
+    counters->question_limit = entry->budget.limit;
 }
--- a/packages/coordination/src/relay_entry_core.h
+++ b/packages/coordination/src/relay_entry_core.h
@@ -2,12 +2,15 @@
 #define SAVORYLEDGE_COORDINATION_RELAY_ENTRY_CORE_H
 
 /// The parts of the relay's entry: flows and offers in relay_entry.c, the
-/// search for a flow's holder in relay_locate.c.
+/// search for a flow's holder in relay_locate.c, questions to all agents in
+/// relay_round.c.
 
+#include "savoryledge/balance/patience.h"
 #include "savoryledge/coordination/relay_entry.h"
 
 #include "relay_index.h"
 #include "relay_members.h"
+#include "relay_round.h"
 #include "relay_search.h"
 
 enum {
@@ -30,6 +33,10 @@
     uint8_t opening[SL_ENTRY_OPENING_BYTES];
     /// NULL while no search is under way.
     struct SlRelaySearch *search;
+    /// Searches that ended without a certain answer, and until when no other
+    /// one begins: what the caller sends meanwhile is dropped.
+    uint32_t fruitless;
+    uint64_t quiet_until_us;
 };
 
 struct SlRelayEntry {
@@ -43,8 +50,12 @@
     bool cut_off;
     /// When upstreams are next judged by their answers.
     uint64_t judge_due_us;
-    /// Agents asked since the last tick.
-    uint32_t questions;
+    /// How long agents take to answer, and how many questions that allows.
+    struct SlPatience patience;
+    struct SlQuestionBudget budget;
+    /// Most agents were silent, and none has been heard since.
+    bool blames_itself;
+    struct SlRelayRound round;
     struct SlRelayEntryCounters counters;
 };
 
@@ -59,11 +70,20 @@
 SlRelayEntry_Carry(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                    const struct SlEntryFlow *flow, const uint8_t *bytes,
                    uint32_t length_bytes);
+/// Sends a frame to an agent.
+void
+SlRelayEntry_Send(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                  uint32_t at, const struct SlRelayFrame *frame);
 void
 SlRelayEntry_Reset(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                    const struct SlFlowKey *key, uint32_t seq);
 
 /* relay_locate.c */
+/// Goes on with a search when those who were asked have answered, or are not
+/// waited for any longer. The flow may be gone after.
+void
+SlRelayEntry_GoOn(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                  uint64_t now_us, struct SlEntryFlow *flow);
 /// Begins a search, or goes on with the one under way, for a segment whose
 /// flow has no known holder.
 void
@@ -85,4 +105,22 @@
 SlRelayEntry_LocateTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                         uint64_t now_us, struct SlEntryFlow *flow);
 
+/// An agent says that it holds the flow that is searched for, or may hold it.
+void
+SlRelayEntry_Claimed(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                     uint64_t now_us, struct SlEntryFlow *flow,
+                     uint64_t sender, bool certain);
+
+/* relay_round.c */
+/// Sends the questions of the round under way that the budget allows, ends it
+/// when it is over, and begins the next.
+void
+SlRelayEntry_RoundTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                       uint64_t now_us);
+/// An agent answered ASK_MANY.
+void
+SlRelayEntry_RoundAnswered(struct SlRelayEntry *entry,
+                           struct SlRelaySink *sink, uint64_t now_us,
+                           const struct SlRelayFrame *frame);
+
 #endif
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -417,28 +417,66 @@
     answer_absent(agent, sink, now_us, &entry, segment, "given_back");
 }
 
+/// What this agent knows of a flow that an entry asks for. Returns false when
+/// it does not hold the flow for certain.
+static bool
+may_hold_flow(const struct SlRelayAgent *agent, uint64_t now_us,
+              const struct SlFlowKey *key, uint32_t ack, bool *certain)
+{
+    const struct SlAgentFlow *flow = SlAgentFlow_Find(agent, key);
+
+    *certain = false;
+    if (flow == NULL) {
+        return SlRelayAgent_MayHold(agent, now_us) && may_serve(agent, key);
+    }
+    if (flow->state == SL_AGENT_TENTATIVE) {
+        return true;
+    }
+    *certain = flow->state == SL_AGENT_ENDED || is_chosen(flow, ack);
+    return *certain;
+}
+
 void
 SlAgentFlow_Asked(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                   uint64_t now_us, const struct SlAddress *from,
                   const struct SlRelayFrame *ask)
 {
-    struct SlAgentFlow *flow = SlAgentFlow_Find(agent, &ask->flow);
     struct SlRelayFrame frame = {
         .kind = SL_RELAY_ABSENT, .sender = agent->node_id, .flow = ask->flow};
 
-    if (flow == NULL) {
-        if (SlRelayAgent_MayHold(agent, now_us) &&
-            may_serve(agent, &ask->flow)) {
-            frame.kind = SL_RELAY_HOLDS;
-        }
-    }
-    else if (flow->state == SL_AGENT_TENTATIVE) {
+    if (may_hold_flow(agent, now_us, &ask->flow, ask->ack, &frame.certain)) {
         frame.kind = SL_RELAY_HOLDS;
     }
-    else if (flow->state == SL_AGENT_ENDED || is_chosen(flow, ask->ack)) {
-        frame.kind = SL_RELAY_HOLDS;
-        frame.certain = true;
+    sink->type->send_frame(sink, from, &frame);
+}
+
+void
+SlAgentFlow_AskedMany(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                      uint64_t now_us, const struct SlAddress *from,
+                      const struct SlRelayFrame *ask)
+{
+    struct SlRelayQuestions asked;
+    struct SlRelayQuestions held = {.count = 0};
+    uint8_t encoded[SL_SEGMENT_MAX_BYTES];
+    struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS_MANY,
+                                 .sender = agent->node_id,
+                                 .round = ask->round,
+                                 .segment = encoded};
+
+    if (SlRelayQuestions_Decode(ask->segment, ask->segment_bytes, &asked) !=
+        SL_OK) {
+        agent->counters.malformed++;
+        return;
+    }
+    for (uint32_t i = 0; i < asked.count; i++) {
+        struct SlRelayQuestion *item = &asked.items[i];
+
+        if (may_hold_flow(agent, now_us, &item->flow, item->ack,
+                          &item->certain)) {
+            held.items[held.count++] = *item;
+        }
     }
+    frame.segment_bytes = SlRelayQuestions_Encode(&held, encoded);
     sink->type->send_frame(sink, from, &frame);
 }
 
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -1,60 +1,45 @@
-/// Who holds a flow? The agents of the route's services are asked, those of
-/// the entry's zone first, then all others: a newer configuration may have
-/// moved the route since the flow opened. One that restarted cannot know; it
-/// is tried with the segment itself, which its upstream gives back when it
-/// does not hold the flow.
+/// Who holds a flow? Its homes are asked (balance/homes.h), those in the
+/// entry's zone first; they hold it in all likelihood. What they do not hold
+/// is asked of all agents, for many flows together (relay_round.h): a flow may
+/// have found no slot free at its homes, and a newer configuration may have
+/// moved the route. An agent that restarted cannot know; it is tried with the
+/// segment itself, which its upstream gives back when it does not hold the
+/// flow.
 
 #include "relay_entry_core.h"
 
 enum {
     /// Agents answer within a few milliseconds, those of a slowed machine
-    /// within a tenth of a second; the caller sends again after two.
-    PATIENCE_US = 150 * 1000,
+    /// within a tenth of a second.
+    ANSWER_LEAST_US = 150 * 1000,
     /// A whole search, with agents tried one by one.
-    GIVE_UP_US = 600 * 1000,
-    /// Agents asked in a tick, at most: an entry with a tenth of a core sends
-    /// and hears about 6,000 questions a second with half of it. Later
-    /// searches wait for their turn: answers that come too late would only be
-    /// asked for again.
-    QUESTIONS_MAX = 128,
+    GIVE_UP_US = 1200 * 1000,
+    /// After a search without a certain answer a caller's segments are dropped
+    /// for so long, twice as long after each further one: the pauses after
+    /// which a caller sends again.
+    QUIET_US = 200 * 1000,
+    QUIET_DOUBLINGS = 3,
 };
 
-static enum SlRelaySearchStage
-stage_of(const struct SlRelayEntry *entry, const struct SlPlanRoute *route,
-         uint32_t at)
-{
-    bool own = route != NULL &&
-               SlPlan_Allows(route, entry->members.members[at].service);
-
-    if (!own) {
-        return SL_SEARCH_REST;
-    }
-    return entry->members.candidates[at].near ? SL_SEARCH_NEAR
-                                              : SL_SEARCH_SERVICE;
-}
-
-static void
-go_on(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
-      struct SlEntryFlow *flow);
-
-/// Does an agent of that stage count as asked when a search asks? The whole
-/// service counts when its near agents are asked, since the others may be
-/// before the tick is over.
 static bool
-is_counted(enum SlRelaySearchStage asks, enum SlRelaySearchStage stage)
+is_asked(const struct SlRelayEntry *entry, const struct SlPlanRoute *route,
+         uint32_t own_service, enum SlRelaySearchStage stage, uint32_t at)
 {
-    if (asks == SL_SEARCH_NEAR) {
-        return stage != SL_SEARCH_REST;
-    }
-    return asks == SL_SEARCH_REST && stage == SL_SEARCH_REST;
+    const struct SlCandidate *candidate = &entry->members.candidates[at];
+    uint32_t service = entry->members.members[at].service;
+    bool near = candidate->near && service == own_service;
+
+    return candidate->home && SlPlan_Allows(route, service) &&
+           near == (stage == SL_SEARCH_NEAR);
 }
 
-/// Asks the agents of this stage of the search.
+/// Asks the flow's homes of this stage of the search.
 static void
 ask(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
     struct SlEntryFlow *flow)
 {
     struct SlRelaySearch *search = flow->search;
+    struct SlRelayMembers *members = &entry->members;
     const struct SlPlanRoute *route =
         SlPlan_FindRoute(entry->plan, &flow->item.key.service);
     struct SlRelayFrame frame = {.kind = SL_RELAY_ASK,
@@ -62,44 +47,35 @@
                                  .plan_version = SlPlan_Version(entry->plan),
                                  .flow = flow->item.key,
                                  .ack = search->ack};
+    uint32_t own;
 
-    for (uint32_t at = 0; at < entry->members.count; at++) {
-        enum SlRelaySearchStage stage = stage_of(entry, route, at);
-
-        if (!SlRelayMembers_MayHold(&entry->members, at, now_us)) {
+    search->asked_us = now_us;
+    if (route == NULL) {
+        return;
+    }
+    own = SlPlan_ServiceOf(route, &flow->item.key);
+    for (uint32_t service = 0; service < members->service_count; service++) {
+        if (!SlPlan_Allows(route, service)) {
             continue;
         }
-        if (stage == search->stage) {
-            sink->type->send_frame(sink, &entry->members.members[at].address,
-                                   &frame);
-            search->open++;
+        SlRelayMembers_MarkHomes(members, service, &flow->item.key);
+        for (uint32_t at = members->first[service];
+             at < members->first[service + 1]; at++) {
+            if (is_asked(entry, route, own, search->stage, at) &&
+                SlRelayMembers_MayHold(members, at, now_us)) {
+                SlRelayEntry_Send(entry, sink, at, &frame);
+                entry->counters.questions++;
+                search->open++;
+            }
         }
-        entry->questions += is_counted(search->stage, stage);
     }
-    search->asked_us = now_us;
 }
 
-/// Asks the agents of the next stage. False when none is left to ask.
+/// May this search begin to ask in this tick?
 static bool
-ask_next(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
-         struct SlEntryFlow *flow)
+has_turn(struct SlRelayEntry *entry)
 {
-    struct SlRelaySearch *search = flow->search;
-
-    if (search->stage == SL_SEARCH_REST) {
-        return false;
-    }
-    search->stage++;
-    ask(entry, sink, now_us, flow);
-    return search->open > 0;
-}
-
-/// May one more search ask in this tick? The first always may.
-static bool
-has_turn(const struct SlRelayEntry *entry)
-{
-    return entry->questions == 0 ||
-           entry->questions + entry->members.count <= QUESTIONS_MAX;
+    return SlQuestionBudget_Take(&entry->budget, SL_HOMES_PER_ZONE);
 }
 
 static void
@@ -113,7 +89,7 @@
                                         .reason = "holder_unknown",
                                         .value = flow->search->open});
     if (flow->search->open == 0) {
-        go_on(entry, sink, now_us, flow);
+        SlRelayEntry_GoOn(entry, sink, now_us, flow);
     }
 }
 
@@ -124,6 +100,8 @@
     flow->search = NULL;
 }
 
+/// Nothing certain was heard. The flow is remembered, so that what its caller
+/// sends again does not begin the same search at once.
 static void
 give_up(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
         struct SlEntryFlow *flow)
@@ -136,7 +114,14 @@
                          .reason = "no_certain_answer",
                          .value = (int64_t)(now_us - flow->search->began_us),
                          .limit = flow->search->silent});
-    SlEntryFlow_Remove(entry, flow);
+    end_search(flow);
+    SlRelayIndex_StopWaiting(&entry->flows, &flow->item);
+    flow->holder = 0;
+    flow->held = false;
+    flow->quiet_until_us = now_us + ((uint64_t)QUIET_US << flow->fruitless);
+    if (flow->fruitless < QUIET_DOUBLINGS) {
+        flow->fruitless++;
+    }
 }
 
 /// Nobody holds it: the caller learns at once that the flow is over.
@@ -173,36 +158,46 @@
     }
 }
 
-/// All agents of this stage have answered.
+/// Hands the first waiting segment to an agent that may hold the flow. The
+/// search stays open: a segment that comes back goes on with it.
 static void
-go_on(struct SlRelayEntry *entry, struct SlRelaySink *sink, uint64_t now_us,
-      struct SlEntryFlow *flow)
+try_holder(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+           uint64_t now_us, struct SlEntryFlow *flow, uint64_t node_id)
 {
     struct SlRelaySearch *search = flow->search;
-    uint64_t next;
 
-    /* Who may hold it is tried once all agents of the service have been
-       asked: one of them may hold it for certain. */
-    if (search->stage == SL_SEARCH_NEAR &&
-        ask_next(entry, sink, now_us, flow)) {
-        return;
+    flow->holder = node_id;
+    flow->held = false;
+    search->tried_us = now_us;
+    if (search->segment_count > 0) {
+        (void)SlRelayEntry_Carry(entry, sink, flow, search->segments[0].bytes,
+                                 search->segments[0].length_bytes);
     }
-    next = SlRelaySearch_NextMaybe(search);
+}
+
+void
+SlRelayEntry_GoOn(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                  uint64_t now_us, struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+    uint64_t next = SlRelaySearch_NextMaybe(search);
+
     if (next != 0) {
-        /* The search stays open: a segment that comes back goes on with it. */
-        flow->holder = next;
-        flow->held = false;
-        search->tried_us = now_us;
-        if (search->segment_count > 0) {
-            (void)SlRelayEntry_Carry(entry, sink, flow,
-                                     search->segments[0].bytes,
-                                     search->segments[0].length_bytes);
-        }
+        try_holder(entry, sink, now_us, flow, next);
         return;
     }
-    if (!ask_next(entry, sink, now_us, flow)) {
-        end_unheld(entry, sink, now_us, flow);
+    if (search->stage == SL_SEARCH_NEAR) {
+        search->stage = SL_SEARCH_FAR;
+        ask(entry, sink, now_us, flow);
+        if (search->open > 0) {
+            return;
+        }
     }
+    if (search->stage == SL_SEARCH_FAR) {
+        search->stage = SL_SEARCH_ALL;
+        return;
+    }
+    end_unheld(entry, sink, now_us, flow);
 }
 
 /// A further segment of a flow that is searched for.
@@ -230,7 +225,7 @@
     }
     if (flow->holder == sender) {
         flow->holder = 0;
-        go_on(entry, sink, now_us, flow);
+        SlRelayEntry_GoOn(entry, sink, now_us, flow);
     }
 }
 
@@ -283,6 +278,19 @@
     SlRelayIndex_StopWaiting(&entry->flows, &flow->item);
 }
 
+void
+SlRelayEntry_Claimed(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                     uint64_t now_us, struct SlEntryFlow *flow,
+                     uint64_t sender, bool certain)
+{
+    if (certain) {
+        found(entry, sink, now_us, flow, sender);
+    }
+    else {
+        SlRelaySearch_Maybe(flow->search, sender);
+    }
+}
+
 void
 SlRelayEntry_Located(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                      uint64_t now_us, struct SlEntryFlow *flow,
@@ -290,49 +298,59 @@
 {
     struct SlRelaySearch *search = flow->search;
 
-    if (search == NULL) {
-        return;
-    }
-    if (frame->kind == SL_RELAY_HOLDS && frame->certain) {
-        found(entry, sink, now_us, flow, frame->sender);
-        return;
+    if (search->open > 0 && search->silent == 0) {
+        SlPatience_Answered(&entry->patience, now_us - search->asked_us);
     }
     if (frame->kind == SL_RELAY_HOLDS) {
-        SlRelaySearch_Maybe(search, frame->sender);
+        SlRelayEntry_Claimed(entry, sink, now_us, flow, frame->sender,
+                             frame->certain);
+        if (frame->certain) {
+            return;
+        }
     }
     if (search->open > 0 && --search->open == 0) {
-        go_on(entry, sink, now_us, flow);
+        SlRelayEntry_GoOn(entry, sink, now_us, flow);
     }
 }
 
+/// Those who were asked are not waited for any longer.
+static void
+stop_waiting(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+             uint64_t now_us, struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+
+    search->silent += search->open;
+    search->open = 0;
+    search->uncertain = true;
+    SlRelayEntry_GoOn(entry, sink, now_us, flow);
+}
+
 void
 SlRelayEntry_LocateTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                         uint64_t now_us, struct SlEntryFlow *flow)
 {
     struct SlRelaySearch *search = flow->search;
-    uint64_t spent_us = now_us - search->began_us;
+    uint64_t patience_us = SlPatience_Us(&entry->patience, ANSWER_LEAST_US);
 
-    if (spent_us > GIVE_UP_US) {
+    if (now_us - search->began_us > GIVE_UP_US) {
         give_up(entry, sink, now_us, flow);
-        return;
     }
-    if (search->asked_us == 0) {
+    else if (search->asked_us == 0) {
         if (has_turn(entry)) {
             begin_asking(entry, sink, now_us, flow);
         }
     }
-    else if (search->open > 0 && now_us - search->asked_us > PATIENCE_US) {
-        search->silent += search->open;
-        search->open = 0;
-        search->uncertain = true;
-        go_on(entry, sink, now_us, flow);
+    else if (search->open > 0) {
+        if (now_us - search->asked_us > patience_us) {
+            stop_waiting(entry, sink, now_us, flow);
+        }
     }
-    else if (search->open == 0 && flow->holder != 0 &&
-             now_us - search->tried_us > PATIENCE_US) {
+    else if (flow->holder != 0 && now_us - search->tried_us > patience_us) {
         /* Neither did it give the segment back nor say that it holds it. */
         flow->holder = 0;
         search->silent++;
         search->uncertain = true;
-        go_on(entry, sink, now_us, flow);
+        SlRelayEntry_GoOn(entry, sink, now_us, flow);
     }
 }
--- a/packages/coordination/src/relay_members.c
+++ b/packages/coordination/src/relay_members.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 enum {
-    /// An agent answers an offer within a few milliseconds; a machine that is
-    /// only short of processor within a tenth of a second.
-    SILENT_US = 150 * 1000,
+    /// So many silent members may be as many accidents.
+    ACCIDENTS = 2,
+    FLOW_HASH_SEED = 0,
     /// One flow in so long tries whether a suspect answers again.
     RETRY_US = 500 * 1000,
     /// One flow in so long tries whether a slow one is still slow: its average
@@ -27,6 +27,12 @@
            !SlConfig_ZoneOut(config, node->node.zone);
 }
 
+/// Zones in the order in which the members name them; borrowed names.
+struct zone_names {
+    uint32_t count;
+    const char *names[SL_HOMES_ZONES];
+};
+
 /// The service that an agent announces; SL_PLAN_NO_SERVICE for others.
 static uint32_t
 service_of(const struct SlPlan *plan, const struct SlObject *node)
@@ -39,11 +45,27 @@
     return SlPlan_FindService(plan, service);
 }
 
+/// The number of a zone: its place among the configuration's nodes' zones.
+static uint32_t
+zone_number(struct zone_names *zones, const char *name)
+{
+    for (uint32_t i = 0; i < zones->count; i++) {
+        if (strcmp(zones->names[i], name) == 0) {
+            return i;
+        }
+    }
+    if (zones->count == SL_HOMES_ZONES) {
+        return (uint32_t)(SlNode_Id(name) % SL_HOMES_ZONES);
+    }
+    zones->names[zones->count] = name;
+    return zones->count++;
+}
+
 static void
 fill_member(uint64_t now_us, const struct SlConfig *config,
             const struct SlObject *node, uint32_t service, const char *zone,
-            const struct SlRelayMembers *former, struct SlCandidate *candidate,
-            struct SlRelayMember *member)
+            struct zone_names *zones, const struct SlRelayMembers *former,
+            struct SlCandidate *candidate, struct SlRelayMember *member)
 {
     uint32_t at = SlRelayMembers_Find(former, node->node.node_id);
 
@@ -55,6 +77,7 @@
         *member = former->members[at];
         member->service = service;
     }
+    candidate->zone = zone_number(zones, node->node.zone);
     candidate->near = strcmp(node->node.zone, zone) == 0;
     candidate->open = SlRelayMember_IsOpen(config, node);
     candidate->slots = node->node.slots;
@@ -107,6 +130,7 @@
      const char *zone, const uint32_t *services, uint32_t *next)
 {
     uint32_t nodes = SlConfig_Count(config, SL_KIND_NODE);
+    struct zone_names zones = {.count = 0};
     uint32_t filled = 0;
 
     memcpy(next, members->first, members->service_count * sizeof(*next));
@@ -118,7 +142,7 @@
             continue;
         }
         at = next[services[i]]++;
-        fill_member(now_us, config, node, services[i], zone, former,
+        fill_member(now_us, config, node, services[i], zone, &zones, former,
                     &members->candidates[at], &members->members[at]);
         members->places[filled++] = (struct SlRelayMemberPlace){
             .node_id = node->node.node_id, .at = at};
@@ -207,7 +231,8 @@
 
 bool
 SlRelayMembers_Heard(struct SlRelayMembers *members, uint32_t at,
-                     const struct SlRelayLoad *load, uint32_t answers)
+                     uint64_t now_us, const struct SlRelayLoad *load,
+                     uint32_t answers)
 {
     struct SlCandidate *candidate = &members->candidates[at];
     bool was_suspect = candidate->suspect;
@@ -217,6 +242,7 @@
     candidate->offered =
         candidate->offered > answers ? candidate->offered - answers : 0;
     members->members[at].unanswered_us = 0;
+    members->members[at].heard_us = now_us;
     members->members[at].lost_us = 0;
     return was_suspect;
 }
@@ -277,9 +303,57 @@
     return lost_us == 0 || now_us - lost_us < LOST_US;
 }
 
+bool
+SlRelayMembers_AreMostSilent(const struct SlRelayMembers *members,
+                             uint64_t now_us, uint64_t silent_us)
+{
+    uint32_t silent = 0;
+    uint32_t heard = 0;
+
+    for (uint32_t i = 0; i < members->count; i++) {
+        const struct SlRelayMember *member = &members->members[i];
+
+        if (member->unanswered_us != 0 &&
+            now_us - member->unanswered_us > silent_us) {
+            silent++;
+        }
+        else if (member->heard_us != 0 &&
+                 now_us - member->heard_us < silent_us) {
+            heard++;
+        }
+    }
+    return silent > ACCIDENTS && silent > heard;
+}
+
+void
+SlRelayMembers_ForgetOffers(struct SlRelayMembers *members)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        members->members[i].unanswered_us = 0;
+        members->candidates[i].offered = 0;
+    }
+}
+
+uint64_t
+SlRelayMembers_FlowHash(const struct SlFlowKey *flow)
+{
+    return SlFlowKey_Hash(flow, FLOW_HASH_SEED);
+}
+
+void
+SlRelayMembers_MarkHomes(struct SlRelayMembers *members, uint32_t service,
+                         const struct SlFlowKey *flow)
+{
+    uint32_t first = members->first[service];
+
+    SlHomes_Mark(&members->candidates[first],
+                 members->first[service + 1] - first,
+                 SlRelayMembers_FlowHash(flow));
+}
+
 uint32_t
 SlRelayMembers_NextSilent(struct SlRelayMembers *members, uint32_t at,
-                          uint64_t now_us)
+                          uint64_t now_us, uint64_t silent_us)
 {
     for (; at < members->count; at++) {
         struct SlRelayMember *member = &members->members[at];
@@ -295,7 +369,7 @@
             continue;
         }
         if (member->unanswered_us != 0 &&
-            now_us - member->unanswered_us > SILENT_US) {
+            now_us - member->unanswered_us > silent_us) {
             candidate->suspect = true;
             member->retry_us = now_us + RETRY_US;
             return at;
--- a/packages/coordination/src/relay_members.h
+++ b/packages/coordination/src/relay_members.h
@@ -4,6 +4,7 @@
 /// The agents as an entry knows them: who serves which service, by the
 /// configuration, and how each one answers.
 
+#include "savoryledge/balance/homes.h"
 #include "savoryledge/balance/outlier.h"
 #include "savoryledge/coordination/relay.h"
 
@@ -15,6 +16,8 @@
     uint32_t service;
     /// When the oldest offer was sent that has no answer yet; 0 none.
     uint64_t unanswered_us;
+    /// When it was last heard; 0 never.
+    uint64_t heard_us;
     /// A suspect is tried again then.
     uint64_t retry_us;
     /// Slow by the last judgement, whether that was told, and when a flow next
@@ -75,12 +78,23 @@
 /// suspect until now.
 bool
 SlRelayMembers_Heard(struct SlRelayMembers *members, uint32_t at,
-                     const struct SlRelayLoad *load, uint32_t answers);
-/// Looks for members that answer nothing. Returns the next one that turned
-/// suspect, from index at on; SL_RELAY_NO_MEMBER when there is none left.
+                     uint64_t now_us, const struct SlRelayLoad *load,
+                     uint32_t answers);
+/// True when of the members that were offered something more stay silent for
+/// longer than silent_us than were heard lately: the entry hears badly itself.
+/// Two silent ones are too few to tell.
+bool
+SlRelayMembers_AreMostSilent(const struct SlRelayMembers *members,
+                             uint64_t now_us, uint64_t silent_us);
+/// The entry hears again: offers of before are no member's silence.
+void
+SlRelayMembers_ForgetOffers(struct SlRelayMembers *members);
+/// Looks for members that answered nothing for silent_us. Returns the next one
+/// that turned suspect, from index at on; SL_RELAY_NO_MEMBER when there is
+/// none left.
 uint32_t
 SlRelayMembers_NextSilent(struct SlRelayMembers *members, uint32_t at,
-                          uint64_t now_us);
+                          uint64_t now_us, uint64_t silent_us);
 
 /// Judges the members of each service by their answers, and lets one flow try
 /// each slow one now and then.
@@ -91,6 +105,14 @@
 uint32_t
 SlRelayMembers_NextJudged(struct SlRelayMembers *members, uint32_t at);
 
+/// By which a flow's homes are found: the same at every process.
+uint64_t
+SlRelayMembers_FlowHash(const struct SlFlowKey *flow);
+/// Marks the homes of a flow in the service at index service of the plan.
+void
+SlRelayMembers_MarkHomes(struct SlRelayMembers *members, uint32_t service,
+                         const struct SlFlowKey *flow);
+
 /// False for one that has been lost so long that no flow can still go on
 /// there.
 bool
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -36,15 +36,23 @@
     };
 }
 
+static int
+compare_entries(const void *a, const void *b)
+{
+    const struct SlAgentEntry *x = a;
+    const struct SlAgentEntry *y = b;
+
+    return (x->node_id > y->node_id) - (x->node_id < y->node_id);
+}
+
 static struct SlAgentEntry *
 find_entry(struct SlAgentEntry *entries, uint32_t count, uint64_t node_id)
 {
-    for (uint32_t i = 0; i < count; i++) {
-        if (entries[i].node_id == node_id) {
-            return &entries[i];
-        }
-    }
-    return NULL;
+    struct SlAgentEntry wanted = {.node_id = node_id};
+
+    return count == 0 ? NULL
+                      : bsearch(&wanted, entries, count, sizeof(wanted),
+                                compare_entries);
 }
 
 /// An entry that is new, or started anew, knows no flow yet.
@@ -92,6 +100,7 @@
         memcpy(entries[count].zone, node->node.zone, SL_NAME_BYTES);
         count++;
     }
+    qsort(entries, count, sizeof(*entries), compare_entries);
     free(agent->entries);
     agent->entries = entries;
     agent->entry_count = count;
@@ -114,6 +123,28 @@
     }
 }
 
+static struct SlAgentEntry *
+entry_at(const struct SlRelayAgent *agent, const struct SlAddress *address)
+{
+    for (uint32_t i = 0; i < agent->entry_count; i++) {
+        if (SlAddress_Equal(&agent->entries[i].address, address)) {
+            return &agent->entries[i];
+        }
+    }
+    return NULL;
+}
+
+void
+SlRelayAgent_Told(struct SlRelayAgent *agent, const struct SlAddress *address,
+                  const struct SlRelayLoad *load)
+{
+    struct SlAgentEntry *entry = entry_at(agent, address);
+
+    if (entry != NULL) {
+        entry->told = *load;
+    }
+}
+
 /// What an agent may send so that neither it nor the entries that it tells
 /// have more reports than they may.
 static uint64_t
@@ -163,17 +194,6 @@
         now_us + (pause_us > REPORT_US ? pause_us : REPORT_US);
 }
 
-static const struct SlAgentEntry *
-entry_at(const struct SlRelayAgent *agent, const struct SlAddress *address)
-{
-    for (uint32_t i = 0; i < agent->entry_count; i++) {
-        if (SlAddress_Equal(&agent->entries[i].address, address)) {
-            return &agent->entries[i];
-        }
-    }
-    return NULL;
-}
-
 void
 SlRelayAgent_AnnounceFlow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                           struct SlAgentFlow *flow)
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -13,21 +13,22 @@
     /// Segments of one flow that wait; later ones are dropped, and sent again
     /// by the caller.
     SL_SEARCH_SEGMENTS = 4,
-    /// Agents that may hold the flow and have to be tried one by one; as many
-    /// as a service has upstreams.
-    SL_SEARCH_MAYBE = 64,
+    /// Agents that may hold the flow and are tried one by one: all its homes
+    /// in four zones, and a few others.
+    SL_SEARCH_MAYBE = 24,
 };
 
 /// Whom a search asks, in this order; those of a stage all at once.
 enum SlRelaySearchStage {
-    /// Agents of the route's services in the entry's zone, where most of its
-    /// callers' flows are.
+    /// The flow's homes in the entry's zone, where most of its callers' flows
+    /// are.
     SL_SEARCH_NEAR = 0,
-    /// The other agents of those services.
-    SL_SEARCH_SERVICE,
-    /// All others: the route may have led elsewhere when the flow opened.
-    SL_SEARCH_REST,
-    SL_SEARCH_STAGES
+    /// Its homes in the other zones.
+    SL_SEARCH_FAR,
+    /// All agents, together with other flows (relay_round.h): one that has no
+    /// slot free passes a flow on to others than its homes, and the route may
+    /// have led elsewhere when the flow opened.
+    SL_SEARCH_ALL,
 };
 
 struct SlRelaySearch {
@@ -35,6 +36,8 @@
     uint64_t began_us;
     /// When this stage's question was sent; 0 while it waits for its turn.
     uint64_t asked_us;
+    /// The round that asks for it; 0 while none does.
+    uint32_t round;
     /// How many of the asked agents have not answered.
     uint32_t open;
     /// How many did not answer in time, or did nothing when they were tried.
--- a/packages/ctl/src/explain_tell.c
+++ b/packages/ctl/src/explain_tell.c
@@ -137,6 +137,10 @@
     {SL_EVENT_RELAY_SEARCH_ENDED,
      "ended the search for the holder of {flow} after {took_us} us: {why}; "
      "{unanswered} agents were silent"},
+    {SL_EVENT_RELAY_ROUND, "asked {asked} agents who holds {flows} flows: "
+                           "{why}"},
+    {SL_EVENT_RELAY_LATE, "heard hardly any agent: {why}; it took the fault "
+                          "for its own and waits {patience_us} us"},
     {SL_EVENT_RELAY_CONFIG, "took configuration {plan_version} into use, with "
                             "{upstreams} upstreams"},
     {SL_EVENT_RELAY_ADMIT, "let {flow} in: {why}; {in_progress} of {slots} "
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -11,6 +11,8 @@
 enum {
     /// Batches taken from a socket before others get their turn.
     BATCHES_PER_TURN = 4,
+    /// Batches taken before a tick judges who is silent, at most.
+    BATCHES_BEFORE_TICK = 32,
     US_PER_MS = 1000,
     /// A connection on one machine is accepted or refused well within this.
     PROBE_US = 300 * 1000,
@@ -162,19 +164,25 @@
 }
 
 static void
-ready_frames(struct SlWatch *watch, uint32_t events)
+take_frames(struct shell_relay *relay, uint64_t now_us, uint32_t batches)
 {
-    struct shell_relay *relay = ((struct relay_socket *)watch)->relay;
-    uint64_t now_us = SlClock_Monotonic();
     uint32_t turns = 0;
 
-    (void)events;
     do {
-        SlUdpSocket_Receive(watch->descriptor, relay->in);
+        SlUdpSocket_Receive(relay->frames.watch.descriptor, relay->in);
         for (uint32_t i = 0; i < relay->in->count; i++) {
             take_frame(relay, now_us, &relay->in->items[i]);
         }
-    } while (relay->in->count == SL_BATCH_ITEMS && ++turns < BATCHES_PER_TURN);
+    } while (relay->in->count == SL_BATCH_ITEMS && ++turns < batches);
+}
+
+static void
+ready_frames(struct SlWatch *watch, uint32_t events)
+{
+    struct shell_relay *relay = ((struct relay_socket *)watch)->relay;
+
+    (void)events;
+    take_frames(relay, SlClock_Monotonic(), BATCHES_PER_TURN);
     flush_all(relay);
 }
 
@@ -467,6 +475,8 @@
         SlRelayEntry_SetCutOff(
             relay->entry,
             SlReplica_CutOff(SlNode_Replica(relay->shell->node), now_us));
+        /* An answer that has arrived is not missing. */
+        take_frames(relay, now_us, BATCHES_BEFORE_TICK);
         SlRelayEntry_Tick(relay->entry, &relay->sink, now_us);
     }
     else {
--- a/packages/daemon/src/shell_text.c
+++ b/packages/daemon/src/shell_text.c
@@ -210,6 +210,12 @@
     put_count(out, "relay_entry_searches_given_up",
               counters.searches_given_up);
     put_count(out, "relay_entry_dropped", counters.dropped);
+    put_count(out, "relay_entry_frames", counters.frames);
+    put_count(out, "relay_entry_questions", counters.questions);
+    put_count(out, "relay_entry_rounds", counters.rounds);
+    put_count(out, "relay_entry_suspects", counters.suspects);
+    put_count(out, "relay_entry_patience_us", counters.patience_us);
+    put_count(out, "relay_entry_question_limit", counters.question_limit);
     put_count(out, "relay_entry_flows", counters.flows);
 }
 
--- a/packages/protocol/include/savoryledge/protocol/relay.h
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -15,6 +15,8 @@
     SL_RELAY_TRIED_MAX = 4,
     /// Largest datagram: a segment and the largest head.
     SL_RELAY_MAX_BYTES = SL_SEGMENT_MAX_BYTES + 160,
+    /// Flows in one ASK_MANY: what a datagram has room for.
+    SL_RELAY_QUESTIONS_MAX = 32,
 };
 
 enum SlRelayKind {
@@ -37,6 +39,10 @@
     SL_RELAY_HOLDS,
     /// Agent to entry: its load.
     SL_RELAY_REPORT,
+    /// Entry to agent: which of these flows do you hold? Answered by
+    /// HOLDS_MANY with those it holds, or may hold.
+    SL_RELAY_ASK_MANY,
+    SL_RELAY_HOLDS_MANY,
     SL_RELAY_KIND_COUNT
 };
 
@@ -96,7 +102,10 @@
     uint32_t ack;
     /// ACCEPT, DECLINE, REPORT.
     struct SlRelayLoad load;
-    /// Borrowed.
+    /// ASK_MANY, and HOLDS_MANY which answers it: the entry's number of the
+    /// question.
+    uint32_t round;
+    /// Borrowed. ASK_MANY, HOLDS_MANY: an encoded list (SlRelayQuestions).
     const uint8_t *segment;
     uint32_t segment_bytes;
 };
@@ -111,6 +120,29 @@
 SlRelayFrame_Decode(const uint8_t *bytes, uint32_t length_bytes,
                     struct SlRelayFrame *frame);
 
+/// One flow of ASK_MANY or HOLDS_MANY.
+struct SlRelayQuestion {
+    struct SlFlowKey flow;
+    /// ASK_MANY: the number that the caller acknowledges.
+    uint32_t ack;
+    /// HOLDS_MANY: the upstream has shown that it holds the flow.
+    bool certain;
+};
+
+struct SlRelayQuestions {
+    uint32_t count;
+    struct SlRelayQuestion items[SL_RELAY_QUESTIONS_MAX];
+};
+
+/// Encodes a list as the segment of a frame. Returns the length in bytes.
+uint32_t
+SlRelayQuestions_Encode(const struct SlRelayQuestions *questions,
+                        uint8_t out[SL_SEGMENT_MAX_BYTES]);
+/// Errors: SL_MALFORMED.
+enum SlStatus
+SlRelayQuestions_Decode(const uint8_t *bytes, uint32_t length_bytes,
+                        struct SlRelayQuestions *questions);
+
 const char *
 SlRelayReason_Name(enum SlRelayReason reason);
 
--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -29,6 +29,7 @@
     bool last;
     bool certain;
     uint32_t ack;
+    uint32_t round;
     struct {
         uint32_t count;
         struct tried_item items[SL_RELAY_TRIED_MAX];
@@ -70,15 +71,34 @@
     BOOL(head, last),
     BOOL(head, certain),
     U32(head, ack),
+    U32(head, round),
     SL_FIELD_ITEMS(head, tried, SL_RELAY_TRIED_MAX, TRIED),
     SL_FIELD_PART(head, load, LOAD),
     SL_FIELD_PART(head, flow, FLOW),
 };
 static const struct SlLayout HEAD = SL_LAYOUT_OPTIONAL(head, HEAD_FIELDS, 2);
 
+static const struct SlField QUESTION_FIELDS[] = {
+    SL_FIELD_PART(SlRelayQuestion, flow, FLOW),
+    U32(SlRelayQuestion, ack),
+    BOOL(SlRelayQuestion, certain),
+};
+static const struct SlLayout QUESTION =
+    SL_LAYOUT(SlRelayQuestion, QUESTION_FIELDS);
+
+static const struct SlField QUESTIONS_FIELDS[] = {
+    {.type = SL_FIELD_LIST,
+     .limit = SL_RELAY_QUESTIONS_MAX,
+     .of = &QUESTION,
+     .items_offset = offsetof(struct SlRelayQuestions, items)},
+};
+static const struct SlLayout QUESTIONS =
+    SL_LAYOUT(SlRelayQuestions, QUESTIONS_FIELDS);
+
 /// A fixed room being written; over the end nothing more is taken.
 struct room {
     uint8_t *bytes;
+    uint32_t most;
     uint32_t used;
     bool overflow;
 };
@@ -88,7 +108,7 @@
 {
     struct room *room = data;
 
-    if (room->overflow || length_bytes > SL_RELAY_MAX_BYTES - room->used) {
+    if (room->overflow || length_bytes > room->most - room->used) {
         room->overflow = true;
         return -1;
     }
@@ -107,6 +127,7 @@
                           .last = frame->last,
                           .certain = frame->certain,
                           .ack = frame->ack,
+                          .round = frame->round,
                           .tried = {.count = frame->tried_count}};
     for (uint32_t i = 0; i < frame->tried_count; i++) {
         head->tried.items[i].node_id = frame->tried[i];
@@ -119,7 +140,8 @@
 SlRelayFrame_Encode(const struct SlRelayFrame *frame,
                     uint8_t out[SL_RELAY_MAX_BYTES])
 {
-    struct room room = {.bytes = out, .used = LENGTH_BYTES};
+    struct room room = {
+        .bytes = out, .most = SL_RELAY_MAX_BYTES, .used = LENGTH_BYTES};
     struct head head;
     msgpack_packer packer;
     uint32_t head_bytes;
@@ -150,6 +172,7 @@
                                    .last = head->last,
                                    .certain = head->certain,
                                    .ack = head->ack,
+                                   .round = head->round,
                                    .tried_count = head->tried.count,
                                    .flow = head->flow,
                                    .load = head->load};
@@ -158,15 +181,34 @@
     }
 }
 
+/// Reads one msgpack value that fills the bytes.
+static enum SlStatus
+unpack(const struct SlLayout *layout, const uint8_t *bytes,
+       uint32_t length_bytes, void *base)
+{
+    msgpack_unpacked unpacked;
+    size_t offset = 0;
+    enum SlStatus status = SL_MALFORMED;
+
+    if (!shape_is_sound(bytes, length_bytes)) {
+        return SL_MALFORMED;
+    }
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
+                            &offset) == MSGPACK_UNPACK_SUCCESS &&
+        offset == length_bytes) {
+        status = SlLayout_Read(layout, &unpacked.data, base);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return status;
+}
+
 enum SlStatus
 SlRelayFrame_Decode(const uint8_t *bytes, uint32_t length_bytes,
                     struct SlRelayFrame *frame)
 {
-    msgpack_unpacked unpacked;
     struct head head = {.kind = SL_RELAY_NONE};
     uint32_t head_bytes;
-    size_t offset = 0;
-    enum SlStatus status = SL_MALFORMED;
 
     if (length_bytes < LENGTH_BYTES) {
         return SL_MALFORMED;
@@ -174,17 +216,9 @@
     head_bytes = (uint32_t)bytes[0] << BYTE_BITS | bytes[1];
     bytes += LENGTH_BYTES;
     length_bytes -= LENGTH_BYTES;
-    if (head_bytes > length_bytes || !shape_is_sound(bytes, head_bytes)) {
-        return SL_MALFORMED;
-    }
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)bytes, head_bytes,
-                            &offset) == MSGPACK_UNPACK_SUCCESS &&
-        offset == head_bytes) {
-        status = SlLayout_Read(&HEAD, &unpacked.data, &head);
-    }
-    msgpack_unpacked_destroy(&unpacked);
-    if (status != SL_OK || head.kind == SL_RELAY_NONE) {
+    if (head_bytes > length_bytes ||
+        unpack(&HEAD, bytes, head_bytes, &head) != SL_OK ||
+        head.kind == SL_RELAY_NONE) {
         return SL_MALFORMED;
     }
     take_head(&head, frame);
@@ -193,6 +227,25 @@
     return SL_OK;
 }
 
+uint32_t
+SlRelayQuestions_Encode(const struct SlRelayQuestions *questions,
+                        uint8_t out[SL_SEGMENT_MAX_BYTES])
+{
+    struct room room = {.bytes = out, .most = SL_SEGMENT_MAX_BYTES};
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, &room, write_to_room);
+    SlLayout_Pack(&QUESTIONS, questions, &packer);
+    return room.overflow ? 0 : room.used;
+}
+
+enum SlStatus
+SlRelayQuestions_Decode(const uint8_t *bytes, uint32_t length_bytes,
+                        struct SlRelayQuestions *questions)
+{
+    return unpack(&QUESTIONS, bytes, length_bytes, questions);
+}
+
 const char *
 SlRelayReason_Name(enum SlRelayReason reason)
 {
