Announce no flows to the zone's entries

Cause: an agent told every other entry of a caller's zone who holds a flow that lasted a second, and all of them again when any entry of the site started anew. At the two-year target that is 84 frames a flow, and it grows with the zone. It was there because a search asked the whole service.

Change: no announcement. An entry that meets a flow anew asks its four homes.

Conclusion: a moved flow costs one way there and back; nothing is sent for flows that do not move.

--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -59,8 +59,6 @@
     uint64_t requested_us;
     bool caller_closed;
     bool upstream_closed;
-    /// The other entries of the zone know the holder.
-    bool announced;
     /// The opening segment, while the flow waits.
     uint8_t *opening;
     uint32_t opening_bytes;
@@ -75,7 +73,6 @@
     uint64_t node_id;
     uint64_t boot;
     struct SlAddress address;
-    char zone[SL_NAME_BYTES];
     /// When an offer or segment last came from it; 0 never.
     uint64_t heard_us;
     /// The load that it was told last.
@@ -251,10 +248,6 @@
 void
 SlRelayAgent_Report(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                     uint64_t now_us);
-/// Tells the other entries of the zone who holds a flow that lasts.
-void
-SlRelayAgent_AnnounceFlow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-                          struct SlAgentFlow *flow);
 
 /* relay_round.c */
 /// An entry wants all agents asked. Who cannot do so does not answer.
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -18,8 +18,6 @@
     OPENING_US = 150 * 1000,
     /// Longer than any caller waits for an answer.
     REQUEST_US = 10 * 1000 * 1000,
-    /// Flows that last so long are made known to the zone's other entries.
-    LASTING_US = 1000 * 1000,
     EXPIRE_PER_TICK = 256,
     US_PER_MS = 1000,
     HISTOGRAM_BINS = 16,
@@ -203,10 +201,6 @@
     if (flow->state != SL_AGENT_ENDED) {
         note_end(agent, flow, segment, true);
     }
-    if (!flow->announced && flow->state == SL_AGENT_OPEN &&
-        now_us - flow->began_us > LASTING_US) {
-        SlRelayAgent_AnnounceFlow(agent, sink, flow);
-    }
 }
 
 static void
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -1,6 +1,4 @@
-/// What entries are told without asking: the load of this upstream, and the
-/// holder of flows that last, so that a router that spreads flows anew meets
-/// entries that know them.
+/// What entries are told without asking: the load of this upstream.
 
 #include <stdlib.h>
 #include <string.h>
@@ -55,16 +53,6 @@
                                 compare_entries);
 }
 
-/// An entry that is new, or started anew, knows no flow yet.
-static void
-announce_again(struct SlRelayAgent *agent)
-{
-    for (struct SlRelayItem *item = agent->flows.oldest; item != NULL;
-         item = item->newer) {
-        ((struct SlAgentFlow *)item)->announced = false;
-    }
-}
-
 static int
 compare_peers(const void *a, const void *b)
 {
@@ -84,23 +72,19 @@
                : bsearch(&wanted, peers, count, sizeof(wanted), compare_peers);
 }
 
-/// Returns true when the entry is new, or has started anew.
-static bool
+static void
 read_entry(struct SlRelayAgent *agent, const struct SlObject *node,
            struct SlAgentEntry *entry)
 {
     const struct SlAgentEntry *former =
         find_entry(agent->entries, agent->entry_count, node->node.node_id);
-    bool is_new = former == NULL || former->boot != node->node.boot;
 
-    if (!is_new) {
+    if (former != NULL && former->boot == node->node.boot) {
         *entry = *former;
     }
     entry->node_id = node->node.node_id;
     entry->boot = node->node.boot;
     entry->address = node->node.tunnel;
-    memcpy(entry->zone, node->node.zone, SL_NAME_BYTES);
-    return is_new;
 }
 
 static void
@@ -136,7 +120,6 @@
     struct SlRoundPeer *peers = calloc(nodes + 1, sizeof(*peers));
     uint32_t entry_count = 0;
     uint32_t peer_count = 0;
-    bool any_new = false;
 
     if (entries == NULL || peers == NULL) {
         free(entries);
@@ -147,8 +130,7 @@
         const struct SlObject *node = SlConfig_At(config, SL_KIND_NODE, i);
 
         if (node->node.roles & SL_ROLE_ENTRY) {
-            any_new =
-                read_entry(agent, node, &entries[entry_count++]) || any_new;
+            read_entry(agent, node, &entries[entry_count++]);
         }
         if (is_peer(agent, node)) {
             read_peer(agent, now_us, node, &peers[peer_count++]);
@@ -162,9 +144,6 @@
     agent->entry_count = entry_count;
     agent->peers = peers;
     agent->peer_count = peer_count;
-    if (any_new) {
-        announce_again(agent);
-    }
     return SL_OK;
 }
 
@@ -261,23 +240,3 @@
     agent->report_due_us =
         now_us + (pause_us > REPORT_US ? pause_us : REPORT_US);
 }
-
-void
-SlRelayAgent_AnnounceFlow(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-                          struct SlAgentFlow *flow)
-{
-    const struct SlAgentEntry *own = entry_at(agent, &flow->entry);
-    struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS,
-                                 .sender = agent->node_id,
-                                 .certain = true,
-                                 .flow = flow->item.key};
-
-    flow->announced = true;
-    for (uint32_t i = 0; own != NULL && i < agent->entry_count; i++) {
-        const struct SlAgentEntry *entry = &agent->entries[i];
-
-        if (entry != own && strcmp(entry->zone, own->zone) == 0) {
-            sink->type->send_frame(sink, &entry->address, &frame);
-        }
-    }
-}
