Say at once that an agent cannot ask all others

An agent that knows an older configuration than the entry, or has eight questions to all agents under way, dropped a ninth without a word, and the entry waited 400 ms before it tried another agent.

--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -250,7 +250,7 @@
                     uint64_t now_us);
 
 /* relay_round.c */
-/// An entry wants all agents asked. Who cannot do so does not answer.
+/// An entry wants all agents asked.
 void
 SlRelayAgent_AskAll(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                     uint64_t now_us, const struct SlAddress *from,
--- a/packages/coordination/src/relay_delegate.c
+++ b/packages/coordination/src/relay_delegate.c
@@ -8,7 +8,8 @@
     /// An agent has asked all others within so long, also when it has to ask
     /// some of them again.
     ANSWER_LEAST_US = 400 * 1000,
-    /// Agents that are tried when one does not answer.
+    /// Agents that are tried when one does not answer, or cannot ask: it knows
+    /// an older configuration, or has too many questions under way.
     ATTEMPTS_MAX = 3,
 };
 
@@ -124,18 +125,11 @@
     }
 }
 
-/// Gives a question that is not answered in time to another agent, or gives it
-/// up.
+/// Gives a question to another agent, or gives it up.
 static void
-repeat_or_end(struct SlRelayEntry *entry, struct SlRelaySink *sink,
-              uint64_t now_us, struct SlRelayDelegation *delegation)
+ask_another(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+            uint64_t now_us, struct SlRelayDelegation *delegation)
 {
-    uint64_t patience_us =
-        SlPatience_Us(&entry->delegation_patience, ANSWER_LEAST_US);
-
-    if (now_us - delegation->asked_us <= patience_us) {
-        return;
-    }
     if (delegation->attempts == ATTEMPTS_MAX ||
         !delegate(entry, sink, now_us, delegation)) {
         end_delegation(entry, sink, now_us, delegation, entry->members.count);
@@ -166,14 +160,19 @@
 SlRelayEntry_DelegateTick(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                           uint64_t now_us)
 {
+    uint64_t patience_us =
+        SlPatience_Us(&entry->delegation_patience, ANSWER_LEAST_US);
+
     for (uint32_t i = 0; i < SL_ENTRY_DELEGATIONS_MAX; i++) {
         struct SlRelayDelegation *delegation = &entry->delegations[i];
 
-        if (delegation->number != 0) {
-            repeat_or_end(entry, sink, now_us, delegation);
+        if (delegation->number == 0) {
+            if (entry->plan != NULL) {
+                begin_delegation(entry, sink, now_us, delegation);
+            }
         }
-        else if (entry->plan != NULL) {
-            begin_delegation(entry, sink, now_us, delegation);
+        else if (now_us - delegation->asked_us > patience_us) {
+            ask_another(entry, sink, now_us, delegation);
         }
     }
 }
@@ -205,6 +204,12 @@
         entry->counters.malformed++;
         return;
     }
+    if (claims.unheard == SL_RELAY_NOT_ASKED) {
+        if (frame->sender == delegation->agent) {
+            ask_another(entry, sink, now_us, delegation);
+        }
+        return;
+    }
     if (frame->sender == delegation->agent) {
         SlPatience_Answered(&entry->delegation_patience,
                             now_us - delegation->asked_us);
--- a/packages/coordination/src/relay_round.c
+++ b/packages/coordination/src/relay_round.c
@@ -129,20 +129,29 @@
     *round = (struct SlRelayRound){.number = 0};
 }
 
-/// Tells the entry what was said, and frees the round.
 static void
-end_round(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-          uint64_t now_us, struct SlRelayRound *round)
+tell_entry(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+           const struct SlAddress *entry, uint32_t entry_round,
+           const struct SlRelayQuestions *claims)
 {
     uint8_t encoded[SL_SEGMENT_MAX_BYTES];
     struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS_ALL,
                                  .sender = agent->node_id,
-                                 .round = round->entry_round,
-                                 .segment = encoded};
+                                 .round = entry_round,
+                                 .segment = encoded,
+                                 .segment_bytes =
+                                     SlRelayQuestions_Encode(claims, encoded)};
+
+    sink->type->send_frame(sink, entry, &frame);
+}
 
+/// Tells the entry what was said, and frees the round.
+static void
+end_round(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+          uint64_t now_us, struct SlRelayRound *round)
+{
     round->claims.unheard += round->member_count - round->answered;
-    frame.segment_bytes = SlRelayQuestions_Encode(&round->claims, encoded);
-    sink->type->send_frame(sink, &round->entry, &frame);
+    tell_entry(agent, sink, &round->entry, round->entry_round, &round->claims);
     SlRelayAgent_Event(agent, sink, now_us,
                        (struct SlEvent){.number = SL_EVENT_RELAY_ROUND_ENDED,
                                         .reason = round->claims.unheard == 0
@@ -241,6 +250,8 @@
                     uint64_t now_us, const struct SlAddress *from,
                     const struct SlRelayFrame *frame)
 {
+    static const struct SlRelayQuestions NOT_ASKED = {.unheard =
+                                                          SL_RELAY_NOT_ASKED};
     struct SlRelayRound *round = find_round(agent, 0);
     struct SlRelayQuestions questions;
 
@@ -255,7 +266,7 @@
         SlVersion_Compare(agent->version, questions.version) < 0 ||
         SlRelayRound_Begin(round, now_us, agent->last_round + 1, agent->peers,
                            agent->peer_count) != SL_OK) {
-        agent->counters.dropped++;
+        tell_entry(agent, sink, from, frame->round, &NOT_ASKED);
         return;
     }
     agent->last_round++;
--- a/packages/protocol/include/savoryledge/protocol/relay.h
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -17,6 +17,8 @@
     SL_RELAY_MAX_BYTES = SL_SEGMENT_MAX_BYTES + 160,
     /// Flows in one question about many: what a datagram has room for.
     SL_RELAY_QUESTIONS_MAX = 32,
+    /// In place of a number of unheard agents: none was asked.
+    SL_RELAY_NOT_ASKED = 0xffffffffu,
 };
 
 enum SlRelayKind {
@@ -140,8 +142,9 @@
     /// ASK_ALL: the configuration by which the entry knows agents. One who
     /// knows an older one cannot ask them all.
     struct SlVersion version;
-    /// HOLDS_ALL: agents that did not answer, or whose answer had no room.
-    /// Nobody holds a flow for certain only when there is none.
+    /// HOLDS_ALL: agents that did not answer, or whose answer had no room;
+    /// SL_RELAY_NOT_ASKED when this agent could not ask. Nobody holds a flow
+    /// for certain only when it is 0.
     uint32_t unheard;
     uint32_t count;
     struct SlRelayQuestion items[SL_RELAY_QUESTIONS_MAX];
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -22,8 +22,8 @@
 }
 
 /// A router that spreads flows anew sends them to entries that never saw
-/// them: each finds the holder among the flow's homes of its zone, and an entry
-/// of another zone among all its homes.
+/// them: each finds the holder among the flow's homes of its zone, and an
+/// entry of another zone among all its homes.
 static void
 test_flow_moves_to_another_entry(void)
 {
