Ask an agent at once when the near homes do not hold a flow, and emulate fleets

Cause: a search whose near homes said no asked the flow's homes in all other zones before an agent asked everybody: up to 20 questions and as many answers at an entry, for flows that nobody holds in most cases. Ruled out: frames lost in links and sockets (3,504 of some 100,000).

Change: near homes, then one question to an agent.

--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -187,14 +187,14 @@
         try_holder(entry, sink, now_us, flow, next);
         return;
     }
-    if (search->stage == SL_SEARCH_NEAR) {
+    if (search->stage == SL_SEARCH_NEAR && search->maybe_count > 0) {
         search->stage = SL_SEARCH_FAR;
         ask(entry, sink, now_us, flow);
         if (search->open > 0) {
             return;
         }
     }
-    if (search->stage == SL_SEARCH_FAR) {
+    if (search->stage != SL_SEARCH_ALL) {
         search->stage = SL_SEARCH_ALL;
         return;
     }
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -23,7 +23,7 @@
     /// The flow's homes in the entry's zone, where most of its callers' flows
     /// are.
     SL_SEARCH_NEAR = 0,
-    /// Its homes in the other zones.
+    /// Its homes in the other zones, when near ones have restarted.
     SL_SEARCH_FAR,
     /// All agents, together with other flows (relay_delegate.c): one that has
     /// no slot free passes a flow on to others than its homes, and the route
--- /dev/null
+++ b/replay/fleet_run.c
@@ -0,0 +1,159 @@
+/// Plays experiments with a fleet of the relay's cores (replay/fleet), and
+/// tells for each how long after each event the fleet served as expected.
+///
+///     fleet_run [--table] [--svg FILE] [--seed N] EXPERIMENT...
+///
+/// Exits with 1 when one is not as its file expects.
+
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "fleet/fleet.h"
+
+enum {
+    EXPERIMENTS_MAX = 64,
+    SVG_BAR = 16,
+    SVG_HEIGHT = 200,
+    PERMILLE = 1000,
+};
+
+static double
+share(uint32_t part, uint32_t whole)
+{
+    return whole == 0 ? 1.0 : (double)part / whole;
+}
+
+static void
+print_table(const struct FleetResult *result)
+{
+    printf(
+        "second   asked  in time    late  failed   share  frames/segment\n");
+    for (uint32_t i = 0; i < result->seconds; i++) {
+        const struct FleetWindow *window = &result->windows[i];
+
+        printf("%6u  %6u   %6u  %6u  %6u   %5.3f  %14.2f\n", i, window->asked,
+               window->in_time, window->late, window->failed,
+               share(window->in_time, window->asked),
+               window->segments == 0
+                   ? 0.0
+                   : (double)window->frames / (double)window->segments);
+    }
+}
+
+/// One bar a second: the share in time, and above it late.
+static bool
+write_svg(const char *path, const char *title,
+          const struct FleetResult *result)
+{
+    FILE *file = fopen(path, "w");
+
+    if (file == NULL) {
+        return false;
+    }
+    fprintf(file,
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%u\" "
+            "height=\"%u\" font-family=\"sans-serif\" font-size=\"12\">\n"
+            "<text x=\"40\" y=\"16\">%s: in time (green) and late (orange) "
+            "by second</text>\n",
+            result->seconds * SVG_BAR + 60, SVG_HEIGHT + 60, title);
+    for (uint32_t i = 0; i < result->seconds; i++) {
+        const struct FleetWindow *window = &result->windows[i];
+        double good = share(window->in_time, window->asked) * SVG_HEIGHT;
+        double late = window->asked == 0
+                          ? 0
+                          : (double)window->late / window->asked * SVG_HEIGHT;
+
+        fprintf(file,
+                "<rect x=\"%u\" y=\"%.1f\" width=\"%d\" height=\"%.1f\" "
+                "fill=\"#3a8f5c\"/>\n"
+                "<rect x=\"%u\" y=\"%.1f\" width=\"%d\" height=\"%.1f\" "
+                "fill=\"#e08a1e\"/>\n",
+                40 + i * SVG_BAR, 30 + SVG_HEIGHT - good, SVG_BAR - 2, good,
+                40 + i * SVG_BAR, 30 + SVG_HEIGHT - good - late, SVG_BAR - 2,
+                late);
+    }
+    fprintf(file, "</svg>\n");
+    return fclose(file) == 0;
+}
+
+static void
+print_back(const struct FleetSettings *settings,
+           const struct FleetResult *result)
+{
+    for (uint32_t i = 0; i < settings->event_count; i++) {
+        uint32_t back_ms = FleetResult_BackAfterMs(settings, result, i);
+
+        if (back_ms == UINT32_MAX) {
+            printf(" event at %u ms: not back;", settings->events[i].at_ms);
+        }
+        else {
+            printf(" event at %u ms: back after %u ms;",
+                   settings->events[i].at_ms, back_ms);
+        }
+    }
+}
+
+/// Returns true when the experiment is as expected.
+static bool
+play(const char *path, int seed, bool table, const char *svg)
+{
+    struct FleetSettings settings;
+    struct FleetResult result;
+    char message[256];
+    bool expected;
+
+    if (FleetSettings_Read(path, &settings, message, sizeof(message)) !=
+        SL_OK) {
+        fprintf(stderr, "fleet_run: %s\n", message);
+        return false;
+    }
+    settings.seed = seed > 0 ? (uint32_t)seed : settings.seed;
+    if (Fleet_Run(&settings, &result) != SL_OK) {
+        fprintf(stderr, "fleet_run: %s: no memory\n", path);
+        return false;
+    }
+    if (table) {
+        print_table(&result);
+    }
+    if (svg != NULL && !write_svg(svg, path, &result)) {
+        fprintf(stderr, "fleet_run: %s cannot be written\n", svg);
+    }
+    expected = FleetResult_IsExpected(&settings, &result);
+    printf("%s %s seed %u:", expected ? "ok    " : "FAILED", path,
+           settings.seed);
+    print_back(&settings, &result);
+    printf(" %u searches, %u questions, %u frames lost; expected: %u ms after "
+           "each event %.3f in time\n",
+           (uint32_t)result.searches, (uint32_t)result.questions,
+           (uint32_t)result.lost, settings.expect_after_ms,
+           (double)settings.expect_permille / PERMILLE);
+    return expected;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *table = arg_lit0(NULL, "table", "every second");
+    struct arg_file *svg = arg_file0(NULL, "svg", "FILE", "a plot");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "another seed");
+    struct arg_file *files = arg_filen(NULL, NULL, "EXPERIMENT", 1,
+                                       EXPERIMENTS_MAX, "files to play");
+    struct arg_end *end = arg_end(8);
+    void *arguments[] = {table, svg, seed, files, end};
+    int failed = 0;
+
+    if (arg_parse(argc, argv, arguments) > 0) {
+        arg_print_errors(stderr, end, "fleet_run");
+        arg_print_glossary(stderr, arguments, "  %-24s %s\n");
+        arg_freetable(arguments, sizeof(arguments) / sizeof(arguments[0]));
+        return 2;
+    }
+    for (int i = 0; i < files->count; i++) {
+        failed +=
+            !play(files->filename[i], seed->count > 0 ? seed->ival[0] : 0,
+                  table->count > 0, svg->count > 0 ? svg->filename[0] : NULL);
+    }
+    arg_freetable(arguments, sizeof(arguments) / sizeof(arguments[0]));
+    return failed > 0;
+}
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -22,8 +22,8 @@
 }
 
 /// A router that spreads flows anew sends them to entries that never saw
-/// them: each finds the holder among the flow's homes of its zone, and an
-/// entry of another zone among all its homes.
+/// them: each finds the holder among the flow's homes of its zone. For an
+/// entry of another zone an agent asks all others.
 static void
 test_flow_moves_to_another_entry(void)
 {
@@ -47,6 +47,7 @@
         CU_ASSERT_EQUAL(world->callers[callers[i]].resets, 0);
     }
     CU_ASSERT(world->frames[SL_RELAY_ASK] - asked <= 20 * SL_HOMES_PER_ZONE);
+    CU_ASSERT_EQUAL(world->frames[SL_RELAY_ASK_ALL], 0);
     for (uint32_t i = 0; i < 20; i++) {
         relay_request(world, 1, callers[i]);
         relay_run(world, 60);
@@ -54,7 +55,7 @@
         CU_ASSERT_EQUAL(world->callers[callers[i]].resets, 0);
     }
     CU_ASSERT(world->frames[SL_RELAY_ASK] > asked);
-    CU_ASSERT_EQUAL(world->frames[SL_RELAY_ASK_ALL], 0);
+    CU_ASSERT(world->frames[SL_RELAY_ASK_ALL] <= 20);
     relay_destroy(world);
 }
 
