--- a/bench/relay_bench.c
+++ b/bench/relay_bench.c
@@ -288,6 +288,86 @@
            SlRelayFrame_Encode(&ask, bytes) + HEADERS_BYTES);
 }
 
+/// A service of so many agents in five zones.
+static struct SlConfig *
+service_config(uint32_t agents)
+{
+    struct SlConfig *config = SlConfig_Create();
+
+    SlConfig_SetVersion(config, (struct SlVersion){.term = 1, .index = 1});
+    for (uint32_t i = 0; i < agents; i++) {
+        struct SlObject object = {
+            .kind = SL_KIND_NODE,
+            .node = {.roles = SL_ROLE_AGENT, .boot = 1, .slots = 2}};
+
+        snprintf(object.name, sizeof(object.name), "agent-%u", i);
+        snprintf(object.node.zone, sizeof(object.node.zone), "zone-%u", i % 5);
+        object.node.node_id = SlNode_Id(object.name);
+        object.node.tunnel = numbered("10.1", i, 7000);
+        (void)SlLabels_Set(&object.node.announced, "service", "service-0");
+        if (SlConfig_Put(config, &object) != SL_OK) {
+            abort();
+        }
+    }
+    return config;
+}
+
+/// Frames that an entry sends for a flow that moved to it, and for one that
+/// nobody holds: its homes say no, and an agent asks all others.
+static void
+measure_search(struct SlPlan *plan, uint32_t agents)
+{
+    struct sink sink = {.sink = {.type = &SINK}};
+    struct SlConfig *config = service_config(agents);
+    struct SlRelayEntry *entry = create_entry(&sink, config, plan);
+    struct standin_segment segment = segment_of(0, SL_SEGMENT_ACK);
+    struct SlRelayFrame absent = {.kind = SL_RELAY_ABSENT,
+                                  .flow = {.caller = segment.source,
+                                           .service = segment.destination,
+                                           .protocol = 6}};
+
+    give(entry, &sink, 1000, &segment);
+    printf("relay_search_questions_%u %u frames\n", agents,
+           (uint32_t)sink.frames);
+    for (uint64_t i = sink.frames; i > 0; i--) {
+        SlRelayEntry_Frame(entry, &sink.sink, 2000, &absent);
+    }
+    SlRelayEntry_Tick(entry, &sink.sink, 20000);
+    printf("relay_search_unheld_%u %u frames\n", agents,
+           (uint32_t)sink.frames);
+    SlRelayEntry_Destroy(entry);
+    SlConfig_Destroy(config);
+}
+
+/// A question to all agents about one flow and about as many as fit, UDP and
+/// IPv4 headers included.
+static void
+measure_questions(void)
+{
+    struct SlRelayQuestions questions = {.round = UINT32_MAX,
+                                         .version = {UINT32_MAX, UINT32_MAX}};
+    uint8_t encoded[SL_SEGMENT_MAX_BYTES];
+    uint8_t bytes[SL_RELAY_MAX_BYTES];
+    struct SlRelayFrame frame = {
+        .kind = SL_RELAY_ASK_ALL, .sender = UINT64_MAX, .segment = encoded};
+
+    for (uint32_t i = 0; i < SL_RELAY_QUESTIONS_MAX; i++) {
+        struct standin_segment segment = segment_of(i, SL_SEGMENT_ACK);
+
+        questions.items[i] =
+            (struct SlRelayQuestion){.flow = {.caller = segment.source,
+                                              .service = segment.destination,
+                                              .protocol = 6},
+                                     .ack = UINT32_MAX};
+        questions.count = i + 1;
+        frame.segment_bytes = SlRelayQuestions_Encode(&questions, encoded);
+        if (i == 0 || i + 1 == SL_RELAY_QUESTIONS_MAX) {
+            printf("relay_ask_all_bytes_%u %u bytes\n", i + 1,
+                   SlRelayFrame_Encode(&frame, bytes) + HEADERS_BYTES);
+        }
+    }
+}
+
 static void
 measure_config(const struct SlConfig *config, struct SlPlan *plan)
 {
@@ -441,6 +521,10 @@
 
     measure_flows(config, plan);
     measure_frames();
+    measure_questions();
+    measure_search(plan, 11);
+    measure_search(plan, 109);
+    measure_search(plan, 1000);
     measure_config(config, plan);
     measure_agent_config(config, plan);
     measure_log(config, plan, "calm", CALM_FLOWS_PER_S);
--- a/packages/coordination/src/relay_delegate.c
+++ b/packages/coordination/src/relay_delegate.c
@@ -77,12 +77,12 @@
     uint8_t encoded[SL_SEGMENT_MAX_BYTES];
     struct SlRelayFrame frame = {.kind = SL_RELAY_ASK_ALL,
                                  .sender = entry->node_id,
-                                 .round = delegation->number,
                                  .segment = encoded};
 
     if (at == SL_RELAY_NO_MEMBER) {
         return false;
     }
+    delegation->questions.round = delegation->number;
     delegation->questions.version = entry->version;
     delegation->agent = entry->members.candidates[at].node_id;
     delegation->asked_us = now_us;
@@ -192,18 +192,19 @@
 SlRelayEntry_AllAnswered(struct SlRelayEntry *entry, struct SlRelaySink *sink,
                          uint64_t now_us, const struct SlRelayFrame *frame)
 {
-    struct SlRelayDelegation *delegation =
-        frame->round != 0 ? find_delegation(entry, frame->round) : NULL;
+    struct SlRelayDelegation *delegation;
     struct SlRelayQuestions claims;
 
-    if (delegation == NULL) {
-        return;
-    }
     if (SlRelayQuestions_Decode(frame->segment, frame->segment_bytes,
                                 &claims) != SL_OK) {
         entry->counters.malformed++;
         return;
     }
+    delegation =
+        claims.round != 0 ? find_delegation(entry, claims.round) : NULL;
+    if (delegation == NULL) {
+        return;
+    }
     if (claims.unheard == SL_RELAY_NOT_ASKED) {
         if (frame->sender == delegation->agent) {
             ask_another(entry, sink, now_us, delegation);
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -453,7 +453,6 @@
     uint8_t encoded[SL_SEGMENT_MAX_BYTES];
     struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS_MANY,
                                  .sender = agent->node_id,
-                                 .round = ask->round,
                                  .segment = encoded};
 
     if (SlRelayQuestions_Decode(ask->segment, ask->segment_bytes, &asked) !=
@@ -461,6 +460,7 @@
         agent->counters.malformed++;
         return;
     }
+    held.round = asked.round;
     for (uint32_t i = 0; i < asked.count; i++) {
         struct SlRelayQuestion *item = &asked.items[i];
 
--- a/packages/coordination/src/relay_round.c
+++ b/packages/coordination/src/relay_round.c
@@ -131,13 +131,12 @@
 
 static void
 tell_entry(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-           const struct SlAddress *entry, uint32_t entry_round,
+           const struct SlAddress *entry,
            const struct SlRelayQuestions *claims)
 {
     uint8_t encoded[SL_SEGMENT_MAX_BYTES];
     struct SlRelayFrame frame = {.kind = SL_RELAY_HOLDS_ALL,
                                  .sender = agent->node_id,
-                                 .round = entry_round,
                                  .segment = encoded,
                                  .segment_bytes =
                                      SlRelayQuestions_Encode(claims, encoded)};
@@ -151,7 +150,7 @@
           uint64_t now_us, struct SlRelayRound *round)
 {
     round->claims.unheard += round->member_count - round->answered;
-    tell_entry(agent, sink, &round->entry, round->entry_round, &round->claims);
+    tell_entry(agent, sink, &round->entry, &round->claims);
     SlRelayAgent_Event(agent, sink, now_us,
                        (struct SlEvent){.number = SL_EVENT_RELAY_ROUND_ENDED,
                                         .reason = round->claims.unheard == 0
@@ -171,7 +170,6 @@
     uint8_t encoded[SL_SEGMENT_MAX_BYTES];
     struct SlRelayFrame frame = {.kind = SL_RELAY_ASK_MANY,
                                  .sender = agent->node_id,
-                                 .round = round->number,
                                  .segment = encoded};
 
     if (round->next == round->member_count) {
@@ -250,8 +248,6 @@
                     uint64_t now_us, const struct SlAddress *from,
                     const struct SlRelayFrame *frame)
 {
-    static const struct SlRelayQuestions NOT_ASKED = {.unheard =
-                                                          SL_RELAY_NOT_ASKED};
     struct SlRelayRound *round = find_round(agent, 0);
     struct SlRelayQuestions questions;
 
@@ -266,14 +262,17 @@
         SlVersion_Compare(agent->version, questions.version) < 0 ||
         SlRelayRound_Begin(round, now_us, agent->last_round + 1, agent->peers,
                            agent->peer_count) != SL_OK) {
-        tell_entry(agent, sink, from, frame->round, &NOT_ASKED);
+        questions.count = 0;
+        questions.unheard = SL_RELAY_NOT_ASKED;
+        tell_entry(agent, sink, from, &questions);
         return;
     }
     agent->last_round++;
     agent->counters.rounds++;
     round->entry = *from;
-    round->entry_round = frame->round;
+    round->claims.round = questions.round;
     round->questions = questions;
+    round->questions.round = round->number;
     claim_own(agent, now_us, round);
     SlRelayAgent_Event(agent, sink, now_us,
                        (struct SlEvent){.number = SL_EVENT_RELAY_ROUND,
@@ -287,20 +286,20 @@
 SlRelayAgent_HeardMany(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                        uint64_t now_us, const struct SlRelayFrame *frame)
 {
-    struct SlRelayRound *round =
-        frame->round != 0 ? find_round(agent, frame->round) : NULL;
+    struct SlRelayRound *round;
     struct SlRelayQuestions held;
     uint64_t took_us;
 
     SlRelayAgent_HeardPeer(agent, frame->sender);
-    if (round == NULL) {
-        return;
-    }
     if (SlRelayQuestions_Decode(frame->segment, frame->segment_bytes, &held) !=
         SL_OK) {
         agent->counters.malformed++;
         return;
     }
+    round = held.round != 0 ? find_round(agent, held.round) : NULL;
+    if (round == NULL) {
+        return;
+    }
     if (!SlRelayRound_Answered(round, now_us, frame->sender, &took_us)) {
         return;
     }
--- a/packages/coordination/src/relay_round.h
+++ b/packages/coordination/src/relay_round.h
@@ -33,11 +33,11 @@
 struct SlRelayRound {
     /// 0 while it is free.
     uint32_t number;
-    /// The entry that it is for, and the number that the entry gave it.
+    /// The entry that it is for.
     struct SlAddress entry;
-    uint32_t entry_round;
+    /// What is asked, under this agent's number.
     struct SlRelayQuestions questions;
-    /// What was said so far, as the entry will be told.
+    /// What was said so far, as the entry will be told, under its number.
     struct SlRelayQuestions claims;
     /// The peers that are asked, sorted by node_id; the first next of them
     /// have been, all of them repeats times before.
--- a/packages/protocol/include/savoryledge/protocol/relay.h
+++ b/packages/protocol/include/savoryledge/protocol/relay.h
@@ -108,9 +108,6 @@
     uint32_t ack;
     /// ACCEPT, DECLINE, REPORT.
     struct SlRelayLoad load;
-    /// ASK_MANY, ASK_ALL, and what answers them: the asker's number of the
-    /// question.
-    uint32_t round;
     /// Borrowed. Questions and answers about many flows: an encoded list
     /// (SlRelayQuestions).
     const uint8_t *segment;
@@ -139,6 +136,8 @@
 };
 
 struct SlRelayQuestions {
+    /// The asker's number of the question, not 0; the same in the answer.
+    uint32_t round;
     /// ASK_ALL: the configuration by which the entry knows agents. One who
     /// knows an older one cannot ask them all.
     struct SlVersion version;
--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -29,7 +29,6 @@
     bool last;
     bool certain;
     uint32_t ack;
-    uint32_t round;
     struct {
         uint32_t count;
         struct tried_item items[SL_RELAY_TRIED_MAX];
@@ -71,7 +70,6 @@
     BOOL(head, last),
     BOOL(head, certain),
     U32(head, ack),
-    U32(head, round),
     SL_FIELD_ITEMS(head, tried, SL_RELAY_TRIED_MAX, TRIED),
     SL_FIELD_PART(head, load, LOAD),
     SL_FIELD_PART(head, flow, FLOW),
@@ -94,6 +92,7 @@
 static const struct SlLayout VERSION = SL_LAYOUT(SlVersion, VERSION_FIELDS);
 
 static const struct SlField QUESTIONS_FIELDS[] = {
+    U32(SlRelayQuestions, round),
     SL_FIELD_PART(SlRelayQuestions, version, VERSION),
     U32(SlRelayQuestions, unheard),
     {.type = SL_FIELD_LIST,
@@ -137,7 +136,6 @@
                           .last = frame->last,
                           .certain = frame->certain,
                           .ack = frame->ack,
-                          .round = frame->round,
                           .tried = {.count = frame->tried_count}};
     for (uint32_t i = 0; i < frame->tried_count; i++) {
         head->tried.items[i].node_id = frame->tried[i];
@@ -182,7 +180,6 @@
                                    .last = head->last,
                                    .certain = head->certain,
                                    .ack = head->ack,
-                                   .round = head->round,
                                    .tried_count = head->tried.count,
                                    .flow = head->flow,
                                    .load = head->load};
