Let a longer way become the usual one, and rank no homes in small services

The least answer time never grew, so a way that has become 40 ms longer for good would have kept questions at their lowest rate for ever; it now takes on longer times within minutes (homes_test "a longer way is learnt", which never ends without the change). Services without more than four agents in any zone have all of them as homes and need no ranking.

--- a/packages/balance/include/savoryledge/balance/patience.h
+++ b/packages/balance/include/savoryledge/balance/patience.h
@@ -16,7 +16,8 @@
 struct SlPatience {
     uint64_t smoothed_us;
     uint64_t deviation_us;
-    /// The least answer time seen, which is that of an idle way.
+    /// The least answer time of the last minutes, which is that of an idle
+    /// way.
     uint64_t least_us;
     /// Patience is doubled so often, since nothing was heard at all.
     uint32_t doublings;
--- a/packages/balance/src/patience.c
+++ b/packages/balance/src/patience.c
@@ -5,6 +5,10 @@
     SMOOTHED_SHARE = 8,
     DEVIATION_SHARE = 4,
     DEVIATIONS = 4,
+    /// Share of a longer answer time that the least one takes on: minutes of
+    /// answers, so that a way which has become longer is not taken for a queue
+    /// for good.
+    LEAST_SHARE = 8192,
     /// Before any answer was seen: well above a calm machine's, and below the
     /// time after which a caller sends its segment for the third time.
     FIRST_US = 300 * 1000,
@@ -44,6 +48,9 @@
     if (took_us < patience->least_us) {
         patience->least_us = took_us;
     }
+    else {
+        patience->least_us += (took_us - patience->least_us) / LEAST_SHARE;
+    }
 }
 
 void
--- a/packages/coordination/src/relay_entry_core.h
+++ b/packages/coordination/src/relay_entry_core.h
@@ -26,6 +26,8 @@
     uint64_t holder;
     /// The holder has said so.
     bool held;
+    /// Searches that ended without a certain answer.
+    uint8_t fruitless;
     uint64_t began_us;
     uint64_t offered_us;
     uint32_t offers;
@@ -35,9 +37,8 @@
     uint8_t opening[SL_ENTRY_OPENING_BYTES];
     /// NULL while no search is under way.
     struct SlRelaySearch *search;
-    /// Searches that ended without a certain answer, and until when no other
-    /// one begins: what the caller sends meanwhile is dropped.
-    uint32_t fruitless;
+    /// Until when no other search begins after a fruitless one: what the
+    /// caller sends meanwhile is dropped.
     uint64_t quiet_until_us;
 };
 
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -1,10 +1,11 @@
-/// Who holds a flow? Its homes are asked (balance/homes.h), those in the
-/// entry's zone first; they hold it in all likelihood. What they do not hold
+/// Who holds a flow? Its homes in the entry's zone are asked
+/// (balance/homes.h), which hold it in all likelihood. What they do not hold
 /// is asked of all agents, for many flows together (relay_delegate.c): a flow
-/// may have found no slot free at its homes, and a newer configuration may
-/// have moved the route. An agent that restarted cannot know; it is tried with
-/// the segment itself, which its upstream gives back when it does not hold the
-/// flow.
+/// may have come from another zone or found no slot free at its homes, and a
+/// newer configuration may have moved the route. An agent that restarted
+/// cannot know; it is tried with the segment itself, which its upstream gives
+/// back when it does not hold the flow. Where near homes have restarted, those
+/// in other zones are asked too before all agents are.
 
 #include "relay_entry_core.h"
 
@@ -72,7 +73,7 @@
     }
 }
 
-/// May this search begin to ask in this tick?
+/// May one more search begin to ask in this tick?
 static bool
 has_turn(struct SlRelayEntry *entry)
 {
--- a/packages/coordination/src/relay_members.c
+++ b/packages/coordination/src/relay_members.c
@@ -145,6 +145,28 @@
     qsort(members->places, filled, sizeof(*members->places), compare_places);
 }
 
+/// Marks the members of services that are homes as a whole, once for all
+/// flows.
+static void
+mark_all_home(struct SlRelayMembers *members)
+{
+    for (uint32_t service = 0; service < members->service_count; service++) {
+        uint32_t in_zone[SL_HOMES_ZONES] = {0};
+
+        members->all_home[service] = true;
+        for (uint32_t at = members->first[service];
+             at < members->first[service + 1]; at++) {
+            struct SlCandidate *candidate = &members->candidates[at];
+
+            candidate->home = true;
+            if (++in_zone[candidate->zone % SL_HOMES_ZONES] >
+                SL_HOMES_PER_ZONE) {
+                members->all_home[service] = false;
+            }
+        }
+    }
+}
+
 enum SlStatus
 SlRelayMembers_Build(struct SlRelayMembers *members, uint64_t now_us,
                      const struct SlRelayMembers *former,
@@ -162,11 +184,14 @@
     members->members = calloc(nodes + 1, sizeof(*members->members));
     members->first = calloc(services + 1, sizeof(*members->first));
     members->places = calloc(nodes + 1, sizeof(*members->places));
+    members->all_home = calloc(services + 1, sizeof(*members->all_home));
     if (service_of_node != NULL && next != NULL &&
         members->candidates != NULL && members->members != NULL &&
-        members->first != NULL && members->places != NULL) {
+        members->first != NULL && members->places != NULL &&
+        members->all_home != NULL) {
         count(members, config, plan, service_of_node);
         fill(members, now_us, former, config, zone, service_of_node, next);
+        mark_all_home(members);
         status = SL_OK;
     }
     else {
@@ -184,6 +209,7 @@
     free(members->members);
     free(members->first);
     free(members->places);
+    free(members->all_home);
     *members = (struct SlRelayMembers){.count = 0};
 }
 
@@ -341,6 +367,9 @@
 {
     uint32_t first = members->first[service];
 
+    if (members->all_home[service]) {
+        return;
+    }
     SlHomes_Mark(&members->candidates[first],
                  members->first[service + 1] - first,
                  SlRelayMembers_FlowHash(flow));
--- a/packages/coordination/src/relay_members.h
+++ b/packages/coordination/src/relay_members.h
@@ -44,6 +44,9 @@
     /// end.
     uint32_t service_count;
     uint32_t *first;
+    /// For each service: every member is a home of every flow, since no zone
+    /// has more of them than a flow has homes there.
+    bool *all_home;
     /// Sorted by node_id, for lookups.
     struct SlRelayMemberPlace {
         uint64_t node_id;
--- a/test/homes_test.c
+++ b/test/homes_test.c
@@ -167,6 +167,24 @@
     CU_ASSERT_EQUAL(SlPatience_Us(&patience, 60 * MS), 60 * MS);
 }
 
+/// A way that has become longer for good looks like a queue for some minutes,
+/// and then no more.
+static void
+test_longer_way_is_learnt(void)
+{
+    struct SlPatience patience = {.smoothed_us = 0};
+    uint32_t answers = 0;
+
+    SlPatience_Answered(&patience, 2 * MS);
+    while (answers < 100 || SlPatience_IsQueueing(&patience)) {
+        SlPatience_Answered(&patience, 82 * MS);
+        answers++;
+        CU_ASSERT_FATAL(answers < 100000);
+    }
+    CU_ASSERT(answers > 2000);
+    CU_ASSERT(answers < 20000);
+}
+
 /// Questions give way to a queue and come back when it has gone. The queue is
 /// that of a link which carries 40 questions in a tick: the budget settles
 /// near that, and answers do not wait for longer than a few ticks.
@@ -222,6 +240,7 @@
         {"homes move little", test_homes_move_little},
         {"placement prefers homes", test_placement_prefers_homes},
         {"patience follows answers", test_patience_follows_answers},
+        {"a longer way is learnt", test_longer_way_is_learnt},
         {"the budget settles at the link", test_budget_settles_at_the_link},
         {"the first question fits", test_budget_lets_the_first_go},
     };
