--- a/replay/fleet/fleet.h
+++ b/replay/fleet/fleet.h
@@ -86,6 +86,8 @@
     /// of every second is served in time, in thousandths.
     uint32_t expect_after_ms;
     uint32_t expect_permille;
+    /// Frames that entries send for a hundred segments in any second, at most.
+    uint32_t expect_frames_percent;
 };
 
 /// Requests by the second in which they were first sent.
@@ -123,6 +125,10 @@
 uint32_t
 FleetResult_BackAfterMs(const struct FleetSettings *settings,
                         const struct FleetResult *result, uint32_t at);
+/// The most frames that entries sent for a hundred segments in any second with
+/// a hundred segments or more.
+uint32_t
+FleetResult_FramesPercent(const struct FleetResult *result);
 /// True when the run is as the experiment expects.
 bool
 FleetResult_IsExpected(const struct FleetSettings *settings,
--- a/replay/fleet/run.c
+++ b/replay/fleet/run.c
@@ -5,6 +5,7 @@
 
 enum {
     PERMILLE = 1000,
+    PERCENT = 100,
 };
 
 uint64_t
@@ -258,6 +259,22 @@
                : 0;
 }
 
+uint32_t
+FleetResult_FramesPercent(const struct FleetResult *result)
+{
+    uint32_t most = 0;
+
+    for (uint32_t i = 0; i < result->seconds; i++) {
+        const struct FleetWindow *window = &result->windows[i];
+
+        if (window->segments >= PERCENT &&
+            window->frames * PERCENT / window->segments > most) {
+            most = (uint32_t)(window->frames * PERCENT / window->segments);
+        }
+    }
+    return most;
+}
+
 bool
 FleetResult_IsExpected(const struct FleetSettings *settings,
                        const struct FleetResult *result)
@@ -268,5 +285,6 @@
             return false;
         }
     }
-    return true;
+    return FleetResult_FramesPercent(result) <=
+           settings->expect_frames_percent;
 }
--- a/replay/fleet/settings.c
+++ b/replay/fleet/settings.c
@@ -56,6 +56,8 @@
     NUMBER("agent", "socket_datagrams", agent.socket_datagrams, 1, 100000),
     NUMBER("expect", "after_ms", expect_after_ms, 0, 60000),
     NUMBER("expect", "permille", expect_permille, 0, 1000),
+    NUMBER("expect", "frames_per_100_segments", expect_frames_percent, 1,
+           1000000),
 };
 
 enum {
--- a/replay/fleet_run.c
+++ b/replay/fleet_run.c
@@ -123,11 +123,14 @@
     printf("%s %s seed %u:", expected ? "ok    " : "FAILED", path,
            settings.seed);
     print_back(&settings, &result);
-    printf(" %u searches, %u questions, %u frames lost; expected: %u ms after "
-           "each event %.3f in time\n",
+    printf(" %u searches, %u questions, %u frames lost, at most %u frames for "
+           "100 segments; expected: %u ms after each event %.3f in time, at "
+           "most %u frames\n",
            (uint32_t)result.searches, (uint32_t)result.questions,
-           (uint32_t)result.lost, settings.expect_after_ms,
-           (double)settings.expect_permille / PERMILLE);
+           (uint32_t)result.lost, FleetResult_FramesPercent(&result),
+           settings.expect_after_ms,
+           (double)settings.expect_permille / PERMILLE,
+           settings.expect_frames_percent);
     return expected;
 }
 
--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -53,7 +53,8 @@
     "[agent]\nshare_permille = 150\nlink_bytes_per_s = 5000000\n"
     "link_queue_ms = 250\nsocket_datagrams = 256\n"
     "[events]\nfirst = kill_all 4000 200\n"
-    "[expect]\nafter_ms = 2000\npermille = 950\n";
+    "[expect]\nafter_ms = 2000\npermille = 950\n"
+    "frames_per_100_segments = 900\n";
 
 /// Reads the experiment with one text in place of another.
 static enum SlStatus
@@ -140,8 +141,9 @@
                                      .event_count = 1,
                                      .events = {{.at_ms = 5000}},
                                      .expect_after_ms = 2000,
-                                     .expect_permille = 900};
-    static struct FleetResult result;
+                                     .expect_permille = 900,
+                                     .expect_frames_percent = 200};
+    static struct FleetResult result = {.seconds = 20};
 
     for (uint32_t i = 0; i < 20; i++) {
         result.windows[i].asked = 100;
@@ -149,6 +151,13 @@
     }
     CU_ASSERT_EQUAL(FleetResult_BackAfterMs(&settings, &result, 0), 2000);
     CU_ASSERT(FleetResult_IsExpected(&settings, &result));
+    result.windows[8].segments = 200;
+    result.windows[8].frames = 401;
+    CU_ASSERT_EQUAL(FleetResult_FramesPercent(&result), 200);
+    CU_ASSERT(FleetResult_IsExpected(&settings, &result));
+    result.windows[8].frames = 402;
+    CU_ASSERT_FALSE(FleetResult_IsExpected(&settings, &result));
+    result.windows[8].frames = 0;
     result.windows[9].in_time = 89;
     CU_ASSERT_EQUAL(FleetResult_BackAfterMs(&settings, &result, 0), 5000);
     CU_ASSERT_FALSE(FleetResult_IsExpected(&settings, &result));
