Show that a machine that is silent for up to nine seconds keeps its work

A test in relay_search_test: the holder of a flow is dark in the middle of a request, its caller sends again through two entries, and no other upstream is started and nothing reset.

--- a/test/relay_search_test.c
+++ b/test/relay_search_test.c
@@ -291,6 +291,58 @@
     relay_destroy(world);
 }
 
+static uint32_t
+opened_elsewhere(const struct relay_world *world, uint32_t holder)
+{
+    uint32_t opened = 0;
+
+    for (uint32_t i = 0; i < world->agent_count; i++) {
+        opened += i != holder ? world->upstreams[i].opened : 0;
+    }
+    return opened;
+}
+
+/// The machine of a flow's holder is silent for silent_ms in the middle of a
+/// request, and the caller sends again through both entries meanwhile. The
+/// flow is neither given up nor started anywhere else, and goes on afterwards.
+static void
+try_silence(uint32_t silent_ms, uint64_t seed)
+{
+    struct relay_world *world = relay_create(4, 12, 2, seed);
+    uint32_t at = relay_exchange(world, 0);
+    uint32_t holder = relay_holder(world, at);
+    uint32_t elsewhere = opened_elsewhere(world, holder);
+    struct relay_caller *caller = &world->callers[at];
+
+    relay_request(world, 0, at);
+    relay_run(world, 5);
+    world->nodes[4 + holder].dark = true;
+    for (uint32_t spent_ms = 0; spent_ms < silent_ms; spent_ms += 100) {
+        relay_run(world, 100);
+        relay_send(world, spent_ms % 200 == 0 ? 2 : 0, caller, SL_SEGMENT_ACK,
+                   100);
+    }
+    world->nodes[4 + holder].dark = false;
+    relay_run(world, 1700);
+    relay_request(world, 2, at);
+    relay_run(world, 500);
+    CU_ASSERT_EQUAL(caller->state, CALLER_ANSWERED);
+    CU_ASSERT(caller->answers >= 2);
+    CU_ASSERT_EQUAL(caller->resets, 0);
+    CU_ASSERT_EQUAL(relay_holder(world, at), holder);
+    CU_ASSERT_EQUAL(opened_elsewhere(world, holder), elsewhere);
+    relay_destroy(world);
+}
+
+static void
+test_silent_machine_keeps_its_work(void)
+{
+    try_silence(200, 60);
+    try_silence(1000, 61);
+    try_silence(5000, 62);
+    try_silence(9000, 63);
+}
+
 int
 main(void)
 {
@@ -304,6 +356,8 @@
         {"agents that are dark", test_dark_delegate},
         {"a fruitless search is remembered",
          test_fruitless_search_is_remembered},
+        {"a silent machine keeps its work",
+         test_silent_machine_keeps_its_work},
         {"an entry that hears nothing blames itself",
          test_deaf_entry_blames_itself},
     };
