--- a/replay/fleet/fleet.h
+++ b/replay/fleet/fleet.h
@@ -105,7 +105,8 @@
     uint32_t seconds;
     struct FleetWindow windows[FLEET_SECONDS_MAX];
     uint64_t searches;
-    /// Frames of a kind sent, and frames lost in links and sockets.
+    /// Frames that ask one agent for one flow, and datagrams lost in links and
+    /// sockets.
     uint64_t questions;
     uint64_t lost;
 };
@@ -119,9 +120,9 @@
 enum SlStatus
 Fleet_Run(const struct FleetSettings *settings, struct FleetResult *result);
 
-/// The second from which on, after the event at index at, every second up to
-/// the next event serves the expected share; SIZE of the result when none
-/// does.
+/// How long after the event at index at, and after its machines are back,
+/// every further second up to the next event serves the expected share,
+/// milliseconds; UINT32_MAX when none does.
 uint32_t
 FleetResult_BackAfterMs(const struct FleetSettings *settings,
                         const struct FleetResult *result, uint32_t at);
