Let requests of the cases be orders, and find the leader

Case 1 and 2 now use a route that is not idempotent: the request that the system resets is lost to its client.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -19,8 +19,8 @@
 
     snprintf(body, sizeof(body),
              "{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\","
-             "\"path_prefix\":\"/%d/\",\"type\":\"idempotent\","
-             "\"timeout_ms\":2500,\"slo_ms\":150,\"priority\":2,"
+             "\"path_prefix\":\"/%d/\",\"type\":\"non_idempotent\","
+             "\"timeout_ms\":2500,\"slo_ms\":150,\"priority\":1,"
              "\"service\":\"blue\",\"max_attempts\":2}],\"services\":["
              "{\"name\":\"blue\",\"health_path\":\"/health\","
              "\"max_conns\":2000,\"cold_start_s\":2.0,\"cold_per_s\":0.0}],"
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -125,7 +125,8 @@
     int kind = 0;
 
     snprintf(text, sizeof(text),
-             "GET /q HTTP/1.1\r\nX-Savoryledge-Request-Id: r%u\r\n\r\n",
+             "POST /orders HTTP/1.1\r\nX-Savoryledge-Request-Id: r%u\r\n"
+             "Content-Length: 5\r\n\r\norder",
              request);
     while (kind == 0 && now_ms() - since_ms < DEADLINE_MS) {
         send_packet(flow, flow->seq, flow->ack, FLAG_ACK, text);
--- a/review/standin/http.c
+++ b/review/standin/http.c
@@ -158,3 +158,22 @@
     site_record("operator: %s %s -> no clear answer", method, path);
     return 0;
 }
+
+int
+operator_find_leader(void)
+{
+    static const char PATH[] = "/api/evacuations/zone-none";
+    uint64_t since_ms = now_ms();
+
+    for (int i = 0; now_ms() - since_ms < ORDER_MS; i++) {
+        int number = i % 3 + 1;
+        struct sockaddr_in to = site_address(0, number, CONTROL_PORT);
+        int status = http_call(&to, "DELETE", PATH, NULL, NULL, NULL);
+
+        if (status == 200) {
+            site_record("control instance %d leads", number);
+            return number;
+        }
+    }
+    return 0;
+}
--- a/review/standin/site.c
+++ b/review/standin/site.c
@@ -358,3 +358,9 @@
     }
     site_record("both entries are ready");
 }
+
+pid_t
+machine_pid(int number)
+{
+    return site.machines[number].pid;
+}
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -113,6 +113,9 @@
 /// 6 s), and starts it again.
 void
 machine_restart(int number);
+/// Returns the process of a machine, to send it a signal.
+pid_t
+machine_pid(int number);
 /// Starts three control instances (machines 1 to 3) and two entries (4 and 5).
 void
 site_start_core(void);
@@ -133,6 +136,11 @@
 /// status, or 0 when there is none within 10 s.
 int
 operator_call(const char *method, const char *path, const char *body);
+/// Finds the control instance that accepts orders itself, by an order that
+/// changes nothing: it takes back a zone that was never evacuated. Returns its
+/// machine, or 0 when there is none within 10 s.
+int
+operator_find_leader(void);
 
 /* endpoint.c */
 struct endpoint *
