--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,8 +1,7 @@
-/// A node beside an endpoint freezes for 4 s and goes on. Meanwhile and a
-/// little later the leading control instance is restarted as planned. Then
-/// the packets of a flow that the endpoint holds come through another entry.
-/// Everything has been in touch again for longer than contact_ms, so the flow
-/// must stay.
+/// A node beside an endpoint freezes and goes on; shortly before, the leading
+/// control instance is killed, and is back at once. Then the packets of a flow
+/// that the endpoint holds come through another entry. Everything has been in
+/// touch again for longer than contact_ms, so the flow must stay.
 
 #include <signal.h>
 #include <stdio.h>
@@ -12,11 +11,11 @@
 enum {
     ROUTE_PORT = 8443,
     AGENT = 7,
-    FREEZE_MS = 4000,
-    /// When the leader is restarted, and when the request is sent, after the
-    /// start of the freeze.
-    FIRST_RESTART_MS = 3300,
-    SECOND_RESTART_MS = 8300,
+    FREEZE_MS = 6900,
+    /// When the leader is killed and started again, and when the request is
+    /// sent, after the start of the freeze.
+    KILL_MS = 6850,
+    START_MS = 7350,
     REQUEST_MS = 13300,
     FLOWS_MAX = 30,
 };
@@ -62,23 +61,13 @@
     }
 }
 
-static void
-restart_leader(void)
-{
-    int leader = operator_find_leader();
-
-    if (leader == 0) {
-        site_fail("no control instance leads");
-    }
-    machine_restart(leader);
-}
-
 int
 main(void)
 {
     struct flow flow = {.endpoint = 0};
     enum flow_result result;
     uint64_t frozen_ms;
+    int leader;
 
     site_open();
     site_start_core();
@@ -98,16 +87,20 @@
     frozen_ms = now_ms();
     site_record("machine %d freezes", AGENT);
     kill(machine_pid(AGENT), SIGSTOP);
-    sleep_until(frozen_ms + FIRST_RESTART_MS);
+    leader = operator_find_leader();
+    if (leader == 0) {
+        site_fail("no control instance leads");
+    }
+    sleep_until(frozen_ms + KILL_MS);
     if (site_has_trouble()) {
-        restart_leader();
+        machine_kill(leader);
     }
     sleep_until(frozen_ms + FREEZE_MS);
     kill(machine_pid(AGENT), SIGCONT);
     site_record("machine %d goes on", AGENT);
-    sleep_until(frozen_ms + SECOND_RESTART_MS);
+    sleep_until(frozen_ms + START_MS);
     if (site_has_trouble()) {
-        restart_leader();
+        machine_start_again(leader);
     }
     sleep_until(frozen_ms + REQUEST_MS);
     flow.entry = 4;
--- a/review/standin/site.c
+++ b/review/standin/site.c
@@ -324,6 +324,24 @@
     start_process(machine);
 }
 
+void
+machine_kill(int number)
+{
+    struct machine *machine = &site.machines[number];
+
+    site_record("the process on machine %d is killed", number);
+    kill(machine->pid, SIGKILL);
+    waitpid(machine->pid, NULL, 0);
+    machine->pid = 0;
+}
+
+void
+machine_start_again(int number)
+{
+    site_record("the process on machine %d starts again", number);
+    start_process(&site.machines[number]);
+}
+
 void
 site_start_core(void)
 {
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -113,6 +113,12 @@
 /// 6 s), and starts it again.
 void
 machine_restart(int number);
+/// Ends the process with SIGKILL.
+void
+machine_kill(int number);
+/// Starts a process that was killed.
+void
+machine_start_again(int number);
 /// Returns the process of a machine, to send it a signal.
 pid_t
 machine_pid(int number);
