--- a/review/standin/site.c
+++ b/review/standin/site.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -272,6 +273,8 @@
 
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    /* The processes of a case end with it, also when it is killed. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     execl(PROGRAM, PROGRAM, settings, (char *)NULL);
     _exit(127);
 }
