--- a/review/standin/endpoint.c
+++ b/review/standin/endpoint.c
@@ -259,6 +259,24 @@
     }
 }
 
+/// Closes the TCP port of an endpoint that does so when it drains.
+static void
+check_listener(struct endpoint *endpoint)
+{
+    bool draining;
+
+    pthread_mutex_lock(&endpoint->lock);
+    draining = endpoint->draining;
+    pthread_mutex_unlock(&endpoint->lock);
+    if (draining && endpoint->options.stops_listening &&
+        endpoint->tcp_fd >= 0) {
+        close(endpoint->tcp_fd);
+        endpoint->tcp_fd = -1;
+        site_record("endpoint %s on %d listens no more", endpoint->options.id,
+                    endpoint->options.number);
+    }
+}
+
 static void *
 run_packets(void *context)
 {
@@ -272,6 +290,8 @@
         };
         ssize_t length;
 
+        check_listener(endpoint);
+        polled[1].fd = endpoint->tcp_fd;
         poll(polled, 2, POLL_MS);
         if (polled[1].revents & POLLIN) {
             answer_health_check(endpoint);
@@ -282,7 +302,9 @@
         }
     }
     close(endpoint->udp_fd);
-    close(endpoint->tcp_fd);
+    if (endpoint->tcp_fd >= 0) {
+        close(endpoint->tcp_fd);
+    }
     return NULL;
 }
 
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -54,6 +54,8 @@
     int concurrency;
     /// How long it is cold after its start.
     uint32_t cold_ms;
+    /// It closes its TCP port, which serves the health path, once it drains.
+    bool stops_listening;
 };
 
 struct endpoint;
