--- /dev/null
+++ b/test/odd_entry_test.c
@@ -0,0 +1,169 @@
+/* Odd entries from other writers: heartbeats and configurations with contents
+ * that no endpoint and no operator sends. None may be taken for a valid one,
+ * and none may need more memory or processor time than a small machine has. */
+
+#include <fcntl.h>
+#include <malloc.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "platform.h"
+#include "test.h"
+
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define IS_SANITIZED true
+#else
+#define IS_SANITIZED false
+#endif
+
+enum {
+    /// The smallest machine gives a process 64 MB and 0.038 of a core.
+    HEARTBEAT_MAX_KB = 2 * 1024,
+    HEARTBEAT_MAX_US = 5 * 1000,
+    CONFIG_MAX_KB = 20 * 1024,
+    CONFIG_MAX_US = 100 * 1000,
+    STATUS_BYTES = 4096,
+};
+
+/// What a call has cost.
+struct cost {
+    long start_kb;
+    struct timespec start;
+    long peak_kb;
+    long cpu_us;
+};
+
+/// Returns a figure in kB from /proc/self/status.
+static long
+read_memory_kb(const char *key)
+{
+    char text[STATUS_BYTES];
+    int descriptor = open("/proc/self/status", O_RDONLY);
+    ssize_t length = read(descriptor, text, sizeof(text) - 1);
+    const char *found;
+
+    close(descriptor);
+    text[length > 0 ? length : 0] = '\0';
+    found = strstr(text, key);
+    return found != NULL ? strtol(found + strlen(key), NULL, 10) : 0;
+}
+
+/// Resets the peak of the process's memory, VmHWM.
+static void
+start_cost(struct cost *cost)
+{
+    int descriptor = open("/proc/self/clear_refs", O_WRONLY);
+
+    malloc_trim(0);
+    CU_ASSERT_EQUAL(write(descriptor, "5", 1), 1);
+    close(descriptor);
+    cost->start_kb = read_memory_kb("VmRSS:");
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &cost->start);
+}
+
+static void
+end_cost(struct cost *cost, const char *what, long max_kb, long max_us)
+{
+    struct timespec end;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+    cost->cpu_us = (end.tv_sec - cost->start.tv_sec) * 1000000 +
+                   (end.tv_nsec - cost->start.tv_nsec) / 1000;
+    cost->peak_kb = read_memory_kb("VmHWM:") - cost->start_kb;
+    printf("    %s: %ld us, %ld kB\n", what, cost->cpu_us, cost->peak_kb);
+    if (!IS_SANITIZED) {
+        CU_ASSERT(cost->peak_kb <= max_kb);
+        CU_ASSERT(cost->cpu_us <= max_us);
+    }
+}
+
+/// A text of start, then element again and again up to the largest size, or
+/// count times if that is not 0, then end.
+struct large_text {
+    const char *name;
+    const char *start;
+    const char *element;
+    const char *end;
+    uint32_t count;
+};
+
+static const struct large_text LARGE_TEXTS[] = {
+    {"empty objects", "{\"later\":[", "{},", "0]}", 0},
+    {"objects", "{\"later\":[", "{\"\":0},", "0]}", 0},
+    {"empty arrays", "{\"later\":[", "[],", "0]}", 0},
+    {"whole numbers", "{\"later\":[", "0,", "0]}", 0},
+    {"fractions", "{\"later\":[", "0.5e-9,", "0]}", 0},
+    {"strings", "{\"later\":[", "\"\",", "0]}", 0},
+    {"nested arrays", "{\"later\":", "[", "", 0},
+    {"nested objects", "{\"later\":", "{\"\":", "", 0},
+    {"repeated fields", "{", "\"x\":0,", "\"x\":0}", 0},
+    {"one string", "{\"later\":\"", "x", "\"}", 0},
+    {"escapes", "{\"later\":\"", "\\n", "\"}", 0},
+    {"spaces", "{", " ", "}", 0},
+    {"zero bytes", "{\"later\":\"", "\\u0000", "\"}", 0},
+    {"many objects", "{\"later\":[", "{\"\":0},", "0]}", 49000},
+    {"many numbers", "{\"later\":[", "1234567890,", "0]}", 92000},
+    {"many fields", "{\"later\":[0", ",{\"a\":0,\"b\":0}", "]}", 40000},
+    {"many levels", "{\"later\":", "[", "0", 2000},
+    {"one number", "{\"later\":", "9", "}", 1000000},
+};
+
+/// Fills text, which has PLATFORM_JSON_MAX_BYTES + 1 bytes. Returns its
+/// length.
+static size_t
+fill_large_text(const struct large_text *large, char *text)
+{
+    size_t element_bytes = strlen(large->element);
+    size_t end_bytes = strlen(large->end);
+    size_t length = strlen(large->start);
+    uint32_t count = large->count != 0 ? large->count : UINT32_MAX;
+
+    memcpy(text, large->start, length);
+    while (count-- > 0 &&
+           length + element_bytes + end_bytes <= PLATFORM_JSON_MAX_BYTES) {
+        memcpy(text + length, large->element, element_bytes);
+        length += element_bytes;
+    }
+    memcpy(text + length, large->end, end_bytes + 1);
+    return length + end_bytes;
+}
+
+static void
+test_large_texts(void)
+{
+    char *text = malloc(PLATFORM_JSON_MAX_BYTES + 1);
+    struct SlUpstreamStatus upstream_status;
+    struct SlError error;
+    struct cost cost;
+    uint64_t version;
+
+    for (size_t i = 0; i < sizeof(LARGE_TEXTS) / sizeof(LARGE_TEXTS[0]); i++) {
+        size_t length = fill_large_text(&LARGE_TEXTS[i], text);
+
+        start_cost(&cost);
+        CU_ASSERT_NOT_EQUAL(
+            platform_parse_upstream_status("i-1", (const uint8_t *)text,
+                                           length, &upstream_status),
+            SL_OK);
+        end_cost(&cost, LARGE_TEXTS[i].name, HEARTBEAT_MAX_KB,
+                 HEARTBEAT_MAX_US);
+        start_cost(&cost);
+        CU_ASSERT_NOT_EQUAL(platform_parse_config((const uint8_t *)text,
+                                                  length, NULL, &version,
+                                                  &error),
+                            SL_OK);
+        end_cost(&cost, LARGE_TEXTS[i].name, CONFIG_MAX_KB, CONFIG_MAX_US);
+    }
+    free(text);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"texts of the largest size", test_large_texts},
+    };
+
+    return RUN_SUITE("odd entries", CASES);
+}
