--- a/test/odd_entry_test.c
+++ b/test/odd_entry_test.c
@@ -210,12 +210,114 @@
     free(text);
 }
 
+/// Fields of a heartbeat with their valid values.
+static const char *const HEARTBEAT_FIELDS[][2] = {
+    {"service", "\"workroom\""}, {"address", "\"10.1.0.9:8080\""},
+    {"zone", "\"ub-a\""},        {"version", "\"v1\""},
+    {"concurrency", "3"},        {"state", "\"ready\""},
+    {"cold_left_ms", "1900"},    {"seq", "4"},
+    {"born", "17000"},
+};
+
+enum {
+    FIELD_COUNT = sizeof(HEARTBEAT_FIELDS) / sizeof(HEARTBEAT_FIELDS[0]),
+    TEXT_BYTES = 1024,
+};
+
+/// Parses a heartbeat in which one field has another value; a value of NULL
+/// leaves the field out. more: further fields, or "".
+static enum SlStatus
+parse_heartbeat(uint32_t odd_field, const char *odd_value, const char *more)
+{
+    struct SlUpstreamStatus upstream_status;
+    char text[TEXT_BYTES] = "{";
+
+    for (uint32_t i = 0; i < FIELD_COUNT; i++) {
+        const char *value =
+            i == odd_field ? odd_value : HEARTBEAT_FIELDS[i][1];
+        size_t length = strlen(text);
+
+        if (value != NULL) {
+            snprintf(text + length, sizeof(text) - length, "%s\"%s\":%s",
+                     length > 1 ? "," : "", HEARTBEAT_FIELDS[i][0], value);
+        }
+    }
+    snprintf(text + strlen(text), sizeof(text) - strlen(text), "%s}", more);
+    return platform_parse_upstream_status("i-1", (const uint8_t *)text,
+                                          strlen(text), &upstream_status);
+}
+
+/// An odd value, and the only fields of which it is a valid value.
+struct odd_value {
+    const char *value;
+    const char *valid_fields;
+};
+
+static const struct odd_value ODD_VALUES[] = {
+    {NULL, "born"},
+    {"null", ""},
+    {"true", ""},
+    {"[]", ""},
+    {"{}", ""},
+    {"[[[[[[[[[[0]]]]]]]]]]", ""},
+    {"0", "cold_left_ms seq born"},
+    {"-1", ""},
+    {"1.5", ""},
+    {"1e999", ""},
+    {"NaN", ""},
+    {"65536", "cold_left_ms seq born"},
+    {"9007199254740992", ""},
+    {"9223372036854775807", ""},
+    {"9223372036854775808", ""},
+    {"99999999999999999999999999", ""},
+    {"\"\"", "version"},
+    {"\"x\"", "service zone version"},
+    {"\"\\u0000\"", ""},
+    {"\"v1\\u0000\"", ""},
+    {"\"\\ud800\"", ""},
+    {"\"\xc3\"", ""},
+    {"\"\xff\"", ""},
+    {"\"10.1.0.9\"", "service zone version"},
+    {"\"10.1.0.9:0\"", "service zone version"},
+    {"\"10.1.0.9:65536\"", "service zone version"},
+    {"\"10.1.0.9:-1\"", "service zone version"},
+    {"\"10.1.0.9:18446744073709559696\"", "service zone version"},
+    {"\"10.1.0.999:80\"", "service zone version"},
+};
+
+static void
+test_odd_heartbeats(void)
+{
+    CU_ASSERT_EQUAL(parse_heartbeat(FIELD_COUNT, NULL, ""), SL_OK);
+    CU_ASSERT_EQUAL(parse_heartbeat(FIELD_COUNT, NULL, ",\"later\":[1.5]"),
+                    SL_OK);
+    CU_ASSERT_EQUAL(parse_heartbeat(FIELD_COUNT, NULL, ",\"later\":1e999"),
+                    SL_MALFORMED);
+    for (uint32_t field = 0; field < FIELD_COUNT; field++) {
+        for (size_t i = 0; i < sizeof(ODD_VALUES) / sizeof(ODD_VALUES[0]);
+             i++) {
+            const char *name = HEARTBEAT_FIELDS[field][0];
+            const char *value = ODD_VALUES[i].value;
+            bool is_valid = strstr(ODD_VALUES[i].valid_fields, name) != NULL;
+            bool is_taken = parse_heartbeat(field, value, "") == SL_OK;
+
+            if (is_taken != is_valid) {
+                printf("    %s is %s with %s\n", name,
+                       is_taken ? "taken" : "refused",
+                       value != NULL ? value : "no value");
+            }
+            CU_ASSERT_EQUAL(is_taken, is_valid);
+        }
+    }
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"texts of the largest size", test_large_texts},
         {"valid configuration of the largest size", test_largest_config},
+        {"odd heartbeats", test_odd_heartbeats},
     };
 
     return RUN_SUITE("odd entries", CASES);
