Keep flows whose route has moved when their agent restarts

Cause: a restarted agent said for certain that it does not hold a flow whose route, by the present plan, does not lead to its service. A flow stays where it is when its route moves, and a restarted agent does not know earlier plans.

Change: what the plan says of a route is no evidence. A restarted agent says "unknown" for flows of all routes until its table is complete. The entry tries agents first whose service the route leads to, then the others. In the answer to a broadcast query a certain claim takes the place of an uncertain one when there is no room for both. docs/design/location.md says which "no" is certain.

Test: relay_evidence_test, "a route has moved to another service"; with the code of before: relay_evidence_test.c:53 - CU_ASSERT_EQUAL(sim-> callers[flow].answers,answers + 1), and line 54, resets == 0.

--- a/packages/coordination/src/relay_broadcast.c
+++ b/packages/coordination/src/relay_broadcast.c
@@ -106,6 +106,19 @@
     return false;
 }
 
+/// Removes one uncertain claim. Returns false when there is none.
+static bool
+drop_any_uncertain_claim(struct SlRelayQueryList *claims)
+{
+    for (uint32_t i = 0; i < claims->count; i++) {
+        if (!claims->items[i].certain) {
+            claims->items[i] = claims->items[--claims->count];
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 SlRelayBroadcast_RecordClaim(struct SlRelayBroadcast *broadcast,
                              uint64_t node_id,
@@ -113,12 +126,16 @@
 {
     struct SlRelayQueryList *claims = &broadcast->claims;
 
+    /* A certain claim must not get lost among those of agents that have
+       restarted, which claim every flow. */
     if (claim->certain && drop_uncertain_claims(claims, &claim->flow)) {
         return;
     }
     if (claims->count == SL_RELAY_QUERY_ITEMS_MAX) {
         claims->unanswered++;
-        return;
+        if (!claim->certain || !drop_any_uncertain_claim(claims)) {
+            return;
+        }
     }
     claims->items[claims->count] = *claim;
     claims->items[claims->count].ack = 0;
--- a/packages/coordination/src/relay_delegate.c
+++ b/packages/coordination/src/relay_delegate.c
@@ -193,6 +193,42 @@
     return NULL;
 }
 
+/// True when the present plan leads the flow to the agent's service.
+static bool
+serves_route(const struct SlRelayEntry *entry, const struct SlEntryFlow *flow,
+             uint64_t node_id)
+{
+    const struct SlPlanRoute *route =
+        SlPlan_FindRoute(entry->plan, &flow->item.key.service);
+    uint32_t index = SlRelayMembers_Find(&entry->members, node_id);
+
+    return route != NULL && index != SL_RELAY_NO_MEMBER &&
+           SlPlan_RouteAllowsService(route,
+                                     entry->members.members[index].service);
+}
+
+/// Handles the claims of agents whose service the flow's route leads to, or
+/// those of other agents. The former hold the flow more likely, and are probed
+/// first; the latter may hold it since an earlier plan.
+static void
+handle_claims(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+              uint64_t now_us, const struct SlRelayDelegation *delegation,
+              const struct SlRelayQueryList *claims, bool by_route)
+{
+    for (uint32_t i = 0; i < claims->count; i++) {
+        const struct SlRelayQueryItem *claim = &claims->items[i];
+        struct SlEntryFlow *flow = (struct SlEntryFlow *)SlRelayIndex_Find(
+            &entry->flows, &claim->flow);
+
+        if (flow != NULL && flow->search != NULL &&
+            flow->search->broadcast == delegation->number &&
+            serves_route(entry, flow, claim->holder) == by_route) {
+            SlRelayEntry_HandleHolderClaim(entry, sink, now_us, flow,
+                                           claim->holder, claim->certain);
+        }
+    }
+}
+
 void
 SlRelayEntry_HandleDelegationAnswer(struct SlRelayEntry *entry,
                                     struct SlRelaySink *sink, uint64_t now_us,
@@ -221,16 +257,7 @@
         SlAnswerTimeout_AddSample(&entry->delegation_timeout,
                                   now_us - delegation->sent_us);
     }
-    for (uint32_t i = 0; i < claims.count; i++) {
-        struct SlEntryFlow *flow = (struct SlEntryFlow *)SlRelayIndex_Find(
-            &entry->flows, &claims.items[i].flow);
-
-        if (flow != NULL && flow->search != NULL &&
-            flow->search->broadcast == delegation->number) {
-            SlRelayEntry_HandleHolderClaim(entry, sink, now_us, flow,
-                                           claims.items[i].holder,
-                                           claims.items[i].certain);
-        }
-    }
+    handle_claims(entry, sink, now_us, delegation, &claims, true);
+    handle_claims(entry, sink, now_us, delegation, &claims, false);
     end_delegation(entry, sink, now_us, delegation, claims.unanswered);
 }
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -301,21 +301,6 @@
     SlAgentFlow_DeliverSegment(agent, sink, now_us, flow, segment);
 }
 
-/// True when the upstream may hold flows to that address. Without a plan the
-/// upstream may hold any flow.
-static bool
-may_serve_route(const struct SlRelayAgent *agent, const struct SlFlowKey *key)
-{
-    const struct SlPlanRoute *route;
-
-    if (agent->plan == NULL) {
-        return true;
-    }
-    route = SlPlan_FindRoute(agent->plan, &key->service);
-    return route != NULL && agent->service != SL_PLAN_NO_SERVICE &&
-           SlPlan_RouteAllowsService(route, agent->service);
-}
-
 void
 SlAgentFlow_HandleCarriedSegment(struct SlRelayAgent *agent,
                                  struct SlRelaySink *sink, uint64_t now_us,
@@ -331,8 +316,7 @@
                retransmits it. */
             agent->counters.segments_dropped++;
         }
-        else if (SlRelayAgent_MayHoldUnknown(agent, now_us) &&
-                 may_serve_route(agent, &key)) {
+        else if (SlRelayAgent_MayHoldUnknown(agent, now_us)) {
             probe_unknown_flow(agent, sink, now_us, from, &key, segment);
         }
         else {
@@ -477,8 +461,7 @@
 
     *certain = false;
     if (flow == NULL) {
-        return SlRelayAgent_MayHoldUnknown(agent, now_us) &&
-               may_serve_route(agent, key);
+        return SlRelayAgent_MayHoldUnknown(agent, now_us);
     }
     if (flow->state == SL_AGENT_TENTATIVE) {
         return true;
--- /dev/null
+++ b/test/relay_evidence_test.c
@@ -0,0 +1,85 @@
+/* Answers that a flow is not held, given by agents that cannot know it: no
+   open flow may be reset because of them. */
+
+#include "relay_simulation.h"
+
+enum {
+    ENTRIES = 2,
+    AGENTS = 4,
+    /// An upstream that has run for a while.
+    LATER_SEQ = 30,
+};
+
+/// Puts a plan in force in which the route leads to the service "orders", or
+/// to the service "moved".
+static void
+put_plan(struct relay_simulation *sim, const char *service, uint32_t idle_ms)
+{
+    struct SlPlan *plan = SlPlan_Create(SlPlan_Version(sim->plan) + 1);
+    struct SlPlanService orders = *SlPlan_ServiceAt(sim->plan, 0);
+    struct SlPlanService moved = orders;
+    struct SlPlanRoute route = *SlPlan_RouteAt(sim->plan, 0);
+    struct SlError error;
+
+    snprintf(moved.name, sizeof(moved.name), "moved");
+    SlPlan_SetIdleMs(plan, idle_ms);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddService(plan, &orders, &error), SL_OK);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddService(plan, &moved, &error), SL_OK);
+    route.shares[0].service_index = SlPlan_FindService(plan, service);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddRoute(plan, &route, &error), SL_OK);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_Finish(plan, &error), SL_OK);
+    SlPlan_Unref(sim->plan);
+    sim->plan = plan;
+    relay_configure_all(sim);
+}
+
+/// Restarts the agent of an upstream that has run for a while and keeps its
+/// flows.
+static void
+restart_agent(struct relay_simulation *sim, uint32_t agent)
+{
+    sim->upstreams[agent].status.seq = LATER_SEQ;
+    relay_restart_node(sim, ENTRIES + agent);
+    CU_ASSERT(relay_report_status(sim, agent));
+}
+
+static void
+check_answered(struct relay_simulation *sim, uint32_t entry, uint32_t flow)
+{
+    uint32_t answers = sim->callers[flow].answers;
+
+    relay_send_request(sim, entry, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, answers + 1);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+}
+
+/// A route moves to another service, and then the agent of an open flow of the
+/// route restarts. The flow stays, for the entry that knows its holder and for
+/// one that has to search.
+static void
+test_route_moved(void)
+{
+    for (uint32_t entry = 0; entry < ENTRIES; entry++) {
+        struct relay_simulation *sim =
+            relay_simulation_create(ENTRIES, AGENTS, 2, 70);
+        uint32_t flow = relay_open_flow_and_request(sim, 0);
+
+        put_plan(sim, "moved", 15000);
+        relay_simulation_run(sim, 1000);
+        restart_agent(sim, relay_find_holder(sim, flow));
+        relay_simulation_run(sim, 1000);
+        check_answered(sim, entry, flow);
+        relay_simulation_destroy(sim);
+    }
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"a route has moved to another service", test_route_moved},
+    };
+
+    return RUN_SUITE("relay evidence", CASES);
+}
