Limit the buffers for long bodies and answers of the HTTP server

100 uploads of 1 MiB that never end made a process grow by 100 MB, and 256 connections are allowed; each connection also kept the buffers of its longest request and answer until it was closed.

Cause: the length of a body and the number of connections were limited, but not their product.

Evidence: http_test, code of before: "uploads: 130956 us, 100092 kB"; `CU_ASSERT(cost->peak_kb <= max_kb)` fails (16 MiB).

Change: buffers above 16 KiB have a total limit, 8 MiB by default. At the limit, the connection with such a buffer that is idle for longest is closed, as it is at the limit of connections; a counter tells how many. Large buffers are released with the end of a request.

--- a/packages/transport/include/savoryledge/transport/http.h
+++ b/packages/transport/include/savoryledge/transport/http.h
@@ -80,6 +80,10 @@
     /// Max number of connections; 0 selects 256. At the maximum, a new
     /// connection replaces the one that is idle for longest.
     uint32_t max_connections;
+    /// Max total size of the buffers for long bodies and responses; 0 selects
+    /// 8 MiB. At the maximum, the connection with such a buffer that is idle
+    /// for longest is closed.
+    size_t max_buffer_bytes;
     /// Idle time after which a connection is closed; 0 selects 30 s.
     uint64_t idle_timeout_us;
 };
@@ -116,6 +120,8 @@
     uint64_t malformed;
     /// Number of requests answered with status 413 or 414.
     uint64_t too_long;
+    /// Number of connections closed because of max_buffer_bytes.
+    uint64_t closed_for_buffers;
 };
 
 void
--- a/packages/transport/src/http.c
+++ b/packages/transport/src/http.c
@@ -16,8 +16,12 @@
 enum {
     DEFAULT_MAX_BODY_BYTES = 1 << 20,
     DEFAULT_MAX_CONNECTIONS = 256,
+    DEFAULT_MAX_BUFFER_BYTES = 8 << 20,
     DEFAULT_IDLE_TIMEOUT_US = 30 * 1000 * 1000,
     READ_BUFFER_BYTES = 16 * 1024,
+    /// Buffers up to this size are kept for the connection's next request and
+    /// do not count against max_buffer_bytes.
+    SMALL_BUFFER_BYTES = 16 * 1024,
     /// Max length of a response's status line and headers, without the value
     /// of the Location header.
     HEAD_BYTES = 512,
@@ -59,6 +63,8 @@
     struct SlHttpOptions options;
     struct connection *connections;
     uint32_t connection_count;
+    /// The connection whose input is being handled; it must not be closed.
+    struct connection *active;
     uint64_t next_exchange;
     struct SlHttpCounters counters;
 };
@@ -69,6 +75,90 @@
     return parser->data;
 }
 
+static void
+destroy_connection(struct connection *connection)
+{
+    struct SlHttp *http = connection->http;
+    struct connection **position = &http->connections;
+
+    while (*position != connection) {
+        position = &(*position)->next_connection;
+    }
+    *position = connection->next_connection;
+    http->connection_count--;
+    SlLoop_Unwatch(http->options.loop, &connection->watch);
+    close(connection->watch.descriptor);
+    SlBuffer_Release(&connection->body);
+    SlBuffer_Release(&connection->out);
+    free(connection);
+}
+
+/// Size of a connection's buffers that are not small.
+static size_t
+large_buffer_bytes(const struct connection *connection)
+{
+    size_t body_bytes = connection->body.capacity_bytes;
+    size_t out_bytes = connection->out.capacity_bytes;
+
+    return (body_bytes > SMALL_BUFFER_BYTES ? body_bytes : 0) +
+           (out_bytes > SMALL_BUFFER_BYTES ? out_bytes : 0);
+}
+
+/// Returns the connection with a large buffer that is idle for longest, other
+/// than connection and the active one. total_bytes: receives the size of all
+/// large buffers.
+static struct connection *
+find_buffer_to_close(const struct connection *connection, size_t *total_bytes)
+{
+    const struct SlHttp *http = connection->http;
+    struct connection *longest_idle = NULL;
+
+    *total_bytes = 0;
+    for (struct connection *other = http->connections; other != NULL;
+         other = other->next_connection) {
+        size_t bytes = large_buffer_bytes(other);
+
+        *total_bytes += bytes;
+        if (bytes > 0 && other != connection && other != http->active &&
+            (longest_idle == NULL ||
+             other->last_active_us < longest_idle->last_active_us)) {
+            longest_idle = other;
+        }
+    }
+    return longest_idle;
+}
+
+/// Appends to a buffer of a connection. When the large buffers reach their
+/// maximum, closes the connections that are idle for longest.
+static enum SlStatus
+append_to_buffer(struct connection *connection, struct SlBuffer *buffer,
+                 const void *bytes, size_t length)
+{
+    size_t needed_bytes = buffer->length_bytes + length;
+    struct connection *longest_idle;
+    size_t total_bytes;
+
+    if (needed_bytes > SMALL_BUFFER_BYTES &&
+        needed_bytes > buffer->capacity_bytes) {
+        while ((longest_idle =
+                    find_buffer_to_close(connection, &total_bytes)) != NULL &&
+               total_bytes + needed_bytes >
+                   connection->http->options.max_buffer_bytes) {
+            connection->http->counters.closed_for_buffers++;
+            destroy_connection(longest_idle);
+        }
+    }
+    return SlBuffer_Append(buffer, bytes, length);
+}
+
+static void
+release_large_buffer(struct SlBuffer *buffer)
+{
+    if (buffer->capacity_bytes > SMALL_BUFFER_BYTES) {
+        SlBuffer_Release(buffer);
+    }
+}
+
 static int
 on_message_begin(struct http_parser *parser)
 {
@@ -105,7 +195,10 @@
         connection->body_too_long = true;
         return 0;
     }
-    return SlBuffer_Append(&connection->body, bytes, length) == SL_OK ? 0 : -1;
+    return append_to_buffer(connection, &connection->body, bytes, length) ==
+                   SL_OK
+               ? 0
+               : -1;
 }
 
 static int
@@ -126,24 +219,6 @@
     .on_message_complete = on_message_complete,
 };
 
-static void
-destroy_connection(struct connection *connection)
-{
-    struct SlHttp *http = connection->http;
-    struct connection **position = &http->connections;
-
-    while (*position != connection) {
-        position = &(*position)->next_connection;
-    }
-    *position = connection->next_connection;
-    http->connection_count--;
-    SlLoop_Unwatch(http->options.loop, &connection->watch);
-    close(connection->watch.descriptor);
-    SlBuffer_Release(&connection->body);
-    SlBuffer_Release(&connection->out);
-    free(connection);
-}
-
 static enum SlHttpMethod
 map_method(const struct http_parser *parser)
 {
@@ -190,8 +265,8 @@
     if (length < 0 || (size_t)length >= sizeof(head) ||
         SlBuffer_Append(&connection->out, head, (size_t)length) != SL_OK ||
         (response->body_bytes > 0 &&
-         SlBuffer_Append(&connection->out, response->body,
-                         response->body_bytes) != SL_OK)) {
+         append_to_buffer(connection, &connection->out, response->body,
+                          response->body_bytes) != SL_OK)) {
         connection->close_after_flush = true;
         SlBuffer_Clear(&connection->out);
     }
@@ -226,6 +301,7 @@
                                &connection->watch, SL_LOOP_READ);
     }
     SlBuffer_Clear(&connection->out);
+    release_large_buffer(&connection->out);
     connection->sent_bytes = 0;
     return !connection->close_after_flush;
 }
@@ -266,6 +342,7 @@
     http->counters.requests++;
     connection->exchange = request.exchange;
     http->options.handler->type->request(http->options.handler, &request);
+    release_large_buffer(&connection->body);
 }
 
 /// Parses received bytes, one request after the other. A second request before
@@ -316,7 +393,9 @@
     received_bytes =
         recv(watch->descriptor, bytes, sizeof(bytes), MSG_DONTWAIT);
     if (received_bytes > 0) {
+        connection->http->active = connection;
         parse_requests(connection, bytes, (size_t)received_bytes);
+        connection->http->active = NULL;
     }
     if (received_bytes == 0 ||
         (received_bytes < 0 && errno != EAGAIN && errno != EINTR) ||
@@ -430,6 +509,9 @@
     if (http->options.max_connections == 0) {
         http->options.max_connections = DEFAULT_MAX_CONNECTIONS;
     }
+    if (http->options.max_buffer_bytes == 0) {
+        http->options.max_buffer_bytes = DEFAULT_MAX_BUFFER_BYTES;
+    }
     if (http->options.idle_timeout_us == 0) {
         http->options.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US;
     }
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -3,11 +3,15 @@
    their outcome is known. */
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <limits.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "resources.h"
 #include "savoryledge/coordination/order_handler.h"
 #include "savoryledge/transport/http.h"
 #include "test.h"
@@ -15,6 +19,11 @@
 enum {
     TEXT_BYTES = 4096,
     MAX_LOOP_RUNS = 200,
+    SHORT_BODY_MAX_BYTES = 1000,
+    LONG_BODY_MAX_BYTES = 1 << 20,
+    /// 8 MiB of buffers, the text to send, and what the allocator adds.
+    BUFFERS_MAX_KB = 16 * 1024,
+    UPLOADS = 100,
 };
 
 /// A server that responds to each request with its path. A request for
@@ -56,10 +65,11 @@
     .request = handle_echo_request};
 
 static void
-open_server(struct echo_server *server, uint32_t max_connections)
+open_server(struct echo_server *server, uint32_t max_connections,
+            size_t max_body_bytes)
 {
     struct SlHttpOptions options = {.handler = &server->handler,
-                                    .max_body_bytes = 1000,
+                                    .max_body_bytes = max_body_bytes,
                                     .max_connections = max_connections};
     struct SlError error;
     enum SlStatus status = SL_IO;
@@ -136,7 +146,7 @@
     char text[TEXT_BYTES];
     int descriptor;
 
-    open_server(&server, 0);
+    open_server(&server, 0, SHORT_BODY_MAX_BYTES);
     descriptor = connect_client(&server);
     send_text(descriptor, "GET /one?x=1 HTTP/1.1\r\nHost: a\r\n\r\n");
     CU_ASSERT(receive_response(&server, descriptor, text) > 0);
@@ -167,7 +177,7 @@
     char text[TEXT_BYTES];
     int descriptor;
 
-    open_server(&server, 0);
+    open_server(&server, 0, SHORT_BODY_MAX_BYTES);
     descriptor = connect_client(&server);
     send_text(descriptor, "GET /later HTTP/1.1\r\n\r\n");
     run_loop(&server);
@@ -197,7 +207,7 @@
     struct echo_server server;
     char text[TEXT_BYTES];
 
-    open_server(&server, 0);
+    open_server(&server, 0, SHORT_BODY_MAX_BYTES);
     for (size_t i = 0;
          i < sizeof(REJECTED_REQUESTS) / sizeof(REJECTED_REQUESTS[0]); i++) {
         int descriptor = connect_client(&server);
@@ -219,7 +229,7 @@
     char path[400];
     int descriptor;
 
-    open_server(&server, 0);
+    open_server(&server, 0, SHORT_BODY_MAX_BYTES);
     memset(path, 'a', sizeof(path) - 1);
     path[sizeof(path) - 1] = '\0';
     descriptor = connect_client(&server);
@@ -251,7 +261,7 @@
     int descriptors[8];
     char text[TEXT_BYTES];
 
-    open_server(&server, 4);
+    open_server(&server, 4, SHORT_BODY_MAX_BYTES);
     for (uint32_t i = 0; i < 8; i++) {
         descriptors[i] = connect_client(&server);
         run_loop(&server);
@@ -269,6 +279,137 @@
     close_server(&server);
 }
 
+/// Sends bytes that the server reads meanwhile. Returns false when the server
+/// has closed the connection.
+static bool
+send_long(struct echo_server *server, int descriptor, const char *bytes,
+          size_t length)
+{
+    while (length > 0) {
+        ssize_t sent =
+            send(descriptor, bytes, length, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+        if (sent < 0 && errno != EAGAIN) {
+            return false;
+        }
+        bytes += sent > 0 ? sent : 0;
+        length -= sent > 0 ? (size_t)sent : 0;
+        SlLoop_RunOnce(server->loop, 1000);
+    }
+    run_loop(server);
+    return true;
+}
+
+static bool
+is_answered(struct echo_server *server, int descriptor, const char *request)
+{
+    char text[TEXT_BYTES];
+
+    return send_long(server, descriptor, request, strlen(request)) &&
+           receive_response(server, descriptor, text) > 0 &&
+           strstr(text, "HTTP/1.1 200 ") != NULL;
+}
+
+/// Uploads that never end take bounded memory, and the server still answers.
+static void
+test_limits_buffers(void)
+{
+    static const char HEAD[] =
+        "PUT /x HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n";
+    char *body = calloc(1, LONG_BODY_MAX_BYTES);
+    struct SlHttpCounters counters;
+    struct echo_server server;
+    int descriptors[UPLOADS];
+    struct cost cost;
+    int last;
+
+    open_server(&server, 0, LONG_BODY_MAX_BYTES);
+    memset(body, 'x', LONG_BODY_MAX_BYTES);
+    start_cost(&cost);
+    for (uint32_t i = 0; i < UPLOADS; i++) {
+        descriptors[i] = connect_client(&server);
+        (void)send_long(&server, descriptors[i], HEAD, strlen(HEAD));
+        (void)send_long(&server, descriptors[i], body,
+                        LONG_BODY_MAX_BYTES - 1);
+    }
+    for (uint32_t i = 0; i < MAX_LOOP_RUNS; i++) {
+        run_loop(&server);
+    }
+    last = descriptors[UPLOADS - 1];
+    end_cost(&cost, "uploads", BUFFERS_MAX_KB, LONG_MAX);
+    SlHttp_Counters(server.http, &counters);
+    CU_ASSERT(counters.closed_for_buffers >= UPLOADS - 8);
+    CU_ASSERT(is_answered(&server, last, "x"));
+    CU_ASSERT_EQUAL(server.last_body_bytes, LONG_BODY_MAX_BYTES);
+    CU_ASSERT(is_answered(&server, last, "GET /x HTTP/1.1\r\n\r\n"));
+    for (uint32_t i = 0; i < UPLOADS; i++) {
+        close(descriptors[i]);
+    }
+    free(body);
+    close_server(&server);
+}
+
+/// None of these ends the server or keeps it from answering others.
+static void
+test_odd_requests(void)
+{
+    static const char *const ODD_REQUESTS[] = {
+        "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "ffffffffffffffff\r\nx",
+        "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "10000000000000000\r\nx",
+        "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nx",
+        "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 3\r\n\r\n0\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nContent-Length: 1e3\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nContent-Length: 18446744073709551616\r\n\r\n",
+        "PUT /x HTTP/1.1\r\nContent-Length: 9223372036854775808\r\n\r\nx",
+        "PUT /x HTTP/1.1\r\n\r\n",
+        "PUT /%00%ff HTTP/1.1\r\n\r\n",
+        "PUT /\xff\xc3 HTTP/1.1\r\n\r\n",
+        "PUT /\x01 HTTP/1.1\r\n\r\n",
+        "PUT ?#?# HTTP/1.1\r\n\r\n",
+        "PUT * HTTP/1.1\r\n\r\n",
+        "OPTIONS * HTTP/1.1\r\n\r\n",
+        "CONNECT a:1 HTTP/1.1\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        "GET /x HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\nPRI",
+        "GET /later HTTP/1.1\r\n\r\nPUT /x HTTP/1.1\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "GET /x HTTP/99999999999999999999.1\r\n\r\n",
+        "GET /x\r\n\r\n",
+        "\x16\x03\x01\x02\x00\x01",
+        "\r\n\r\n\r\n\r\n",
+        "",
+    };
+    enum {
+        COUNT = sizeof(ODD_REQUESTS) / sizeof(ODD_REQUESTS[0])
+    };
+    struct echo_server server;
+    int descriptors[COUNT + 1];
+    char *head = calloc(1, LONG_BODY_MAX_BYTES);
+
+    open_server(&server, 0, SHORT_BODY_MAX_BYTES);
+    memset(head, 'x', LONG_BODY_MAX_BYTES - 1);
+    memcpy(head, "GET /x HTTP/1.1\r\nX: ", 20);
+    for (size_t i = 0; i <= COUNT; i++) {
+        const char *odd = i < COUNT ? ODD_REQUESTS[i] : head;
+        int other = connect_client(&server);
+
+        descriptors[i] = connect_client(&server);
+        (void)send_long(&server, descriptors[i], odd, strlen(odd));
+        CU_ASSERT(is_answered(&server, other, "GET /x HTTP/1.1\r\n\r\n"));
+        close(other);
+    }
+    for (size_t i = 0; i <= COUNT; i++) {
+        close(descriptors[i]);
+    }
+    free(head);
+    close_server(&server);
+}
+
 /// Records the changes that an SlOrderHandler submits and the outcomes of
 /// orders that it reports.
 struct recording_host {
@@ -392,6 +533,8 @@
         {"rejects a path or body that is too long",
          test_rejects_too_long_path_or_body},
         {"limits the number of connections", test_limits_connections},
+        {"limits the size of buffers", test_limits_buffers},
+        {"odd requests", test_odd_requests},
         {"reports the outcome of each change",
          test_reports_the_outcome_of_each_change},
     };
