Limit the number of values in a frame and in a datagram of peers

A frame of 1 MiB of tiny values made its receiver take 24.6 MB and 35 ms of processor time, and a datagram of 65 kB up to 3.4 ms, or 90 ms on a machine with 0.038 of a processor, only to be refused.

Cause: the unpacker builds 24 bytes for each value before the layout of the message is compared; the check before it only compared the number of values with the number of bytes.

Evidence: codec_test, code of before: "frame: 33697 us, 24512 kB"; `CU_ASSERT(cost->peak_kb <= max_kb)` and `CU_ASSERT(cost->cpu_us <= max_us)` fail for 24 frames.

Change: the check refuses more than 65,536 values in a frame and more than 1,024 in a datagram. The largest valid ones, 4,096 entries of a log and 32 items of a query, have about 16,400 and 500.

Numbers, texts and levels that are out of range are refused, as before.

--- a/packages/protocol/src/encoding_check.c
+++ b/packages/protocol/src/encoding_check.c
@@ -127,15 +127,17 @@
 }
 
 bool
-encoding_is_well_formed(const uint8_t *bytes, size_t length_bytes)
+encoding_is_well_formed(const uint8_t *bytes, size_t length_bytes,
+                        uint32_t max_values)
 {
     uint64_t pending_values = 1;
+    uint32_t values = 0;
     size_t offset = 0;
 
     while (pending_values > 0) {
         struct value_header header;
 
-        if (offset == length_bytes ||
+        if (offset == length_bytes || ++values > max_values ||
             !read_header(bytes + offset, length_bytes - offset, &header)) {
             return false;
         }
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -360,7 +360,8 @@
 
     memset(base, 0, layout->size_bytes);
     msgpack_unpacked_init(&unpacked);
-    if (encoding_is_well_formed(bytes, length_bytes) &&
+    if (encoding_is_well_formed(bytes, length_bytes,
+                                ENCODING_FRAME_VALUES_MAX) &&
         msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
@@ -425,7 +426,8 @@
 
     memset(message, 0, sizeof(*message));
     msgpack_unpacked_init(&unpacked);
-    if (encoding_is_well_formed(bytes, length_bytes) &&
+    if (encoding_is_well_formed(bytes, length_bytes,
+                                ENCODING_FRAME_VALUES_MAX) &&
         msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -223,7 +223,8 @@
     size_t offset = 0;
     enum SlStatus status = SL_MALFORMED;
 
-    if (!encoding_is_well_formed(bytes, length_bytes)) {
+    if (!encoding_is_well_formed(bytes, length_bytes,
+                                 ENCODING_DATAGRAM_VALUES_MAX)) {
         return SL_MALFORMED;
     }
     msgpack_unpacked_init(&unpacked);
--- a/test/codec_test.c
+++ b/test/codec_test.c
@@ -4,10 +4,21 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "resources.h"
 #include "savoryledge/protocol/message.h"
+#include "savoryledge/protocol/relay.h"
 #include "savoryledge/protocol/tunnel.h"
 #include "test.h"
 
+enum {
+    FRAME_MAX_KB = 2 * 1024,
+    FRAME_MAX_US = 10 * 1000,
+    DATAGRAM_BYTES = 65000,
+    TEXT_BYTES = 256,
+    LEVELS_MAX = 100000,
+    ENTRIES_MAX = 4096,
+};
+
 static struct SlObject
 sample_object(void)
 {
@@ -140,6 +151,206 @@
     }
 }
 
+/// Fills bytes with an array of two: kind, and an array that takes the rest
+/// and consists of copies of the element.
+static void
+fill_frame(uint8_t kind, const char *element, uint8_t *bytes,
+           uint32_t length_bytes)
+{
+    uint32_t element_bytes = (uint32_t)strlen(element);
+    uint32_t count = (length_bytes - 7) / element_bytes;
+    const uint8_t head[7] = {0x92,
+                             kind,
+                             0xdd,
+                             (uint8_t)(count >> 24),
+                             (uint8_t)(count >> 16),
+                             (uint8_t)(count >> 8),
+                             (uint8_t)count};
+
+    memset(bytes, 0, length_bytes);
+    memcpy(bytes, head, sizeof(head));
+    for (uint32_t i = 0; i < count; i++) {
+        memcpy(bytes + sizeof(head) + i * element_bytes, element,
+               element_bytes);
+    }
+}
+
+/// Frames and datagrams of many tiny elements need little memory and time.
+static void
+test_large_frames(void)
+{
+    static const char *const ELEMENTS[] = {
+        "\xc0", "\x90", "\x80", "\x91\xc0", "\x81\xc0\xc0", "\xa0",
+    };
+    uint8_t *bytes = malloc(SL_FRAME_MAX_BYTES);
+    struct SlRelayFrame frame;
+    struct SlTunnel tunnel;
+    struct SlMessage message;
+    struct cost cost;
+
+    for (size_t i = 0; i < sizeof(ELEMENTS) / sizeof(ELEMENTS[0]); i++) {
+        for (uint8_t kind = 0; kind <= SL_MESSAGE_KIND_COUNT; kind += 5) {
+            fill_frame(kind, ELEMENTS[i], bytes, SL_FRAME_MAX_BYTES);
+            start_cost(&cost);
+            CU_ASSERT_EQUAL(
+                SlMessage_Decode(bytes, SL_FRAME_MAX_BYTES, &message),
+                SL_MALFORMED);
+            end_cost(&cost, "frame", FRAME_MAX_KB, FRAME_MAX_US);
+        }
+        fill_frame(1, ELEMENTS[i], bytes + 2, DATAGRAM_BYTES);
+        bytes[0] = DATAGRAM_BYTES >> 8;
+        bytes[1] = DATAGRAM_BYTES & 0xff;
+        start_cost(&cost);
+        CU_ASSERT_EQUAL(SlTunnel_Decode(bytes + 2, DATAGRAM_BYTES, &tunnel),
+                        SL_MALFORMED);
+        CU_ASSERT_EQUAL(SlRelayFrame_Decode(bytes, DATAGRAM_BYTES + 2, &frame),
+                        SL_MALFORMED);
+        end_cost(&cost, "datagram", FRAME_MAX_KB, FRAME_MAX_US);
+    }
+    free(bytes);
+}
+
+/// The bounds on odd frames leave the largest valid ones alone.
+static void
+test_most_values(void)
+{
+    struct SlRelayQueryList list = {.count = SL_RELAY_QUERY_ITEMS_MAX};
+    struct SlBuffer buffer = {.bytes = NULL};
+    struct SlLogEntry *entries = calloc(ENTRIES_MAX, sizeof(*entries));
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_APPEND,
+        .append = {.entry_count = ENTRIES_MAX, .entries = entries}};
+    uint8_t datagram[SL_SEGMENT_MAX_BYTES];
+    struct SlMessage copy;
+    uint32_t length;
+
+    CU_ASSERT_EQUAL(SlMessage_Encode(&message, &buffer), SL_OK);
+    CU_ASSERT_EQUAL(SlMessage_Decode(buffer.bytes, buffer.length_bytes, &copy),
+                    SL_OK);
+    CU_ASSERT_EQUAL(copy.append.entry_count, ENTRIES_MAX);
+    SlMessage_Release(&copy);
+    SlBuffer_Release(&buffer);
+    free(entries);
+    for (uint32_t i = 0; i < list.count; i++) {
+        SlAddress_Parse("10.0.0.1:4000", &list.items[i].flow.caller);
+        SlAddress_Parse("10.0.0.2:80", &list.items[i].flow.service);
+    }
+    length = SlRelayQueryList_Encode(&list, datagram);
+    CU_ASSERT(length > 0);
+    CU_ASSERT_EQUAL(SlRelayQueryList_Decode(datagram, length, &list), SL_OK);
+    CU_ASSERT_EQUAL(list.count, SL_RELAY_QUERY_ITEMS_MAX);
+}
+
+/// A value in place of the field sent_us of a heartbeat.
+static enum SlStatus
+decode_heartbeat(const char *value, size_t value_bytes)
+{
+    static const uint8_t START[] = {
+        0x92, SL_MESSAGE_HEARTBEAT, 0x94, 0x92, 1, 2, 0xc2};
+    uint8_t *bytes = malloc(sizeof(START) + value_bytes + 1);
+    struct SlMessage message;
+    enum SlStatus status;
+
+    memcpy(bytes, START, sizeof(START));
+    memcpy(bytes + sizeof(START), value, value_bytes);
+    bytes[sizeof(START) + value_bytes] = 7;
+    status =
+        SlMessage_Decode(bytes, sizeof(START) + value_bytes + 1, &message);
+    if (status == SL_OK) {
+        SlMessage_Release(&message);
+    }
+    free(bytes);
+    return status;
+}
+
+struct odd_value {
+    const char *bytes;
+    size_t length_bytes;
+    enum SlStatus status;
+};
+
+#define ODD_VALUE(text, status_)                                              \
+    {                                                                         \
+        .bytes = (text), .length_bytes = sizeof(text) - 1,                    \
+        .status = (status_)                                                   \
+    }
+
+static const struct odd_value ODD_VALUES[] = {
+    ODD_VALUE("\x05", SL_OK),
+    ODD_VALUE("\xcf\xff\xff\xff\xff\xff\xff\xff\xff", SL_OK),
+    ODD_VALUE("\xff", SL_MALFORMED),
+    ODD_VALUE("\xd3\x80\0\0\0\0\0\0\0", SL_MALFORMED),
+    ODD_VALUE("\xcb\x3f\xf8\0\0\0\0\0\0", SL_MALFORMED),
+    ODD_VALUE("\xcb\x7f\xf8\0\0\0\0\0\0", SL_MALFORMED),
+    ODD_VALUE("\xca\x7f\x80\0\0", SL_MALFORMED),
+    ODD_VALUE("\xc0", SL_MALFORMED),
+    ODD_VALUE("\xc1", SL_MALFORMED),
+    ODD_VALUE("\xc3", SL_MALFORMED),
+    ODD_VALUE("\xa2\xc3\x28", SL_MALFORMED),
+    ODD_VALUE("\xdb\xff\xff\xff\xff", SL_MALFORMED),
+    ODD_VALUE("\xc6\xff\xff\xff\xff", SL_MALFORMED),
+    ODD_VALUE("\xc9\xff\xff\xff\xff", SL_MALFORMED),
+    ODD_VALUE("\xdd\xff\xff\xff\xff", SL_MALFORMED),
+    ODD_VALUE("\xdf\xff\xff\xff\xff", SL_MALFORMED),
+    ODD_VALUE("\xd8\1\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0", SL_MALFORMED),
+};
+
+static void
+test_odd_values(void)
+{
+    char *levels = malloc(LEVELS_MAX + 1);
+
+    for (size_t i = 0; i < sizeof(ODD_VALUES) / sizeof(ODD_VALUES[0]); i++) {
+        CU_ASSERT_EQUAL(
+            decode_heartbeat(ODD_VALUES[i].bytes, ODD_VALUES[i].length_bytes),
+            ODD_VALUES[i].status);
+    }
+    for (uint32_t count = 10; count <= LEVELS_MAX; count *= 10) {
+        memset(levels, 0x91, count);
+        levels[count] = 5;
+        CU_ASSERT_EQUAL(decode_heartbeat(levels, count + 1), SL_MALFORMED);
+        memset(levels, 0x81, count);
+        CU_ASSERT_EQUAL(decode_heartbeat(levels, count + 1), SL_MALFORMED);
+    }
+    free(levels);
+}
+
+/// Texts are bytes without zeros, up to the length of their member.
+static void
+test_odd_texts(void)
+{
+    static const struct odd_value TEXTS[] = {
+        ODD_VALUE("\xa0", SL_OK),           ODD_VALUE("\xa2\xc3\x28", SL_OK),
+        ODD_VALUE("\xa2g\0", SL_MALFORMED), ODD_VALUE("\xc4\1g", SL_MALFORMED),
+        ODD_VALUE("\x07", SL_MALFORMED),
+    };
+    uint8_t bytes[TEXT_BYTES] = {0x92, SL_MESSAGE_JOIN, 0x92};
+    struct SlMessage message;
+
+    for (size_t i = 0; i < sizeof(TEXTS) / sizeof(TEXTS[0]); i++) {
+        size_t length = 3 + TEXTS[i].length_bytes;
+
+        memcpy(bytes + 3, TEXTS[i].bytes, TEXTS[i].length_bytes);
+        memcpy(bytes + length, "\x92\xc4\x04\x7f\0\0\1\xcd\xff\xff", 10);
+        CU_ASSERT_EQUAL(SlMessage_Decode(bytes, length + 10, &message),
+                        TEXTS[i].status);
+        /* A port of 65,536. */
+        memcpy(bytes + length + 7, "\xce\0\1\0\0", 5);
+        CU_ASSERT_EQUAL(SlMessage_Decode(bytes, length + 12, &message),
+                        SL_MALFORMED);
+    }
+    for (uint32_t text_bytes = 46; text_bytes <= 49; text_bytes++) {
+        size_t length = 5 + text_bytes;
+
+        bytes[3] = 0xd9;
+        bytes[4] = (uint8_t)text_bytes;
+        memset(bytes + 5, 'x', text_bytes);
+        memcpy(bytes + length, "\x92\xc4\x04\x7f\0\0\1\x05", 8);
+        CU_ASSERT_EQUAL(SlMessage_Decode(bytes, length + 8, &message),
+                        text_bytes < SL_NAME_BYTES ? SL_OK : SL_MALFORMED);
+    }
+}
+
 int
 main(void)
 {
@@ -148,6 +359,10 @@
         {"append round trip", test_append_round_trip},
         {"tunnel round trip", test_tunnel_round_trip},
         {"locate round trip", test_locate_round_trip},
+        {"large frames", test_large_frames},
+        {"frames of the most values", test_most_values},
+        {"odd values", test_odd_values},
+        {"odd texts", test_odd_texts},
     };
 
     return RUN_SUITE("codec", CASES);
