Check the body of a recorded record before it is unpacked

A record of a recording whose body declares 2^32 - 1 elements made the reader request 128 GB, and one of 1 MiB of tiny values took 24.6 MB.

Cause: unlike messages and datagrams, the bodies of records were not checked before the unpacker allocates what a header declares.

Evidence: recording_test, code of before, with the address sanitizer: "allocator is out of memory trying to allocate 0x2000000008 bytes"; without: "odd bodies: 20331 us, 24580 kB", and `CU_ASSERT(cost->peak_kb <= max_kb)` fails.

Change: the check is public as SlEncoding_IsWellFormed, and the reader uses it; an empty text is no longer copied from a NULL pointer.

Measured: 12 odd bodies take 1.2 ms and 4 kB and are malformed; the record after them is read.

--- a/packages/coordination/src/recording_read.c
+++ b/packages/coordination/src/recording_read.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "recording_format.h"
+#include "savoryledge/protocol/encoding.h"
 
 struct SlRecordReader {
     const uint8_t *bytes;
@@ -73,7 +74,7 @@
         fields->is_malformed = true;
     }
     out[0] = '\0';
-    if (!fields->is_malformed) {
+    if (!fields->is_malformed && field->via.str.size > 0) {
         memcpy(out, field->via.str.ptr, field->via.str.size);
         out[field->via.str.size] = '\0';
     }
@@ -451,7 +452,9 @@
     reader->next_offset += SL_RECORD_HEADER_BYTES + body_bytes;
     msgpack_unpacked_destroy(&reader->unpacked);
     msgpack_unpacked_init(&reader->unpacked);
-    if (msgpack_unpack_next(&reader->unpacked, (const char *)body, body_bytes,
+    if (!SlEncoding_IsWellFormed(body, body_bytes,
+                                 SL_ENCODING_FRAME_VALUES_MAX) ||
+        msgpack_unpack_next(&reader->unpacked, (const char *)body, body_bytes,
                             NULL) != MSGPACK_UNPACK_SUCCESS ||
         reader->unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
         return SL_MALFORMED;
--- a/packages/protocol/src/encoding_check.h
+++ b/packages/protocol/include/savoryledge/protocol/encoding.h
@@ -1,5 +1,5 @@
-#ifndef SAVORYLEDGE_PROTOCOL_ENCODING_CHECK_H
-#define SAVORYLEDGE_PROTOCOL_ENCODING_CHECK_H
+#ifndef SAVORYLEDGE_PROTOCOL_ENCODING_H
+#define SAVORYLEDGE_PROTOCOL_ENCODING_H
 
 /// Validation of msgpack bytes before they are unpacked. The unpacker
 /// allocates memory for as many elements as a container's header declares.
@@ -13,15 +13,15 @@
 enum {
     /// Maximum number of values in a datagram's header or list, and in a
     /// frame; each takes 24 bytes of memory when it is unpacked.
-    ENCODING_DATAGRAM_VALUES_MAX = 1024,
-    ENCODING_FRAME_VALUES_MAX = 64 * 1024,
+    SL_ENCODING_DATAGRAM_VALUES_MAX = 1024,
+    SL_ENCODING_FRAME_VALUES_MAX = 64 * 1024,
 };
 
 /// True when bytes begin with one complete value whose containers together
 /// declare no more elements than there are bytes, and that consists of at most
 /// max_values values.
 bool
-encoding_is_well_formed(const uint8_t *bytes, size_t length_bytes,
+SlEncoding_IsWellFormed(const uint8_t *bytes, size_t length_bytes,
                         uint32_t max_values);
 
 #endif
--- a/packages/protocol/src/encoding_check.c
+++ b/packages/protocol/src/encoding.c
@@ -1,4 +1,4 @@
-#include "encoding_check.h"
+#include "savoryledge/protocol/encoding.h"
 
 /// The decoded header of a msgpack value.
 struct value_header {
@@ -127,7 +127,7 @@
 }
 
 bool
-encoding_is_well_formed(const uint8_t *bytes, size_t length_bytes,
+SlEncoding_IsWellFormed(const uint8_t *bytes, size_t length_bytes,
                         uint32_t max_values)
 {
     uint64_t pending_values = 1;
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "encoding_check.h"
 #include "layout.h"
+#include "savoryledge/protocol/encoding.h"
 
 #define U8(owner, member) SL_FIELD_PLAIN(SL_FIELD_U8, owner, member)
 #define U16(owner, member) SL_FIELD_PLAIN(SL_FIELD_U16, owner, member)
@@ -360,8 +360,8 @@
 
     memset(base, 0, layout->size_bytes);
     msgpack_unpacked_init(&unpacked);
-    if (encoding_is_well_formed(bytes, length_bytes,
-                                ENCODING_FRAME_VALUES_MAX) &&
+    if (SlEncoding_IsWellFormed(bytes, length_bytes,
+                                SL_ENCODING_FRAME_VALUES_MAX) &&
         msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
@@ -426,8 +426,8 @@
 
     memset(message, 0, sizeof(*message));
     msgpack_unpacked_init(&unpacked);
-    if (encoding_is_well_formed(bytes, length_bytes,
-                                ENCODING_FRAME_VALUES_MAX) &&
+    if (SlEncoding_IsWellFormed(bytes, length_bytes,
+                                SL_ENCODING_FRAME_VALUES_MAX) &&
         msgpack_unpack_next(&unpacked, (const char *)bytes, length_bytes,
                             &offset) == MSGPACK_UNPACK_SUCCESS &&
         offset == length_bytes) {
--- a/packages/protocol/src/relay.c
+++ b/packages/protocol/src/relay.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "encoding_check.h"
 #include "layout.h"
+#include "savoryledge/protocol/encoding.h"
 
 enum {
     LENGTH_FIELD_BYTES = 2,
@@ -223,8 +223,8 @@
     size_t offset = 0;
     enum SlStatus status = SL_MALFORMED;
 
-    if (!encoding_is_well_formed(bytes, length_bytes,
-                                 ENCODING_DATAGRAM_VALUES_MAX)) {
+    if (!SlEncoding_IsWellFormed(bytes, length_bytes,
+                                 SL_ENCODING_DATAGRAM_VALUES_MAX)) {
         return SL_MALFORMED;
     }
     msgpack_unpacked_init(&unpacked);
--- a/packages/protocol/src/tunnel.c
+++ b/packages/protocol/src/tunnel.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "encoding_check.h"
 #include "pack_buffer.h"
+#include "savoryledge/protocol/encoding.h"
 
 enum {
     COMMON_FIELD_COUNT = 6,
@@ -290,8 +290,8 @@
     bool valid;
 
     memset(tunnel, 0, sizeof(*tunnel));
-    if (!encoding_is_well_formed(bytes, length_bytes,
-                                 ENCODING_DATAGRAM_VALUES_MAX)) {
+    if (!SlEncoding_IsWellFormed(bytes, length_bytes,
+                                 SL_ENCODING_DATAGRAM_VALUES_MAX)) {
         return SL_MALFORMED;
     }
     if (!msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE)) {
--- a/test/recording_test.c
+++ b/test/recording_test.c
@@ -2,10 +2,14 @@
 /// is read up to its last intact record, and a replay finds the first
 /// difference.
 
+#include <endian.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <urcu.h>
+#include <xxhash.h>
 
+#include "resources.h"
 #include "savoryledge/common/packet.h"
 #include "savoryledge/coordination/recording.h"
 #include "test.h"
@@ -13,6 +17,8 @@
 enum {
     START_US = 1000000,
     TICKS = 50,
+    ODD_BODY_BYTES = 1 << 20,
+    ODD_BODY_MAX_KB = 2 * 1024,
 };
 
 struct recording {
@@ -256,6 +262,66 @@
     SlBuffer_Release(&bytes);
 }
 
+/// Appends a record with this body and a valid checksum.
+static void
+append_body(struct SlBuffer *bytes, const void *body, uint32_t body_bytes)
+{
+    uint64_t checksum = htole64(XXH3_64bits(body, body_bytes));
+    uint32_t length = htole32(body_bytes);
+
+    SlBuffer_Append(bytes, &length, sizeof(length));
+    SlBuffer_Append(bytes, &checksum, sizeof(checksum));
+    SlBuffer_Append(bytes, body, body_bytes);
+}
+
+/// A record whose body another program wrote is malformed; the records after
+/// it are read.
+static void
+test_odd_bodies(void)
+{
+    static const char *const BODIES[] = {
+        "\xdd\xff\xff\xff\xff",
+        "\xdf\xff\xff\xff\xff",
+        "\x92\x06\xdb\xff\xff\xff\xff",
+        "\x92\x06\xff",
+        "\x92\x06\xcb\x7f\xf8",
+        "\x91\x06",
+        "\x93\x06\xa0\xa0",
+        "\xc1",
+        "\xa1x",
+        "",
+    };
+    static const char EMPTY_EVENT[] = {(char)0x92, SL_RECORD_EVENT,
+                                       (char)0xa0};
+    char *large = malloc(ODD_BODY_BYTES);
+    struct SlBuffer bytes = {.bytes = NULL};
+    struct SlRecordReader *reader;
+    struct SlRecord record;
+    struct cost cost;
+
+    for (size_t i = 0; i < sizeof(BODIES) / sizeof(BODIES[0]); i++) {
+        append_body(&bytes, BODIES[i], (uint32_t)strlen(BODIES[i]));
+    }
+    memset(large, 0x91, ODD_BODY_BYTES);
+    append_body(&bytes, large, ODD_BODY_BYTES);
+    memset(large, 0xc0, ODD_BODY_BYTES);
+    memcpy(large, "\xdd\0\x0f\xff\xf0", 5);
+    append_body(&bytes, large, ODD_BODY_BYTES);
+    append_body(&bytes, EMPTY_EVENT, sizeof(EMPTY_EVENT));
+    reader = SlRecordReader_Create(bytes.bytes, bytes.length_bytes);
+    start_cost(&cost);
+    for (size_t i = 0; i < sizeof(BODIES) / sizeof(BODIES[0]) + 2; i++) {
+        CU_ASSERT_EQUAL(SlRecordReader_NextRecord(reader, &record),
+                        SL_MALFORMED);
+    }
+    end_cost(&cost, "odd bodies", ODD_BODY_MAX_KB, LONG_MAX);
+    CU_ASSERT_EQUAL(SlRecordReader_NextRecord(reader, &record), SL_OK);
+    CU_ASSERT_STRING_EQUAL(record.event, "");
+    SlRecordReader_Destroy(reader);
+    SlBuffer_Release(&bytes);
+    free(large);
+}
+
 int
 main(void)
 {
@@ -266,6 +332,7 @@
          test_truncated_recording},
         {"a damaged record is detected", test_damage},
         {"a recording without its start is refused", test_missing_start},
+        {"a record with an odd body is malformed", test_odd_bodies},
     };
     int failed;
 
