Let a longer idle timeout make an agent's table incomplete again

Cause: the time from which a restarted agent takes its table for complete was set once, from the idle timeout of its first plan. Besides, an agent forgot a flow after the timeout that it knew, while a longer one was on its way.

Evidence: an agent knows all flows of its upstream when it has passed segments for as long as an unused flow may live: the longest idle timeout of all plans since its start, and 3 s in which a change may be on its way. It is asked anew each time, so a longer timeout makes the table incomplete again, and one that shrinks and grows again changes nothing.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -130,6 +130,9 @@
     {SL_EVENT_RELAY_DEFERRED_REQUEST, SL_LEVEL_INFO, "request_turn",
      "waited_us", "in_progress",
      "A request on an open flow was deferred, delivered or dropped."},
+    {SL_EVENT_RELAY_TABLE, SL_LEVEL_INFO, "table", "since_us", "life_us",
+     "An agent that has restarted again knows all flows of its upstream, or a "
+     "longer idle timeout has made that uncertain."},
     {SL_EVENT_RELAY_TRANSFER, SL_LEVEL_INFO, "transfer", "took_us",
      "transfers", "The body of an upload ended, stalled or went on."},
     {SL_EVENT_RELAY_WORK, SL_LEVEL_INFO, "work", "work_us",
--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -14,8 +14,8 @@
 /// as long as an upstream takes to report its status.
 ///
 /// After a restart the agent does not know the flows that its upstream holds.
-/// Until it has run for the idle timeout of flows, it passes segments of
-/// unknown flows to the upstream, which returns those of flows it does not
+/// Until it has run for as long as an unused flow may live, it passes segments
+/// of unknown flows to the upstream, which returns those of flows it does not
 /// hold.
 
 #include "savoryledge/balance/admission.h"
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -12,8 +12,6 @@
     /// New flows per second that any upstream can take in addition to the
     /// slow-start rate in the plan.
     COLD_EXTRA_FLOWS = 3,
-    /// Used until a plan provides the idle timeout of flows.
-    DEFAULT_IDLE_US = 60 * 1000 * 1000,
     /// A first status with a sequence number up to this comes from a run of
     /// the upstream that started while this process was running.
     FIRST_STATUS_SEQ_MAX = 1,
@@ -54,7 +52,7 @@
     agent->service = SL_PLAN_NO_SERVICE;
     agent->flows.seed = options->seed;
     agent->created_us = now_us;
-    agent->table_complete_us = now_us + DEFAULT_IDLE_US;
+    agent->table.since_us = now_us;
     agent->query_budget.limit = INITIAL_QUERIES_PER_TICK;
     agent->admission.slots = 1;
     agent->announced_until_us = now_us + ANNOUNCED_VALID_US;
@@ -86,7 +84,9 @@
 bool
 SlRelayAgent_MayHoldUnknown(const struct SlRelayAgent *agent, uint64_t now_us)
 {
-    return !agent->upstream_gone && now_us < agent->table_complete_us;
+    return !agent->upstream_gone &&
+           !SlTableEvidence_IsComplete(&agent->table, &agent->flow_life,
+                                       now_us);
 }
 
 /// Reads the settings of the upstream's service from the plan.
@@ -160,23 +160,33 @@
     return self != NULL && self->holds.count > 0;
 }
 
+/// Reads the idle timeout of a plan. Segments of callers are passed to the
+/// upstream from the first plan on.
+static void
+read_idle_timeout(struct SlRelayAgent *agent, uint64_t now_us,
+                  const struct SlPlan *plan)
+{
+    if (plan == NULL) {
+        return;
+    }
+    if (agent->plan == NULL) {
+        agent->table.since_us = now_us;
+    }
+    SlFlowLife_SetIdle(&agent->flow_life,
+                       (uint64_t)SlPlan_IdleMs(plan) * US_PER_MS);
+}
+
 enum SlStatus
 SlRelayAgent_SetConfig(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                        uint64_t now_us, const struct SlConfig *config,
                        struct SlPlan *plan)
 {
     enum SlStatus status = SlRelayAgent_ReadNodes(agent, now_us, config);
-    uint64_t complete_us;
 
     if (status != SL_OK) {
         return status;
     }
-    if (agent->plan == NULL && plan != NULL) {
-        complete_us = now_us + (uint64_t)SlPlan_IdleMs(plan) * US_PER_MS;
-        if (complete_us < agent->table_complete_us) {
-            agent->table_complete_us = complete_us;
-        }
-    }
+    read_idle_timeout(agent, now_us, plan);
     plan = SlPlan_Ref(plan);
     SlPlan_Unref(agent->plan);
     agent->plan = plan;
@@ -268,7 +278,7 @@
     agent->admission.answer_us = 0;
     agent->upstream_silent_until_us = 0;
     if (agent->last_status_us != 0 || is_first_process(agent, status)) {
-        agent->table_complete_us = now_us;
+        agent->table.saw_start = true;
     }
 }
 
@@ -492,12 +502,36 @@
     }
 }
 
+/// Logs when the table becomes complete, or incomplete again.
+static void
+check_table(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+            uint64_t now_us)
+{
+    bool is_complete =
+        SlTableEvidence_IsComplete(&agent->table, &agent->flow_life, now_us);
+
+    if (is_complete == agent->table_was_complete) {
+        return;
+    }
+    agent->table_was_complete = is_complete;
+    SlRelayAgent_LogEvent(
+        agent, sink, now_us,
+        (struct SlEvent){
+            .number = SL_EVENT_RELAY_TABLE,
+            .reason = !is_complete             ? "timeout_grew"
+                      : agent->table.saw_start ? "upstream_started"
+                                               : "flows_seen",
+            .value = (int64_t)(now_us - agent->table.since_us),
+            .limit = (int64_t)SlFlowLife_UnseenUs(&agent->flow_life)});
+}
+
 void
 SlRelayAgent_Tick(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                   uint64_t now_us)
 {
     SlAgentFlow_Tick(agent, sink, now_us);
     check_refusing_upstream(agent, sink, now_us);
+    check_table(agent, sink, now_us);
     SlLostFlows_Tick(agent, sink, now_us);
     SlRelayAgent_BroadcastsTick(agent, sink, now_us);
     SlRelayAgent_ReportLoad(agent, sink, now_us);
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -15,6 +15,7 @@
 #include "savoryledge/coordination/relay_agent.h"
 
 #include "relay_broadcast.h"
+#include "relay_evidence.h"
 #include "relay_flow_records.h"
 #include "relay_index.h"
 #include "relay_lost_flows.h"
@@ -144,9 +145,11 @@
     /// The upstream left an opening segment unanswered; all offers are
     /// declined until this time.
     uint64_t upstream_silent_until_us;
-    /// From this time on, a flow that is not in the table is not held by the
-    /// upstream.
-    uint64_t table_complete_us;
+    /// Whether the table has all flows that the upstream holds.
+    struct SlTableEvidence table;
+    struct SlFlowLife flow_life;
+    /// Whether it was complete on the last tick.
+    bool table_was_complete;
     struct SlAdmission admission;
     struct SlAdmissionQueue admission_queue;
     struct SlRelayIndex flows;
--- /dev/null
+++ b/packages/coordination/src/relay_evidence.h
@@ -0,0 +1,55 @@
+#ifndef SAVORYLEDGE_COORDINATION_RELAY_EVIDENCE_H
+#define SAVORYLEDGE_COORDINATION_RELAY_EVIDENCE_H
+
+/// What makes it certain that an upstream does not hold a flow. Only on such
+/// evidence may a caller be reset; every other answer means "unknown".
+///
+/// Load pattern: agents restart one after the other, or all at once, while
+/// their upstreams keep their flows, and routes and idle timeouts change
+/// meanwhile. A flow stays where it is when its route moves, so what the
+/// present plan says of the route is no evidence.
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    /// Time within which a change of the idle timeout reaches every process. A
+    /// flow that is idle for longer than the timeout known here may live by a
+    /// newer one until then.
+    SL_EVIDENCE_CONFIG_US = 3 * 1000 * 1000,
+};
+
+/// What a process knows of the life of flows. Zero-initialise before use.
+struct SlFlowLife {
+    /// The present idle timeout, and the longest one since the process
+    /// started, microseconds; 0 before the first plan.
+    uint64_t idle_us;
+    uint64_t longest_idle_us;
+};
+
+/// Records the idle timeout of a plan.
+void
+SlFlowLife_SetIdle(struct SlFlowLife *life, uint64_t idle_us);
+/// Returns how long a flow that is not used must be kept in a table.
+uint64_t
+SlFlowLife_KeepUs(const struct SlFlowLife *life);
+/// Returns how long a flow may live that nobody has used since this process
+/// started.
+uint64_t
+SlFlowLife_UnseenUs(const struct SlFlowLife *life);
+
+/// How an agent's table of flows came about.
+struct SlTableEvidence {
+    /// Since when the process passes segments to the upstream.
+    uint64_t since_us;
+    /// The present run of the upstream started while the process was running,
+    /// so it passed all opening segments.
+    bool saw_start;
+};
+
+/// True when the upstream holds no flow that is not in the table.
+bool
+SlTableEvidence_IsComplete(const struct SlTableEvidence *table,
+                           const struct SlFlowLife *life, uint64_t now_us);
+
+#endif
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -557,14 +557,13 @@
 static void
 expire_flows(struct SlRelayAgent *agent, uint64_t now_us)
 {
-    uint64_t idle_us = agent->plan != NULL
-                           ? (uint64_t)SlPlan_IdleMs(agent->plan) * US_PER_MS
-                           : 0;
+    uint64_t keep_us = SlFlowLife_KeepUs(&agent->flow_life);
 
-    for (uint32_t i = 0; idle_us > 0 && i < EXPIRY_CHECKS_PER_TICK; i++) {
+    for (uint32_t i = 0; agent->plan != NULL && i < EXPIRY_CHECKS_PER_TICK;
+         i++) {
         struct SlRelayItem *item = SlRelayIndex_OldestItem(&agent->flows);
 
-        if (item == NULL || now_us - item->used_us <= idle_us) {
+        if (item == NULL || now_us - item->used_us <= keep_us) {
             return;
         }
         SlAgentFlow_Remove(agent, now_us, flow_from_item(item));
--- a/test/relay_evidence_test.c
+++ b/test/relay_evidence_test.c
@@ -74,11 +74,74 @@
     }
 }
 
+/// The idle timeout changes after the agent of an open flow has restarted,
+/// changes_ms after the restart in turn; the flow is used again use_ms after
+/// the restart.
+static void
+check_idle_changes(const uint32_t changes_ms[2], const uint32_t idle_ms[3],
+                   uint32_t use_ms)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 71);
+    uint32_t flow;
+
+    put_plan(sim, "orders", idle_ms[0]);
+    flow = relay_open_flow_and_request(sim, 0);
+    restart_agent(sim, relay_find_holder(sim, flow));
+    for (uint32_t ms = 0; ms < use_ms; ms += 100) {
+        for (uint32_t i = 0; i < 2; i++) {
+            if (ms == changes_ms[i]) {
+                put_plan(sim, "orders", idle_ms[i + 1]);
+            }
+        }
+        relay_simulation_run(sim, 100);
+    }
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// A flow that was never idle for longer than the idle timeout in force stays
+/// when the timeout grows, and when it shrinks for a while. A change takes up
+/// to 3 s to reach an agent.
+static void
+test_idle_timeout_changes(void)
+{
+    check_idle_changes((const uint32_t[]){1000, 1000},
+                       (const uint32_t[]){5000, 15000, 15000}, 8000);
+    check_idle_changes((const uint32_t[]){1000, 3000},
+                       (const uint32_t[]){15000, 5000, 15000}, 10000);
+    check_idle_changes((const uint32_t[]){7000, 7000},
+                       (const uint32_t[]){5000, 15000, 15000}, 7000);
+    check_idle_changes((const uint32_t[]){7500, 7500},
+                       (const uint32_t[]){5000, 15000, 15000}, 10000);
+}
+
+/// The same for an agent that knows the flow: it does not forget it as long as
+/// a longer timeout may be on its way.
+static void
+test_idle_timeout_grows_late(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 72);
+    uint32_t flow;
+
+    put_plan(sim, "orders", 5000);
+    flow = relay_open_flow_and_request(sim, 0);
+    relay_simulation_run(sim, 7500);
+    put_plan(sim, "orders", 15000);
+    relay_simulation_run(sim, 500);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"a route has moved to another service", test_route_moved},
+        {"the idle timeout changes after a restart",
+         test_idle_timeout_changes},
+        {"a longer idle timeout arrives late", test_idle_timeout_grows_late},
     };
 
     return RUN_SUITE("relay evidence", CASES);
