Call a process reachable as soon as a new leader hears it

After a change of the leader a process that was well again stayed marked as unreachable for 6 s and more.

Cause: a new leader changed no mark in its grace period. The period keeps it from declaring processes unreachable that it has not heard yet; it is no reason to doubt a process that it hears.

Change: in the grace period a leader takes marks back, and sets none. A process whose link merely stayed open has not been heard: what a new leader knows of its own links begins with the last message.

Test: control_test, "a new leader hears a process that was unreachable"; with the code of before: control_test.c:500 - CU_ASSERT_EQUAL(count_reachable( fixture),11), for either place of the process's link. A process that stays silent keeps its mark there.

--- a/packages/coordination/src/control_reach.c
+++ b/packages/coordination/src/control_reach.c
@@ -2,9 +2,10 @@
 ///
 /// Every control instance monitors the processes linked to it. A follower
 /// reports only changes to the leader: a process sent a message again, or it
-/// was lost. Only the leader proposes configuration changes, and only after a
-/// grace period of leadership. If many processes fall silent at once, the
-/// leader assumes that it is itself partitioned and declares none of them
+/// was lost. Only the leader proposes configuration changes, and it declares
+/// processes unreachable only after a grace period of leadership. A process
+/// that it hears is reachable at once. If many processes fall silent at once,
+/// the leader assumes that it is itself partitioned and declares none of them
 /// unreachable.
 
 #include <stdlib.h>
@@ -184,10 +185,18 @@
     control->mass_loss_withheld = false;
     for (uint32_t i = 0; i < control->link_count; i++) {
         const struct SlControlLink *link = &control->links[i];
+        struct SlNodeObservation *observation;
 
-        if (link->announced_spec != NULL) {
-            record_observed_process(control, link->peer.node_id,
-                                    link->peer.name, link->announced_spec, 0);
+        if (link->announced_spec == NULL) {
+            continue;
+        }
+        record_observed_process(control, link->peer.node_id, link->peer.name,
+                                link->announced_spec, 0);
+        observation = SlObservationTable_Find(&control->observations,
+                                              link->peer.node_id);
+        if (observation != NULL) {
+            /* The link of a process that stands still stays open. */
+            observation->updated_us = link->last_received_us;
         }
     }
 }
@@ -478,9 +487,11 @@
     return loss_withheld;
 }
 
+/// in_grace: nothing but that a process is heard may be concluded yet.
 static void
 update_node_reachability(struct SlControl *control,
-                         const struct SlObject *node, bool loss_withheld)
+                         const struct SlObject *node, bool in_grace,
+                         bool loss_withheld)
 {
     struct SlNodeObservation *observation =
         find_or_add_observation(control, node);
@@ -495,7 +506,7 @@
         silence_us <= control->options.unreachable_us) {
         propose_reachability(control, observation, false, silence_us);
     }
-    else if (is_silent(control, node, observation) &&
+    else if (!in_grace && is_silent(control, node, observation) &&
              (!loss_withheld || node->node.leaving)) {
         propose_reachability(control, observation, true, silence_us);
     }
@@ -506,18 +517,19 @@
 {
     uint64_t grace_us = control->options.unreachable_us * LEADER_GRACE_FACTOR;
     uint32_t node_count = SlConfig_ObjectCount(control->config, SL_KIND_NODE);
+    bool in_grace =
+        control->now_us - control->raft.leading_since_us < grace_us;
     struct reachability_counts counts;
-    bool loss_withheld;
+    bool loss_withheld = false;
 
-    if (control->now_us - control->raft.leading_since_us < grace_us) {
-        return;
+    if (!in_grace) {
+        counts = count_reachability(control);
+        loss_withheld = detect_mass_loss(control, &counts);
     }
-    counts = count_reachability(control);
-    loss_withheld = detect_mass_loss(control, &counts);
     for (uint32_t i = 0; i < node_count; i++) {
         update_node_reachability(
             control, SlConfig_ObjectAt(control->config, SL_KIND_NODE, i),
-            loss_withheld);
+            in_grace, loss_withheld);
     }
 }
 
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -461,6 +461,47 @@
     destroy_control_fixture(fixture);
 }
 
+/// Runs until a leader is elected, and then for ms.
+static void
+run_with_new_leader(struct control_fixture *fixture, uint32_t ms)
+{
+    CU_ASSERT_NOT_EQUAL_FATAL(
+        simulation_await_leader(&fixture->simulation, 2000),
+        fixture->simulation.count);
+    fixture_run(fixture, ms * 1000 / SIMULATION_STEP_US);
+}
+
+/// The leader is lost while a process is declared unreachable. The next leader
+/// takes that back at once when it hears the process, whichever instance it is
+/// linked to, and leaves the mark while the process is silent.
+static void
+test_new_leader_hears_process(void)
+{
+    for (uint32_t i = 0; i < 2; i++) {
+        struct control_fixture *fixture = create_control_fixture(3, 23 + i);
+        uint32_t leader = find_leader(fixture);
+
+        fixture->agent_count = 12;
+        for (uint32_t agent = 0; agent < 12; agent++) {
+            snprintf(fixture->agents[agent].name, SL_NAME_BYTES, "workroom-%u",
+                     agent);
+            fixture->agents[agent].control_index =
+                (leader + 1 + (agent + i) % 2) % 3;
+            connect_agent(fixture, agent);
+        }
+        fixture_run(fixture, REACHABILITY_STEPS);
+        fixture->agents[0].is_silent = true;
+        fixture->agents[1].is_silent = true;
+        fixture_run(fixture, REACHABILITY_STEPS);
+        CU_ASSERT_EQUAL(count_reachable(fixture), 10);
+        simulation_crash_node(&fixture->simulation, leader);
+        fixture->agents[0].is_silent = false;
+        run_with_new_leader(fixture, 1000);
+        CU_ASSERT_EQUAL(count_reachable(fixture), 11);
+        destroy_control_fixture(fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -485,6 +526,8 @@
          test_isolated_leader_serves_nothing},
         {"a full disk at the leader refuses changes",
          test_full_disk_at_leader},
+        {"a new leader hears a process that was unreachable",
+         test_new_leader_hears_process},
     };
 
     return RUN_SUITE("control", CASES);
