Tell why a read of the configuration was refused and a control instance left

Callers saw 503 for reads of the configuration in calm spans, and one entry stayed behind, yet no log held a line about either: a refused read was only answered, and a process changed its control instance in silence. The lease of an instance was told as yes or no, at one moment.

Now a refused read is counted by its reason and logged, at most 8 lines a second (SL1608), with what is left of the lease or for how long it has been over, the last leader and its silence. Orders are counted by outcome. A process logs each control instance that it leaves, with the reason, the time waited and the limit (SL1406); where the link ended, SL1501 says so already. The metrics tell the remaining lease and how often an instance lost it, for followers too.

The links of control instances in replica_test carry the role that such an instance announces; they had none before.

--- a/packages/common/include/savoryledge/common/event.h
+++ b/packages/common/include/savoryledge/common/event.h
@@ -105,6 +105,7 @@
     SL_EVENT_JOINED = 1403,
     SL_EVENT_STALE_OFFER = 1404,
     SL_EVENT_INVITATION_TAKEN = 1405,
+    SL_EVENT_CONTROL_LEFT = 1406,
     /* Events of links, datagrams and security. */
     SL_EVENT_LINK_UP = 1500,
     SL_EVENT_LINK_DOWN = 1501,
@@ -119,6 +120,7 @@
     SL_EVENT_RECORDING = 1605,
     SL_EVENT_FAILED = 1606,
     SL_EVENT_CALL_REFUSED = 1607,
+    SL_EVENT_READ_REFUSED = 1608,
 };
 
 /// One event. Pointers are borrowed for the duration of a call. A field that
--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -212,6 +212,10 @@
      NULL,
      "A process without a configuration uses a control instance other than "
      "the one that it dialled last."},
+    {SL_EVENT_CONTROL_LEFT, SL_LEVEL_NOTICE, "control_left", "waited_us",
+     "limit_us",
+     "A process left a control instance that it did not reach, or that did "
+     "not confirm in time that the configuration is current."},
     {SL_EVENT_LINK_UP, SL_LEVEL_INFO, "link_up", NULL, NULL,
      "A link to another process was established."},
     {SL_EVENT_LINK_DOWN, SL_LEVEL_NOTICE, "link_down", NULL, NULL,
@@ -238,6 +242,10 @@
      "failure."},
     {SL_EVENT_CALL_REFUSED, SL_LEVEL_WARNING, "call_refused", NULL, NULL,
      "A request to an HTTP interface was refused for the stated reason."},
+    {SL_EVENT_READ_REFUSED, SL_LEVEL_WARNING, "read_refused", "lease_us",
+     "leader_silent_us",
+     "A read of the configuration was refused; lease_us is negative by the "
+     "time for which the lease has been over, and node is the last leader."},
 };
 
 const struct SlEventRow *
--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -97,6 +97,22 @@
 /// received a message from such a leader within the lease.
 bool
 SlControl_IsFresh(const struct SlControl *control, uint64_t now_us);
+/// Returns for how long the configuration of this instance remains current
+/// without a further message, in microseconds. Negative: the time since the
+/// latest lease ended, or since the instance started if it had none.
+int64_t
+SlControl_LeaseUs(const struct SlControl *control, uint64_t now_us);
+/// Returns how often the instance ceased to be current.
+uint64_t
+SlControl_LeaseLossCount(const struct SlControl *control);
+/// Returns the name of the last known leader; empty when there is none. Valid
+/// until the next call of SlControl_HandleInput.
+const char *
+SlControl_LeaderName(const struct SlControl *control);
+/// Returns the time since the last message of a leader, or since this instance
+/// started; 0 at a leader.
+uint64_t
+SlControl_LeaderSilentUs(const struct SlControl *control, uint64_t now_us);
 /// Returns the configuration of this instance, which may be out of date. Valid
 /// until the next call of SlControl_HandleInput.
 const struct SlConfig *
--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -30,6 +30,21 @@
     uint64_t lease_us;
 };
 
+/// Numbers of control instances that the replica left, by the reason.
+struct SlReplicaCounters {
+    /// No link was established in time.
+    uint64_t controls_not_reached;
+    /// The link ended.
+    uint64_t controls_link_lost;
+    /// No heartbeat arrived in time, or none that confirmed that the
+    /// configuration is current.
+    uint64_t controls_silent;
+    /// The instance reported that it is not current.
+    uint64_t controls_not_current;
+    /// Neither the instance nor this process had a configuration.
+    uint64_t controls_empty;
+};
+
 /// Creates a replica. Returns NULL when out of memory.
 struct SlReplica *
 SlReplica_Create(const struct SlReplicaOptions *options, uint64_t now_us);
@@ -72,6 +87,10 @@
 /// instance other than the one that it dialled last.
 uint64_t
 SlReplica_InvitationsTaken(const struct SlReplica *replica);
+/// Copies the counters.
+void
+SlReplica_Counters(const struct SlReplica *replica,
+                   struct SlReplicaCounters *counters);
 /// True when the last confirmation from control that the configuration is
 /// current is older than the lease.
 bool
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -116,6 +116,8 @@
     fill_defaults(&control->options);
     control->node_id = SlNode_Id(options->core.name);
     control->now_us = now_us;
+    control->created_us = now_us;
+    control->current_until_us = now_us;
     control->config = SlConfig_Create();
     status = SlControl_CreatePublisher(control);
     if (status == SL_OK && control->config != NULL) {
@@ -199,6 +201,25 @@
     SlControl_CheckReachability(control);
 }
 
+/// Records until when this instance is current, and counts the times that it
+/// ceased to be.
+static void
+observe_lease(struct SlControl *control)
+{
+    uint64_t remaining_us =
+        SlRaft_LeaseRemainingUs(&control->raft, control->now_us);
+
+    if (remaining_us > 0) {
+        control->current_until_us = control->now_us + remaining_us;
+    }
+    else if (control->is_current &&
+             control->now_us < control->current_until_us) {
+        control->current_until_us = control->now_us;
+    }
+    control->lease_losses += control->is_current && remaining_us == 0;
+    control->is_current = remaining_us > 0;
+}
+
 static void
 send_early_events(struct SlControl *control)
 {
@@ -216,6 +237,7 @@
     control->sink = sink;
     control->now_us = input->now_us;
     control->wall_us = input->wall_us;
+    observe_lease(control);
     send_early_events(control);
     switch (input->kind) {
     case SL_INPUT_TICK:
@@ -241,6 +263,7 @@
     default:
         break;
     }
+    observe_lease(control);
     control->sink = NULL;
 }
 
@@ -274,6 +297,46 @@
     return SlRaft_IsFresh(&control->raft, now_us);
 }
 
+int64_t
+SlControl_LeaseUs(const struct SlControl *control, uint64_t now_us)
+{
+    uint64_t remaining_us = SlRaft_LeaseRemainingUs(&control->raft, now_us);
+
+    if (remaining_us > 0 || now_us < control->current_until_us) {
+        return (int64_t)remaining_us;
+    }
+    return -(int64_t)(now_us - control->current_until_us);
+}
+
+uint64_t
+SlControl_LeaseLossCount(const struct SlControl *control)
+{
+    return control->lease_losses;
+}
+
+const char *
+SlControl_LeaderName(const struct SlControl *control)
+{
+    const struct SlRaftMember *leader =
+        SlRaft_FindMember(&control->raft, control->raft.leader_id);
+
+    return leader != NULL ? leader->name : "";
+}
+
+uint64_t
+SlControl_LeaderSilentUs(const struct SlControl *control, uint64_t now_us)
+{
+    uint64_t since_us = control->raft.last_leader_message_us;
+
+    if (control->raft.state == SL_CONTROL_LEADER) {
+        return 0;
+    }
+    if (since_us < control->created_us) {
+        since_us = control->created_us;
+    }
+    return now_us > since_us ? now_us - since_us : 0;
+}
+
 const struct SlConfig *
 SlControl_Config(const struct SlControl *control)
 {
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -124,6 +124,12 @@
     struct SlSink *sink;
     uint64_t now_us;
     uint64_t wall_us;
+    uint64_t created_us;
+    /// The end of the latest lease, or the start of this instance; whether
+    /// the instance held a lease at its last input, and how often it lost it.
+    uint64_t current_until_us;
+    bool is_current;
+    uint64_t lease_losses;
     uint32_t early_event_count;
     struct SlEvent early_events[SL_CONTROL_EARLY_EVENTS_MAX];
 
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -47,6 +47,8 @@
     uint64_t link;
     /// When the process was selected or, for control, when its link came up.
     uint64_t since_us;
+    /// Name of the process; empty before its link came up.
+    char name[SL_NAME_BYTES];
     struct SlConfigAssembly assembly;
 };
 
@@ -69,6 +71,9 @@
     struct config_source spare;
     /// The control instance reported that it has no configuration.
     bool is_control_empty;
+    /// The control instance reported, since its link came up or since it last
+    /// confirmed that the configuration is current, that it is not current.
+    bool is_control_outdated;
     /// Number of consecutive control instances that were left because they had
     /// no configuration.
     uint32_t empty_control_streak;
@@ -92,6 +97,7 @@
     bool leaving;
     /// Number of control instances used that were not dialled last.
     uint64_t invitations_taken;
+    struct SlReplicaCounters counters;
 };
 
 /// A step of a 64-bit linear congruential generator (Knuth, TAOCP 3.3.4):
@@ -158,6 +164,13 @@
     return replica->invitations_taken;
 }
 
+void
+SlReplica_Counters(const struct SlReplica *replica,
+                   struct SlReplicaCounters *counters)
+{
+    *counters = replica->counters;
+}
+
 bool
 SlReplica_IsCutOff(const struct SlReplica *replica, uint64_t now_us)
 {
@@ -337,6 +350,50 @@
     sink->type->dial_node(sink, node_id, link);
 }
 
+/// Counts and logs that the control instance in use is left, with the time
+/// for which it was not reached or did not confirm that the configuration is
+/// current. limit_us: the longest such time.
+static void
+report_control_left(struct SlReplica *replica, struct SlSink *sink,
+                    uint64_t now_us, uint64_t limit_us)
+{
+    const struct config_source *control = &replica->control;
+    uint64_t since_us = control->since_us > replica->last_fresh_us
+                            ? control->since_us
+                            : replica->last_fresh_us;
+    const char *reason = "silent";
+    uint64_t *counter = &replica->counters.controls_silent;
+
+    if (control->link == 0 && control->name[0] == '\0') {
+        reason = "not_reached";
+        counter = &replica->counters.controls_not_reached;
+    }
+    else if (control->link == 0) {
+        /* The process has logged the end of the link. */
+        replica->counters.controls_link_lost++;
+        return;
+    }
+    else if (replica->is_control_empty) {
+        reason = "empty";
+        counter = &replica->counters.controls_empty;
+    }
+    else if (replica->is_control_outdated) {
+        reason = "not_current";
+        counter = &replica->counters.controls_not_current;
+    }
+    ++*counter;
+    emit_event(
+        replica, sink,
+        (struct SlEvent){.number = SL_EVENT_CONTROL_LEFT,
+                         .now_us = now_us,
+                         .peer = control->name[0] != '\0'
+                                     ? control->name
+                                     : node_name(replica, control->node_id),
+                         .reason = reason,
+                         .value = (int64_t)(now_us - since_us),
+                         .limit = (int64_t)limit_us});
+}
+
 /// Dials the next control instance of the list. The one in use is dropped,
 /// except for an attempt that may still succeed before the next one does.
 static void
@@ -365,22 +422,28 @@
     replica->control =
         (struct config_source){.node_id = node_id, .since_us = now_us};
     replica->is_control_empty = false;
+    replica->is_control_outdated = false;
     begin_attempt(replica, sink, node_id, &link);
 }
 
-/// True when neither this process nor the control instance in use has a
-/// configuration, and the time to wait for one on this link has passed.
-static bool
-should_leave_empty_control(const struct SlReplica *replica, uint64_t now_us)
+static uint64_t
+empty_timeout_us(const struct SlReplica *replica)
 {
     uint32_t doublings = replica->empty_control_streak < EMPTY_DOUBLINGS_MAX
                              ? replica->empty_control_streak
                              : EMPTY_DOUBLINGS_MAX;
 
+    return (uint64_t)EMPTY_CONTROL_TIMEOUT_US << doublings;
+}
+
+/// True when neither this process nor the control instance in use has a
+/// configuration, and the time to wait for one on this link has passed.
+static bool
+should_leave_empty_control(const struct SlReplica *replica, uint64_t now_us)
+{
     return replica->is_control_empty && replica->options.discover_controls &&
            SlConfig_Version(replica->config).index == 0 &&
-           now_us - replica->control.since_us >=
-               (uint64_t)EMPTY_CONTROL_TIMEOUT_US << doublings;
+           now_us - replica->control.since_us >= empty_timeout_us(replica);
 }
 
 static uint64_t
@@ -396,17 +459,20 @@
 
 /// True when the control instance in use timed out: its link was not
 /// established, or it did not confirm in time that the configuration is
-/// current.
+/// current. limit_us: set to the time that it had.
 static bool
-has_control_timed_out(const struct SlReplica *replica, uint64_t now_us)
+has_control_timed_out(const struct SlReplica *replica, uint64_t now_us,
+                      uint64_t *limit_us)
 {
     const struct config_source *control = &replica->control;
 
+    *limit_us = replica->answer_timeout_us;
     if (control->node_id == 0) {
         return true;
     }
     if (replica->options.discover_controls && control->link == 0 &&
         now_us - control->since_us > connect_timeout_us(replica)) {
+        *limit_us = connect_timeout_us(replica);
         return true;
     }
     return now_us - control->since_us > replica->answer_timeout_us &&
@@ -471,9 +537,10 @@
 /// Begins to use the control instance, whose link is up.
 static void
 begin_control_link(struct SlReplica *replica, struct SlSink *sink,
-                   uint64_t now_us, uint64_t link)
+                   uint64_t now_us, uint64_t link, const char *name)
 {
     replica->control.link = link;
+    memcpy(replica->control.name, name, SL_NAME_BYTES);
     replica->control.since_us = now_us;
     replica->unreached_control_streak = 0;
     end_other_attempts(replica, sink, replica->control.node_id);
@@ -496,13 +563,14 @@
     SlConfigAssembly_Release(&replica->control.assembly);
     replica->control = (struct config_source){.node_id = source->node_id};
     replica->is_control_empty = false;
+    replica->is_control_outdated = false;
     replica->invitations_taken++;
     emit_event(replica, sink,
                (struct SlEvent){.number = SL_EVENT_INVITATION_TAKEN,
                                 .now_us = now_us,
                                 .reason = "no_configuration",
                                 .value = (int64_t)waited_us});
-    begin_control_link(replica, sink, now_us, source->link);
+    begin_control_link(replica, sink, now_us, source->link, source->name);
 }
 
 static void
@@ -523,12 +591,18 @@
 static void
 handle_tick(struct SlReplica *replica, struct SlSink *sink, uint64_t now_us)
 {
+    uint64_t limit_us;
+
     update_cut_off(replica, sink, now_us);
     if (should_leave_empty_control(replica, now_us)) {
+        report_control_left(replica, sink, now_us, empty_timeout_us(replica));
         replica->empty_control_streak++;
         leave_empty_control(replica, sink, now_us);
     }
-    else if (has_control_timed_out(replica, now_us)) {
+    else if (has_control_timed_out(replica, now_us, &limit_us)) {
+        if (replica->control.node_id != 0) {
+            report_control_left(replica, sink, now_us, limit_us);
+        }
         dial_next_control(replica, sink, now_us);
     }
     if (replica->control.link != 0) {
@@ -549,9 +623,11 @@
     struct config_source linked = {.node_id = input->peer->node_id,
                                    .link = input->link};
 
+    memcpy(linked.name, input->peer->name, SL_NAME_BYTES);
     if (linked.node_id == replica->control.node_id &&
         replica->control.link == 0) {
-        begin_control_link(replica, sink, input->now_us, input->link);
+        begin_control_link(replica, sink, input->now_us, input->link,
+                           linked.name);
     }
     else if (needs_any_control(replica) &&
              linked.node_id != replica->control.node_id &&
@@ -667,6 +743,7 @@
                                        SlConfig_Version(replica->config));
 
     replica->echo_us = heartbeat->sent_us;
+    replica->is_control_outdated = !heartbeat->fresh;
     if (!heartbeat->fresh) {
         replica->is_control_empty = heartbeat->version.index == 0;
         return;
--- a/packages/daemon/src/front.c
+++ b/packages/daemon/src/front.c
@@ -13,10 +13,9 @@
     /// Interval between checks for idle HTTP connections.
     HTTP_TICK_INTERVAL_US = 1000 * 1000,
     UNANSWERED_CALLS_MAX = SL_ORDERS_MAX + 1,
-    /// Length of a window in which at most REFUSALS_PER_WINDOW refused calls
-    /// are logged.
-    REFUSALS_WINDOW_US = 1000 * 1000,
-    REFUSALS_PER_WINDOW = 8,
+    /// Length of a window in which at most LINES_PER_WINDOW calls are logged.
+    LOG_WINDOW_US = 1000 * 1000,
+    LINES_PER_WINDOW = 8,
 };
 
 /// One HTTP interface; http is NULL if the interface is not open.
@@ -33,6 +32,12 @@
     char path[SL_HTTP_PATH_BYTES];
 };
 
+/// Limits the log lines about one kind of call.
+struct log_window {
+    uint64_t start_us;
+    uint32_t count;
+};
+
 struct SlFront {
     struct SlShell *shell;
     const struct SlAdapter *adapter;
@@ -42,10 +47,9 @@
     uint64_t next_http_tick_us;
     uint32_t unanswered_call_count;
     struct unanswered_call unanswered_calls[UNANSWERED_CALLS_MAX];
-    /// When the current window of refused calls began, and the number of calls
-    /// refused in it.
-    uint64_t refused_calls_window_start_us;
-    uint32_t refused_call_count;
+    struct log_window refused_calls;
+    struct log_window refused_reads;
+    struct SlFrontCounters counters;
 };
 
 static void
@@ -105,6 +109,12 @@
         address = *leader;
         address.port = front->shell->settings.relay.control.port;
     }
+    front->counters.orders_done += outcome == SL_ORDER_DONE;
+    front->counters.orders_redirected += outcome == SL_ORDER_NOT_LEADER;
+    front->counters.orders_refused_no_leader += outcome == SL_ORDER_NO_LEADER;
+    front->counters.orders_refused_invalid += outcome == SL_ORDER_INVALID;
+    front->counters.orders_unknown_outcome +=
+        outcome == SL_ORDER_UNKNOWN_OUTCOME;
     front->adapter->handle_order_end(front, exchange, call.path, outcome,
                                      &address);
 }
@@ -209,16 +219,22 @@
     }
 }
 
+static bool
+may_log(struct log_window *window, uint64_t now_us)
+{
+    if (now_us - window->start_us > LOG_WINDOW_US) {
+        window->start_us = now_us;
+        window->count = 0;
+    }
+    return ++window->count <= LINES_PER_WINDOW;
+}
+
 void
 SlFront_LogRefusedCall(struct SlFront *front, const char *reason)
 {
     uint64_t now_us = SlClock_Monotonic();
 
-    if (now_us - front->refused_calls_window_start_us > REFUSALS_WINDOW_US) {
-        front->refused_calls_window_start_us = now_us;
-        front->refused_call_count = 0;
-    }
-    if (++front->refused_call_count <= REFUSALS_PER_WINDOW) {
+    if (may_log(&front->refused_calls, now_us)) {
         log_event(front->shell,
                   (struct SlEvent){.number = SL_EVENT_CALL_REFUSED,
                                    .now_us = now_us,
@@ -240,17 +256,73 @@
     return SlNode_Control(front->shell->node) != NULL;
 }
 
+/// Counts and logs a read of the configuration that is refused.
+static void
+report_refused_read(struct SlFront *front, uint64_t now_us, uint64_t *counter,
+                    const char *reason)
+{
+    const struct SlControl *control = SlNode_Control(front->shell->node);
+    const struct SlReplica *replica = SlNode_Replica(front->shell->node);
+    struct SlEvent event = {.number = SL_EVENT_READ_REFUSED,
+                            .now_us = now_us,
+                            .version =
+                                SlConfig_Version(SlReplica_Config(replica)),
+                            .reason = reason};
+
+    ++*counter;
+    if (!may_log(&front->refused_reads, now_us)) {
+        return;
+    }
+    if (control != NULL) {
+        event.version = SlControl_AppliedVersion(control);
+        event.node = SlControl_LeaderName(control);
+        event.value = SlControl_LeaseUs(control, now_us);
+        event.limit = (int64_t)SlControl_LeaderSilentUs(control, now_us);
+    }
+    log_event(front->shell, event);
+}
+
 enum SlStatus
-SlFront_FindDocument(const struct SlFront *front,
-                     const struct SlDocument **document)
+SlFront_FindDocument(struct SlFront *front, const struct SlDocument **document)
 {
     const struct SlControl *control = SlNode_Control(front->shell->node);
+    uint64_t now_us = SlClock_Monotonic();
 
-    if (control == NULL || !SlControl_IsFresh(control, SlClock_Monotonic())) {
+    if (control == NULL) {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_log, "no_log");
+        return SL_STALE;
+    }
+    if (!SlControl_IsFresh(control, now_us)) {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_lease,
+                            "no_lease");
         return SL_STALE;
     }
     *document = SlConfig_Document(SlControl_Config(control));
-    return *document != NULL ? SL_OK : SL_NOT_FOUND;
+    if (*document == NULL) {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_document,
+                            "no_document");
+        return SL_NOT_FOUND;
+    }
+    front->counters.reads_answered++;
+    return SL_OK;
+}
+
+void
+SlFront_ReportUnreadableDocument(struct SlFront *front)
+{
+    front->counters.reads_answered--;
+    report_refused_read(front, SlClock_Monotonic(),
+                        &front->counters.reads_refused_unreadable,
+                        "unreadable");
+}
+
+void
+SlFront_Counters(const struct SlFront *front, struct SlFrontCounters *counters)
+{
+    *counters = front->counters;
 }
 
 /// Finds the link address of a control instance in the configuration that is
--- a/packages/daemon/src/front.h
+++ b/packages/daemon/src/front.h
@@ -12,6 +12,26 @@
 
 struct SlShell;
 
+/// Reads of the configuration and orders at the interface for operators, by
+/// their outcome.
+struct SlFrontCounters {
+    uint64_t reads_answered;
+    /// The process holds no copy of the log.
+    uint64_t reads_refused_no_log;
+    /// The control instance is not current.
+    uint64_t reads_refused_no_lease;
+    /// There is no document yet.
+    uint64_t reads_refused_no_document;
+    /// The document cannot be decoded.
+    uint64_t reads_refused_unreadable;
+    uint64_t orders_done;
+    uint64_t orders_redirected;
+    /// No leader is known, or too many orders are pending.
+    uint64_t orders_refused_no_leader;
+    uint64_t orders_refused_invalid;
+    uint64_t orders_unknown_outcome;
+};
+
 /// Opens the HTTP interfaces that have an address in the settings.
 /// Errors: SL_IO, SL_NO_MEMORY.
 enum SlStatus
@@ -48,13 +68,21 @@
 /// Returns true if the process has the control role.
 bool
 SlFront_HasControl(const struct SlFront *front);
-/// Finds the configuration document in force, which the control instance owns.
-/// Errors: SL_NOT_FOUND if there is no document; SL_STALE if the process has
-/// no control instance, or one that cannot confirm that its document is the
-/// newest.
+/// Finds the configuration document in force, which the control instance owns,
+/// for an operator's read. Counts the read, and logs it at a limited rate if
+/// there is none. Errors: SL_NOT_FOUND if there is no document; SL_STALE if
+/// the process has no control instance, or one that cannot confirm that its
+/// document is the newest.
 enum SlStatus
-SlFront_FindDocument(const struct SlFront *front,
+SlFront_FindDocument(struct SlFront *front,
                      const struct SlDocument **document);
+/// Counts and logs that the document found for a read cannot be decoded.
+void
+SlFront_ReportUnreadableDocument(struct SlFront *front);
+/// Copies the counters.
+void
+SlFront_Counters(const struct SlFront *front,
+                 struct SlFrontCounters *counters);
 /// Starts an operator's order that replaces the configuration document. The
 /// adapter's handle_order_end receives the outcome. path: the path of the HTTP
 /// call.
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -70,6 +70,10 @@
                 applied.index);
     append_line(out, "control_fresh=%s",
                 SlControl_IsFresh(control, now_us) ? "yes" : "no");
+    append_line(out, "control_lease_ms=%" PRId64,
+                SlControl_LeaseUs(control, now_us) / 1000);
+    append_count(out, "control_leader_silent_ms",
+                 SlControl_LeaderSilentUs(control, now_us) / 1000);
     for (uint32_t i = 0; i < count; i++) {
         char text[SL_ADDRESS_TEXT_BYTES];
 
@@ -410,6 +414,48 @@
                 counters.flows_refused);
 }
 
+static void
+append_replica_counters(const struct SlReplica *replica, struct SlBuffer *out)
+{
+    struct SlReplicaCounters counters;
+
+    SlReplica_Counters(replica, &counters);
+    append_count(out, "replica_invitations_taken",
+                 SlReplica_InvitationsTaken(replica));
+    append_count(out, "replica_controls_not_reached",
+                 counters.controls_not_reached);
+    append_count(out, "replica_controls_link_lost",
+                 counters.controls_link_lost);
+    append_count(out, "replica_controls_silent", counters.controls_silent);
+    append_count(out, "replica_controls_not_current",
+                 counters.controls_not_current);
+    append_count(out, "replica_controls_empty", counters.controls_empty);
+}
+
+static void
+append_front_counters(const struct SlFront *front, struct SlBuffer *out)
+{
+    struct SlFrontCounters counters;
+
+    SlFront_Counters(front, &counters);
+    append_count(out, "reads_answered", counters.reads_answered);
+    append_count(out, "reads_refused_no_log", counters.reads_refused_no_log);
+    append_count(out, "reads_refused_no_lease",
+                 counters.reads_refused_no_lease);
+    append_count(out, "reads_refused_no_document",
+                 counters.reads_refused_no_document);
+    append_count(out, "reads_refused_unreadable",
+                 counters.reads_refused_unreadable);
+    append_count(out, "orders_done", counters.orders_done);
+    append_count(out, "orders_redirected", counters.orders_redirected);
+    append_count(out, "orders_refused_no_leader",
+                 counters.orders_refused_no_leader);
+    append_count(out, "orders_refused_invalid",
+                 counters.orders_refused_invalid);
+    append_count(out, "orders_unknown_outcome",
+                 counters.orders_unknown_outcome);
+}
+
 enum SlStatus
 write_metrics(struct SlShell *shell, struct SlBuffer *out)
 {
@@ -424,9 +470,13 @@
     if (SlNode_Control(shell->node) != NULL) {
         append_count(out, "control_invitations",
                      SlControl_InvitationCount(SlNode_Control(shell->node)));
+        append_count(out, "control_lease_losses",
+                     SlControl_LeaseLossCount(SlNode_Control(shell->node)));
+    }
+    append_replica_counters(SlNode_Replica(shell->node), out);
+    if (shell->front != NULL) {
+        append_front_counters(shell->front, out);
     }
-    append_count(out, "replica_invitations_taken",
-                 SlReplica_InvitationsTaken(SlNode_Replica(shell->node)));
     append_link_counters(shell, out);
     append_datagram_counters(shell, out);
     if (shell->control_sink.callers_port != NULL) {
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -434,6 +434,42 @@
     destroy_control_fixture(fixture);
 }
 
+/// Each instance tells what is left of its lease, and for how long it has
+/// been over.
+static void
+test_lease_is_told(void)
+{
+    struct control_fixture *fixture = create_control_fixture(3, 12);
+    struct control_simulation *simulation = &fixture->simulation;
+    uint32_t leader = find_leader(fixture);
+    const struct SlControl *follower =
+        simulation->nodes[(leader + 1) % 3].control;
+    uint64_t losses;
+    uint64_t cut_us;
+    int64_t lease_us;
+
+    for (uint32_t i = 0;
+         i < 100 && !SlControl_IsFresh(follower, simulation->now_us); i++) {
+        fixture_step(fixture);
+    }
+    losses = SlControl_LeaseLossCount(follower);
+    cut_us = simulation->now_us;
+    CU_ASSERT(SlControl_LeaseUs(follower, cut_us) > 0);
+    CU_ASSERT_STRING_EQUAL(SlControl_LeaderName(follower),
+                           simulation->nodes[leader].name);
+    simulation_crash_node(simulation, leader);
+    simulation_crash_node(simulation, (leader + 2) % 3);
+    fixture_run(fixture, 3 * SIMULATION_ELECTION_US / SIMULATION_STEP_US);
+    lease_us = SlControl_LeaseUs(follower, simulation->now_us);
+    CU_ASSERT(lease_us < 0);
+    CU_ASSERT_EQUAL(SlControl_LeaseLossCount(follower), losses + 1);
+    CU_ASSERT(SlControl_LeaderSilentUs(follower, simulation->now_us) >=
+              simulation->now_us - cut_us);
+    lease_us += (int64_t)(simulation->now_us - cut_us);
+    CU_ASSERT(lease_us >= 0 && lease_us < SIMULATION_ELECTION_US);
+    destroy_control_fixture(fixture);
+}
+
 /// With a full disk at the leader a change is refused and stored at no
 /// instance, while queries still work. Once there is space, the same request
 /// is accepted.
@@ -483,6 +519,7 @@
         {"subscribers receive deltas", test_deltas},
         {"an isolated leader serves nothing",
          test_isolated_leader_serves_nothing},
+        {"the lease of each instance is told", test_lease_is_told},
         {"a full disk at the leader refuses changes",
          test_full_disk_at_leader},
     };
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -113,7 +113,8 @@
 link_up(struct SlReplica *replica, struct fake_sink *sink, uint64_t now_us,
         uint64_t link, uint64_t node_id)
 {
-    struct SlPeer peer = {.node_id = node_id};
+    struct SlPeer peer = {
+        .node_id = node_id, .name = "control", .roles = SL_ROLE_CONTROL};
 
     handle_input(replica, sink,
                  (struct SlInput){.kind = SL_INPUT_LINK_UP,
@@ -525,6 +526,38 @@
     SlReplica_Destroy(replica);
 }
 
+/* Each control instance that is left is counted by its reason and logged. */
+static void
+test_reason_of_leaving_is_told(void)
+{
+    struct fake_sink sink = {.sink = {.type = &FAKE_SINK}};
+    struct SlReplica *replica = create_replica();
+    struct SlReplicaCounters counters;
+    uint64_t now_us = 20 * MS;
+
+    connect_first_control(replica, &sink);
+    send_stale_heartbeat(replica, &sink, 22 * MS, LINK_1, 5);
+    for (uint64_t left = 0; left < 3 && now_us < 20000 * MS;
+         now_us += 20 * MS) {
+        sink.last_event = SL_EVENT_NONE;
+        tick(replica, &sink, now_us);
+        SlReplica_Counters(replica, &counters);
+        if (counters.controls_not_current + counters.controls_silent +
+                counters.controls_not_reached ==
+            left) {
+            continue;
+        }
+        CU_ASSERT_EQUAL(sink.last_event, SL_EVENT_CONTROL_LEFT);
+        if (++left == 1) {
+            link_up(replica, &sink, now_us, LINK_2, sink.dialled);
+        }
+    }
+    CU_ASSERT_EQUAL(counters.controls_not_current, 1);
+    CU_ASSERT_EQUAL(counters.controls_silent, 1);
+    CU_ASSERT_EQUAL(counters.controls_not_reached, 1);
+    SlReplica_Destroy(replica);
+}
+
 int
 main(void)
 {
@@ -550,6 +583,8 @@
          test_newer_version_is_fetched_from_peer},
         {"an incomplete configuration is discarded",
          test_incomplete_config_is_discarded},
+        {"the reason of leaving a control instance is told",
+         test_reason_of_leaving_is_told},
         {"a peer is answered and a stop is announced",
          test_peer_is_answered_and_stop_is_announced},
     };
