Take part again after a full disk without a restart

Callers saw: the disks of control machines were full for seconds each, one after another, never two at once. Long after the last had room again, changes were refused or stayed unanswered, while all processes ran.

Cause: a leader that comes back with synced records that nobody else has must cut them from its log. Without room the new log file could not be written; storage had already dropped the records from memory, so it refused all writes from then on, and the instance took no part until its process was restarted. Each disk that was full at such a moment cost one instance for good.

Change: a truncation that fails leaves the log as it was, in memory and in the file, and is tried again with the leader's next message, twice a second at most. What a full disk left of a batch is cut off durably, so that a refused change cannot come back after a loss of power. After a failed sync storage still refuses all writes; the instance now writes hard state and log from memory to new files twice a second and takes part again once they are synced. A term or vote that could not be saved is saved later without a message, and a candidate that could not save its new term forgets it instead of making the next leader step down.

--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -92,6 +92,7 @@
 SlRaft_Tick(struct SlRaft *raft, uint64_t now_us)
 {
     raft->now_us = now_us;
+    SlRaft_StorageTick(raft);
     if (raft->storage_failed) {
         return;
     }
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -32,6 +32,9 @@
     SL_RAFT_RETAINED_RECORDS = 512,
     /// Number of the latest heartbeat rounds whose send times are stored.
     SL_RAFT_TRACKED_ROUNDS = 64,
+    /// Time between two attempts to write to storage that has failed. A change
+    /// waits for seconds at most once the disk works again.
+    SL_RAFT_STORAGE_RETRY_US = 500 * 1000,
 };
 
 /// A member according to the log.
@@ -187,8 +190,21 @@
     struct SlBuffer encode_buffer;
     /// The hard state in memory is newer than the one in storage.
     bool hard_state_unsaved;
-    /// Storage failed permanently; this instance no longer takes part.
+    /// Storage refuses writes; this instance takes no part until an attempt to
+    /// recover the storage succeeds. After SL_DAMAGED there is none.
     bool storage_failed;
+    uint64_t recover_due_us;
+    /// No truncation of the log and no snapshot is attempted before this time,
+    /// and no saving of the hard state without a message.
+    uint64_t rewrite_due_us;
+    /// Number of failures since the last SL_EVENT_DISK_WORKS, and time of the
+    /// first of them.
+    uint64_t storage_failures;
+    uint64_t failing_since_us;
+    /// SL_EVENT_DISK is not emitted again before this time; and it was emitted
+    /// since the last SL_EVENT_DISK_WORKS.
+    uint64_t disk_event_due_us;
+    bool failure_reported;
     /// SlRaft_Resign was called; this instance no longer starts elections.
     bool is_stopping;
 };
@@ -323,8 +339,18 @@
 /// their membership changes are undone.
 enum SlStatus
 SlRaft_SyncLog(struct SlRaft *raft);
+/// Handles a failed write. After SL_DISK_FULL and SL_NO_MEMORY storage is
+/// unchanged, and the write is attempted again later. After any other status
+/// this instance takes no part until storage has recovered.
 void
 SlRaft_StorageFailed(struct SlRaft *raft, enum SlStatus status);
+/// Notes that a write succeeded.
+void
+SlRaft_StorageWorks(struct SlRaft *raft);
+/// Attempts to recover failed storage, and to save a hard state that could not
+/// be saved, when an attempt is due.
+void
+SlRaft_StorageTick(struct SlRaft *raft);
 void
 SlRaft_ApplyCommitted(struct SlRaft *raft);
 
--- a/packages/coordination/src/raft_election.c
+++ b/packages/coordination/src/raft_election.c
@@ -130,6 +130,7 @@
 static void
 start_election(struct SlRaft *raft)
 {
+    struct SlHardState previous = raft->hard_state;
     struct vote_count vote_count;
 
     raft->pre_voting = false;
@@ -137,8 +138,10 @@
     raft->hard_state.voted_for = raft->options.node_id;
     clear_grants(raft);
     if (SlRaft_SaveHardState(raft) != SL_OK) {
-        SlRaft_BecomeFollower(raft, raft->hard_state.term, 0,
-                              "storage_failed");
+        /* Nobody has heard of the new term, which would only make the next
+           leader step down. */
+        raft->hard_state = previous;
+        SlRaft_BecomeFollower(raft, previous.term, 0, "storage_failed");
         return;
     }
     vote_count = count_votes(raft);
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -63,24 +63,30 @@
 }
 
 /// Removes the records from index on. They come from a former leader, which
-/// never committed them.
+/// never committed them. After a failure they are still in the log, and the
+/// leader sends the record that replaces them again.
 static enum SlStatus
 truncate_log(struct SlRaft *raft, uint64_t index)
 {
     struct SlStorage *storage = raft->options.storage;
-    enum SlStatus status = storage->type->truncate(storage, index);
+    enum SlStatus status;
 
+    if (raft->now_us < raft->rewrite_due_us) {
+        return SL_DISK_FULL;
+    }
+    status = storage->type->truncate(storage, index);
+    if (status != SL_OK) {
+        SlRaft_StorageFailed(raft, status);
+        return status;
+    }
     if (raft->synced_index >= index) {
         raft->synced_index = index - 1;
     }
     if (raft->members_index >= index) {
         SlRaft_RebuildMembers(raft);
     }
-    if (status != SL_OK) {
-        /* It is unknown whether the old records are durably removed. */
-        SlRaft_StorageFailed(raft, SL_IO);
-    }
-    return status;
+    SlRaft_StorageWorks(raft);
+    return SL_OK;
 }
 
 static enum SlStatus
@@ -127,6 +133,9 @@
         if (entry->index == matched + 1 && entry->term <= append->term) {
             status = append_entry(raft, entry);
         }
+        if (status == SL_DISK_FULL) {
+            break;
+        }
         if (status != SL_OK) {
             raft->options.host_type->emit_event(
                 raft->options.host, SL_EVENT_FAILED, NULL,
--- a/packages/coordination/src/raft_snapshot.c
+++ b/packages/coordination/src/raft_snapshot.c
@@ -171,6 +171,17 @@
     return SL_OK;
 }
 
+/// Sets the index of the last durable record after a snapshot was saved: the
+/// snapshot may cover more than the log had, or replace all of its records.
+static void
+clamp_synced_index(struct SlRaft *raft)
+{
+    if (raft->synced_index < raft->snapshot_last.index ||
+        raft->synced_index > SlRaft_LastIndex(raft)) {
+        raft->synced_index = raft->snapshot_last.index;
+    }
+}
+
 /// Saves a snapshot of the state at version with these members. The records of
 /// the log from index keep_from on are kept.
 static enum SlStatus
@@ -192,7 +203,8 @@
     if (status == SL_OK) {
         raft->snapshot_last = version;
         raft->base_members = *members;
-        raft->synced_index = SlRaft_LastIndex(raft);
+        clamp_synced_index(raft);
+        SlRaft_StorageWorks(raft);
         raft->options.host_type->emit_event(
             raft->options.host, SL_EVENT_SNAPSHOT, NULL, "written",
             (int64_t)version.index, (int64_t)buffer.length_bytes);
@@ -317,9 +329,10 @@
     if (status == SL_OK) {
         status = SlRaft_LoadSnapshot(raft, last, raft->incoming_snapshot.bytes,
                                      raft->incoming_snapshot.length_bytes);
-        raft->synced_index = SlRaft_LastIndex(raft);
+        clamp_synced_index(raft);
     }
     if (status == SL_OK) {
+        SlRaft_StorageWorks(raft);
         status = SlRaft_RebuildMembers(raft);
     }
     if (status != SL_OK) {
--- a/packages/state/include/savoryledge/state/storage.h
+++ b/packages/state/include/savoryledge/state/storage.h
@@ -45,6 +45,12 @@
 };
 
 /// The operations of a storage implementation. Not thread-safe.
+///
+/// After SL_DISK_FULL and SL_NO_MEMORY the storage stays usable: what it holds
+/// in memory is what a restart recovers, and the operation may be repeated.
+/// After SL_IO it may refuse every write with SL_IO, because the kernel may
+/// have dropped what it could not write, until recover succeeds or the storage
+/// is opened again.
 struct SlStorageType {
     /// Writes and syncs the hard state. Errors: SL_IO, SL_DISK_FULL,
     /// SL_NO_MEMORY.
@@ -59,16 +65,18 @@
     /// Makes all appended records durable. On failure the records appended
     /// since the last sync are dropped, so that index_range no longer includes
     /// them. After SL_DISK_FULL or SL_NO_MEMORY none of these records is on
-    /// disk and the storage stays usable. After SL_IO some of them may be on
-    /// disk, and the storage refuses every write until it is opened again.
+    /// disk; after SL_IO some of them may be. Errors: SL_IO, SL_DISK_FULL,
+    /// SL_NO_MEMORY.
     enum SlStatus (*sync)(struct SlStorage *storage);
-    /// Removes the log records from index on, durably. After a failure the
-    /// storage refuses every write until it is opened again.
+    /// Removes the log records from index on, durably. On failure the log is
+    /// unchanged; after SL_IO a restart may find it either way.
     /// Errors: SL_IO, SL_DISK_FULL, SL_NO_MEMORY.
     enum SlStatus (*truncate)(struct SlStorage *storage, uint64_t index);
     /// Replaces the snapshot durably, then drops the log records before
     /// keep_from. When the record at last_version.index is missing or not of
     /// last_version.term, drops all records unless they continue the snapshot.
+    /// On failure snapshot and log are unchanged; after SL_IO a restart may
+    /// find either snapshot.
     ///
     /// last_version: version of the last change in the snapshot.
     /// keep_from: index of the first record to keep, at most
@@ -78,6 +86,11 @@
                                    struct SlVersion last_version,
                                    const uint8_t *bytes, size_t length_bytes,
                                    uint64_t keep_from);
+    /// Makes the storage usable again after SL_IO: writes hard state and log
+    /// to new files, from memory, and syncs them. Nothing is read back,
+    /// because the kernel may hold data that is not on disk. Errors: SL_IO,
+    /// SL_DISK_FULL, SL_NO_MEMORY; writes are still refused.
+    enum SlStatus (*recover)(struct SlStorage *storage);
     /// Copies the hard state that was most recently loaded or saved to state.
     void (*copy_hard_state)(const struct SlStorage *storage,
                             struct SlHardState *state);
--- a/packages/state/src/folder.c
+++ b/packages/state/src/folder.c
@@ -142,6 +142,27 @@
     return status;
 }
 
+static void
+temporary_name_of(const char *name, char temporary_name[FILE_NAME_BYTES])
+{
+    snprintf(temporary_name, FILE_NAME_BYTES, "%s.new", name);
+}
+
+void
+SlFolder_RemoveTemporaryFile(struct SlFolder *folder, const char *name)
+{
+    struct SlFiles *files = folder->files;
+    char temporary_name[FILE_NAME_BYTES];
+    int fd;
+
+    temporary_name_of(name, temporary_name);
+    fd = files->type->open(files, folder->folder_fd, temporary_name, O_RDONLY);
+    if (fd >= 0) {
+        files->type->close(files, fd);
+        files->type->unlink(files, folder->folder_fd, temporary_name);
+    }
+}
+
 enum SlStatus
 SlFolder_ReplaceFile(struct SlFolder *folder, enum SlStep step,
                      const char *name, const uint8_t *bytes,
@@ -154,7 +175,7 @@
     if (folder->writes_disabled) {
         return SlFolder_SetRefusedError(folder, step);
     }
-    snprintf(temporary_name, sizeof(temporary_name), "%s.new", name);
+    temporary_name_of(name, temporary_name);
     status = write_new_file(folder, step, temporary_name, bytes, length_bytes);
     if (status == SL_OK && files->type->rename(files, folder->folder_fd,
                                                temporary_name, name) != 0) {
--- a/packages/state/src/folder.h
+++ b/packages/state/src/folder.h
@@ -69,6 +69,11 @@
                      const char *name, const uint8_t *bytes,
                      size_t length_bytes);
 
+/// Removes what a replacement of the file left behind when it was cut short by
+/// a crash.
+void
+SlFolder_RemoveTemporaryFile(struct SlFolder *folder, const char *name);
+
 /// Replaces a file like SlFolder_ReplaceFile, with a magic number and a
 /// checksum before the bytes. Errors: SL_DISK_FULL, SL_IO, SL_NO_MEMORY.
 enum SlStatus
--- a/packages/state/src/storage_folder.c
+++ b/packages/state/src/storage_folder.c
@@ -38,6 +38,10 @@
     uint64_t last_batch_number;
     /// Index of the last log record that was synced.
     uint64_t synced_index;
+    /// The log file cannot be continued by the records in memory: it must be
+    /// replaced before a record is written. Until then a restart recovers
+    /// from the file as it is.
+    bool log_is_outdated;
     struct SlHardState hard_state;
     struct SlRecords records;
     struct SlVersion snapshot_version;
@@ -88,15 +92,14 @@
     return SL_OK;
 }
 
-/// Encodes the records from first_index on as one batch, optionally with a
-/// file header before it. Returns NULL when memory runs out. The caller frees
-/// the result.
+/// Encodes the records from first_index to last_index as one batch, optionally
+/// with a file header before it. Returns NULL when memory runs out. The caller
+/// frees the result.
 static uint8_t *
 encode_batch(const struct storage_folder *self, uint64_t first_index,
-             bool with_file_header, uint64_t batch_number,
+             uint64_t last_index, bool with_file_header, uint64_t batch_number,
              size_t *length_bytes)
 {
-    uint64_t last_index = SlRecords_LastIndex(&self->records);
     size_t capacity = SL_LOG_HEADER_BYTES;
     size_t written_bytes = 0;
     uint8_t *bytes;
@@ -124,7 +127,7 @@
     return bytes;
 }
 
-/// Handles a failed write to the log. After SL_DISK_FULL the file is
+/// Handles a failed write to the log. After SL_DISK_FULL the file is durably
 /// truncated to its synced length and the storage stays usable. After any
 /// other failure, or when the truncation fails, the contents of the file are
 /// unknown and further writes are disabled.
@@ -135,7 +138,8 @@
 
     if (status != SL_DISK_FULL ||
         files->type->truncate(files, self->log_fd, (off_t)self->log_bytes) !=
-            0) {
+            0 ||
+        files->type->sync(files, self->log_fd) != 0) {
         self->folder.writes_disabled = true;
         self->folder.error.status = SL_IO;
         return SL_IO;
@@ -148,7 +152,8 @@
 {
     struct SlFiles *files = self->folder.files;
     size_t length_bytes;
-    uint8_t *bytes = encode_batch(self, self->synced_index + 1, false,
+    uint8_t *bytes = encode_batch(self, self->synced_index + 1,
+                                  SlRecords_LastIndex(&self->records), false,
                                   self->last_batch_number + 1, &length_bytes);
     enum SlStatus status;
 
@@ -171,27 +176,6 @@
     return SL_OK;
 }
 
-static enum SlStatus
-storage_sync_folder(struct SlStorage *storage)
-{
-    struct storage_folder *self = (struct storage_folder *)storage;
-    enum SlStatus status;
-
-    if (self->folder.writes_disabled) {
-        return SlFolder_SetRefusedError(&self->folder, SL_STEP_SYNC);
-    }
-    if (SlRecords_LastIndex(&self->records) <= self->synced_index) {
-        return SL_OK;
-    }
-    status = write_batch(self);
-    if (status != SL_OK) {
-        SlRecords_DropFrom(&self->records, self->synced_index + 1);
-        return status;
-    }
-    self->synced_index = SlRecords_LastIndex(&self->records);
-    return SL_OK;
-}
-
 /// Opens the log file for appending, and closes its old descriptor.
 static enum SlStatus
 reopen_log(struct storage_folder *self)
@@ -200,24 +184,23 @@
     int fd = files->type->open(files, self->folder.folder_fd, LOG_NAME,
                                O_WRONLY | O_APPEND);
 
-    if (fd < 0) {
-        self->folder.writes_disabled = true;
-        return SlFolder_SetSystemError(&self->folder, SL_STEP_OPEN, LOG_NAME);
-    }
     if (self->log_fd >= 0) {
         files->type->close(files, self->log_fd);
     }
     self->log_fd = fd;
-    return SL_OK;
+    return fd < 0
+               ? SlFolder_SetSystemError(&self->folder, SL_STEP_OPEN, LOG_NAME)
+               : SL_OK;
 }
 
-/// Replaces the log file by a file with the records that are in memory.
+/// Replaces the log file by a file with the records in memory up to
+/// last_index. On failure the old file remains, or writes are disabled.
 static enum SlStatus
-rewrite_log(struct storage_folder *self)
+rewrite_log(struct storage_folder *self, uint64_t last_index)
 {
     size_t length_bytes;
-    uint8_t *bytes =
-        encode_batch(self, self->records.first_index, true, 1, &length_bytes);
+    uint8_t *bytes = encode_batch(self, self->records.first_index, last_index,
+                                  true, 1, &length_bytes);
     enum SlStatus status;
 
     if (bytes == NULL) {
@@ -227,36 +210,54 @@
     status = SlFolder_ReplaceFile(&self->folder, SL_STEP_APPEND, LOG_NAME,
                                   bytes, length_bytes);
     free(bytes);
-    if (status == SL_OK) {
-        status = reopen_log(self);
-    }
     if (status == SL_OK) {
         self->log_bytes = length_bytes;
         self->last_batch_number = 1;
-        self->synced_index = SlRecords_LastIndex(&self->records);
+        self->synced_index = last_index;
+        /* The new file is durable, but the old descriptor leads to the old
+           file. */
+        self->log_is_outdated = reopen_log(self) != SL_OK;
     }
     return status;
 }
 
 static enum SlStatus
-storage_truncate_folder(struct SlStorage *storage, uint64_t index)
+storage_sync_folder(struct SlStorage *storage)
 {
     struct storage_folder *self = (struct storage_folder *)storage;
     enum SlStatus status;
 
     if (self->folder.writes_disabled) {
-        return SlFolder_SetRefusedError(&self->folder, SL_STEP_APPEND);
+        return SlFolder_SetRefusedError(&self->folder, SL_STEP_SYNC);
     }
-    if (index > self->synced_index) {
-        SlRecords_DropFrom(&self->records, index);
+    if (SlRecords_LastIndex(&self->records) <= self->synced_index) {
         return SL_OK;
     }
-    SlRecords_DropFrom(&self->records, index);
-    status = rewrite_log(self);
+    status = self->log_is_outdated
+                 ? rewrite_log(self, SlRecords_LastIndex(&self->records))
+                 : write_batch(self);
     if (status != SL_OK) {
-        /* The log file still contains the records that were dropped from
-           memory. */
-        self->folder.writes_disabled = true;
+        SlRecords_DropFrom(&self->records, self->synced_index + 1);
+        return status;
+    }
+    self->synced_index = SlRecords_LastIndex(&self->records);
+    return SL_OK;
+}
+
+static enum SlStatus
+storage_truncate_folder(struct SlStorage *storage, uint64_t index)
+{
+    struct storage_folder *self = (struct storage_folder *)storage;
+    enum SlStatus status = SL_OK;
+
+    if (self->folder.writes_disabled) {
+        return SlFolder_SetRefusedError(&self->folder, SL_STEP_APPEND);
+    }
+    if (index <= self->synced_index) {
+        status = rewrite_log(self, index - 1);
+    }
+    if (status == SL_OK) {
+        SlRecords_DropFrom(&self->records, index);
     }
     return status;
 }
@@ -299,14 +300,38 @@
     struct storage_folder *self = (struct storage_folder *)storage;
     enum SlStatus status =
         write_snapshot(self, last_version, bytes, length_bytes);
+    uint64_t last_index;
 
     if (status != SL_OK) {
         return status;
     }
     SlRecords_Compact(&self->records, last_version, keep_from);
-    status = rewrite_log(self);
+    self->log_is_outdated = true;
+    last_index = SlRecords_LastIndex(&self->records);
+    if (self->synced_index < last_version.index ||
+        self->synced_index > last_index) {
+        self->synced_index = last_version.index;
+    }
+    /* The snapshot is durable, and a restart drops the records that it
+       replaces: only the next write to the log needs the new file. */
+    (void)rewrite_log(self, last_index);
+    return SL_OK;
+}
+
+static enum SlStatus
+storage_recover_folder(struct SlStorage *storage)
+{
+    struct storage_folder *self = (struct storage_folder *)storage;
+    bool was_disabled = self->folder.writes_disabled;
+    enum SlStatus status;
+
+    self->folder.writes_disabled = false;
+    status = rewrite_log(self, SlRecords_LastIndex(&self->records));
+    if (status == SL_OK) {
+        status = storage_save_hard_state_folder(storage, &self->hard_state);
+    }
     if (status != SL_OK) {
-        self->folder.writes_disabled = true;
+        self->folder.writes_disabled = was_disabled;
     }
     return status;
 }
@@ -386,6 +411,7 @@
     .sync = storage_sync_folder,
     .truncate = storage_truncate_folder,
     .save_snapshot = storage_save_snapshot_folder,
+    .recover = storage_recover_folder,
     .copy_hard_state = storage_hard_state_folder,
     .get_snapshot = storage_snapshot_folder,
     .index_range = storage_index_range_folder,
@@ -423,6 +449,9 @@
     if (self->lock_fd < 0 || files->type->lock(files, self->lock_fd) != 0) {
         return SlFolder_SetSystemError(&self->folder, SL_STEP_OPEN, LOCK_NAME);
     }
+    SlFolder_RemoveTemporaryFile(&self->folder, STATE_NAME);
+    SlFolder_RemoveTemporaryFile(&self->folder, LOG_NAME);
+    SlFolder_RemoveTemporaryFile(&self->folder, SNAPSHOT_NAME);
     return SL_OK;
 }
 
@@ -475,6 +504,18 @@
     return SL_OK;
 }
 
+/// Handles a failure to tidy the log file at the start. On a full disk the
+/// file stays as it is until the first write.
+static enum SlStatus
+postpone_rewrite(struct storage_folder *self, enum SlStatus status)
+{
+    if (status != SL_DISK_FULL) {
+        return status;
+    }
+    self->log_is_outdated = true;
+    return SL_OK;
+}
+
 /// Truncates the log file after its last valid record, to remove what a crash
 /// left of an incomplete batch.
 static enum SlStatus
@@ -488,8 +529,9 @@
     if (files->type->truncate(files, self->log_fd, (off_t)self->log_bytes) !=
             0 ||
         files->type->sync(files, self->log_fd) != 0) {
-        return SlFolder_SetSystemError(&self->folder, SL_STEP_RECOVER,
-                                       LOG_NAME);
+        return postpone_rewrite(
+            self,
+            SlFolder_SetSystemError(&self->folder, SL_STEP_RECOVER, LOG_NAME));
     }
     return SL_OK;
 }
@@ -514,7 +556,11 @@
     else if (old_count == 0) {
         self->records.first_index = 1;
     }
-    return self->records.record_count != old_count ? rewrite_log(self) : SL_OK;
+    if (self->records.record_count == old_count) {
+        return SL_OK;
+    }
+    return postpone_rewrite(
+        self, rewrite_log(self, SlRecords_LastIndex(&self->records)));
 }
 
 static enum SlStatus
@@ -582,7 +628,7 @@
         return set_damaged(self, STATE_NAME, 0, "file is missing");
     }
     self->records.first_index = 1;
-    status = rewrite_log(self);
+    status = rewrite_log(self, 0);
     if (status == SL_OK) {
         status = storage_save_hard_state_folder(&self->storage, &state);
     }
--- a/packages/state/src/storage_memory.c
+++ b/packages/state/src/storage_memory.c
@@ -83,6 +83,13 @@
     return SL_OK;
 }
 
+static enum SlStatus
+storage_recover_memory(struct SlStorage *storage)
+{
+    (void)storage;
+    return SL_OK;
+}
+
 static void
 storage_hard_state_memory(const struct SlStorage *storage,
                           struct SlHardState *state)
@@ -148,6 +155,7 @@
     .sync = storage_sync_memory,
     .truncate = storage_truncate_memory,
     .save_snapshot = storage_save_snapshot_memory,
+    .recover = storage_recover_memory,
     .copy_hard_state = storage_hard_state_memory,
     .get_snapshot = storage_snapshot_memory,
     .index_range = storage_index_range_memory,
--- a/test/fault_storage.h
+++ b/test/fault_storage.h
@@ -23,7 +23,8 @@
 
 struct fault_storage {
     struct SlStorage storage;
-    /// The storage in memory that contains the data.
+    /// The storage that contains the data: in memory, or in a folder when the
+    /// test replaces it.
     struct SlStorage *memory;
     /// Hard state that survives a loss of power.
     struct SlHardState durable_state;
@@ -78,6 +79,7 @@
 {
     struct fault_storage *fault = (struct fault_storage *)storage;
     bool alive = fault_count_write(fault);
+    enum SlStatus status;
 
     if (!alive && fault->crash_write_seed % 2 == 0) {
         return fault_set_error(fault, SL_IO);
@@ -89,8 +91,8 @@
         fault->durable_state.caught_up != state->caught_up) {
         fault->durable_state = *state;
     }
-    fault->memory->type->save_hard_state(fault->memory, state);
-    return alive ? SL_OK : fault_set_error(fault, SL_IO);
+    status = fault->memory->type->save_hard_state(fault->memory, state);
+    return alive ? status : fault_set_error(fault, SL_IO);
 }
 
 static enum SlStatus
@@ -110,6 +112,7 @@
 {
     struct fault_storage *fault = (struct fault_storage *)storage;
     uint64_t last_index = fault_last_index(fault);
+    enum SlStatus status;
 
     if (fault->has_crashed) {
         return fault_set_error(fault, SL_IO);
@@ -126,10 +129,11 @@
             fault->crash_write_seed % (last_index - fault->synced_index + 1);
         return fault_set_error(fault, SL_IO);
     }
-    if (fault->loss != FAULT_LOSS_SYNC) {
+    status = fault->memory->type->sync(fault->memory);
+    if (status == SL_OK && fault->loss != FAULT_LOSS_SYNC) {
         fault->synced_index = last_index;
     }
-    return SL_OK;
+    return status;
 }
 
 static enum SlStatus
@@ -137,15 +141,16 @@
 {
     struct fault_storage *fault = (struct fault_storage *)storage;
     bool alive = fault_count_write(fault);
+    enum SlStatus status;
 
     if (!alive && fault->crash_write_seed % 2 == 0) {
         return fault_set_error(fault, SL_IO);
     }
-    fault->memory->type->truncate(fault->memory, index);
-    if (fault->synced_index >= index) {
+    status = fault->memory->type->truncate(fault->memory, index);
+    if (status == SL_OK && fault->synced_index >= index) {
         fault->synced_index = index - 1;
     }
-    return alive ? SL_OK : fault_set_error(fault, SL_IO);
+    return alive ? status : fault_set_error(fault, SL_IO);
 }
 
 static enum SlStatus
@@ -156,6 +161,7 @@
 {
     struct fault_storage *fault = (struct fault_storage *)storage;
     bool alive = fault_count_write(fault);
+    enum SlStatus status;
 
     if (!alive && fault->crash_write_seed % 2 == 0) {
         return fault_set_error(fault, SL_IO);
@@ -163,13 +169,24 @@
     if (fault->disk_full) {
         return fault_set_error(fault, SL_DISK_FULL);
     }
-    fault->memory->type->save_snapshot(fault->memory, last_version, bytes,
-                                       length_bytes, keep_from);
-    if (fault->loss != FAULT_LOSS_SYNC ||
-        fault->synced_index < last_version.index) {
+    status = fault->memory->type->save_snapshot(
+        fault->memory, last_version, bytes, length_bytes, keep_from);
+    if (status == SL_OK && (fault->loss != FAULT_LOSS_SYNC ||
+                            fault->synced_index < last_version.index)) {
         fault->synced_index = fault_last_index(fault);
     }
-    return alive ? SL_OK : fault_set_error(fault, SL_IO);
+    return alive ? status : fault_set_error(fault, SL_IO);
+}
+
+static enum SlStatus
+storage_recover_fault(struct SlStorage *storage)
+{
+    struct fault_storage *fault = (struct fault_storage *)storage;
+
+    if (fault->has_crashed) {
+        return fault_set_error(fault, SL_IO);
+    }
+    return fault->memory->type->recover(fault->memory);
 }
 
 static void
@@ -234,6 +251,7 @@
         .sync = storage_sync_fault,
         .truncate = storage_truncate_fault,
         .save_snapshot = storage_save_snapshot_fault,
+        .recover = storage_recover_fault,
         .copy_hard_state = storage_hard_state_fault,
         .get_snapshot = storage_snapshot_fault,
         .index_range = storage_index_range_fault,
