--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -178,6 +178,8 @@
         {"\"version\":7", "\"version\":0"},
         {"\"version\":7", "\"version\":\"7\""},
         {"\"version\":7,", ""},
+        {"\"version\":7,", "\"version\":7,\"version\":8,"},
+        {"\"timeout_ms\":1500", "\"timeout_ms\":1500,\"timeout_ms\":9"},
         {"\"timeout_ms\":1500", "\"timeout_ms\":0"},
         {"\"timeout_ms\":1500,", ""},
         {"\"timeout_ms\":1500", "\"timeout_ms\":-1"},
@@ -288,6 +290,7 @@
         {"\"seq\":4,", ""},
         {"\"born\":17000", "\"born\":\"now\""},
         {"\"zone\":\"ub-a\",", ""},
+        {"\"seq\":4", "\"seq\":4,\"seq\":5"},
     };
     struct SlUpstreamStatus upstream_status;
     char text[sizeof(UPSTREAM_STATUS) + 40];
