--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -185,6 +185,10 @@
         {"\"timeout_ms\":1500", "\"timeout_ms\":-1"},
         {"\"service\":\"workroom\",\"max", "\"service\":\"nobody\",\"max"},
         {"\"service\":\"workroom\",\"max", "\"max"},
+        {"\"backends\":[", "\"service\":\"nobody\",\"backends\":["},
+        {"\"backends\":[", "\"service\":7,\"backends\":["},
+        {"\"service\":\"workroom\",\"max",
+         "\"service\":\"workroom\",\"backends\":7,\"max"},
         {"/8443/", "/8080/"},
         {"/8443/", "/"},
         {"/8443/", "/70000/"},
@@ -218,6 +222,33 @@
     CU_ASSERT_EQUAL(parse_config_text("[]", NULL), SL_INVALID);
 }
 
+/// Fields that are null, unknown or say the same twice leave a configuration
+/// valid.
+static void
+test_config_variants(void)
+{
+    static const char *const REPLACEMENTS[][2] = {
+        {"\"backends\":[", "\"service\":\"catalogue\",\"backends\":["},
+        {"\"backends\":[", "\"service\":null,\"backends\":["},
+        {"\"backends\":[", "\"service\":\"\",\"backends\":["},
+        {"\"service\":\"workroom\",\"max",
+         "\"service\":\"workroom\",\"backends\":null,\"max"},
+        {"\"max_attempts\":2", "\"max_attempts\":[]"},
+        {"\"version\":7", "\"version\":7,\"more\":{\"version\":\"\"}"},
+    };
+    char text[sizeof(CONFIG) + 100];
+
+    for (size_t i = 0; i < sizeof(REPLACEMENTS) / sizeof(REPLACEMENTS[0]);
+         i++) {
+        CU_ASSERT_EQUAL(
+            parse_config_text(replace_in_config(REPLACEMENTS[i][0],
+                                                REPLACEMENTS[i][1], text,
+                                                sizeof(text)),
+                              NULL),
+            SL_OK);
+    }
+}
+
 static void
 test_document_compression(void)
 {
@@ -326,6 +357,7 @@
         {"packet faults", test_packet_faults},
         {"configuration", test_config},
         {"configuration faults", test_config_faults},
+        {"variants of a configuration", test_config_variants},
         {"document", test_document_compression},
         {"upstream status", test_upstream_status},
         {"malformed upstream statuses", test_malformed_upstream_status},
