--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -203,6 +203,8 @@
         {"\"max_conns\":1000", "\"max_conns\":\"many\""},
         {"\"limits\":{\"idle_timeout_ms\":15000}",
          "\"limits\":{\"idle_timeout_ms\":true}"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":7"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":[]"},
     };
     char text[sizeof(CONFIG) + 100];
 
@@ -234,6 +236,9 @@
         {"\"service\":\"workroom\",\"max",
          "\"service\":\"workroom\",\"backends\":null,\"max"},
         {"\"max_attempts\":2", "\"max_attempts\":[]"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":null"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":{}"},
+        {"\"limits\":{\"idle_timeout_ms\":15000},", ""},
         {"\"version\":7", "\"version\":7,\"more\":{\"version\":\"\"}"},
     };
     char text[sizeof(CONFIG) + 100];
