--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -201,6 +201,8 @@
         {"\"name\":\"catalogue\"", "\"name\":\"workroom\""},
         {"\"routes\":[", "\"roads\":["},
         {"\"max_conns\":1000", "\"max_conns\":\"many\""},
+        {"\"health_path\":\"/health\"", "\"health_path\":7"},
+        {"\"health_path\":\"/health\"", "\"health_path\":{}"},
         {"\"limits\":{\"idle_timeout_ms\":15000}",
          "\"limits\":{\"idle_timeout_ms\":true}"},
         {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":7"},
@@ -236,12 +238,18 @@
         {"\"service\":\"workroom\",\"max",
          "\"service\":\"workroom\",\"backends\":null,\"max"},
         {"\"max_attempts\":2", "\"max_attempts\":[]"},
+        {"\"health_path\":\"/health\"", "\"health_path\":null"},
+        {"\"health_path\":\"/health\"", "\"health_path\":\"\""},
+        {"\"health_path\":\"/health\",", ""},
+        {"\"health_path\":\"/health\"",
+         "\"health_path\":\"/0123456789/0123456789/0123456789/0123456789"
+         "/0123456789/0123456789/0123456789/0123456789/0123456789\""},
         {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":null"},
         {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":{}"},
         {"\"limits\":{\"idle_timeout_ms\":15000},", ""},
         {"\"version\":7", "\"version\":7,\"more\":{\"version\":\"\"}"},
     };
-    char text[sizeof(CONFIG) + 100];
+    char text[sizeof(CONFIG) + 200];
 
     for (size_t i = 0; i < sizeof(REPLACEMENTS) / sizeof(REPLACEMENTS[0]);
          i++) {
