--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -226,6 +226,37 @@
     CU_ASSERT_EQUAL(parse_config_text("[]", NULL), SL_INVALID);
 }
 
+/// A slow-start rate that is not a whole number is rounded up: 0 would mean
+/// that a cold upstream gets flows without a limit.
+static void
+test_slow_start_rates(void)
+{
+    static const struct {
+        const char *cold_per_s;
+        uint32_t flows_per_s;
+    } RATES[] = {
+        {"0", 0},        {"0.0", 0},  {"1e-9", 1}, {"0.5", 1},
+        {"0.99999", 1},  {"1", 1},    {"7.25", 8}, {"12.0", 12},
+        {"1e5", 100000}, {"-0.0", 0}, {"null", 0},
+    };
+    char text[sizeof(CONFIG) + 100];
+    char rate[40];
+    struct SlPlan *plan;
+
+    for (size_t i = 0; i < sizeof(RATES) / sizeof(RATES[0]); i++) {
+        plan = NULL;
+        snprintf(rate, sizeof(rate), "\"cold_per_s\":%s", RATES[i].cold_per_s);
+        CU_ASSERT_EQUAL_FATAL(
+            parse_config_text(replace_in_config("\"cold_per_s\":12.0", rate,
+                                                text, sizeof(text)),
+                              &plan),
+            SL_OK);
+        CU_ASSERT_EQUAL(SlPlan_ServiceAt(plan, 0)->slow_start_flows_per_s,
+                        RATES[i].flows_per_s);
+        SlPlan_Unref(plan);
+    }
+}
+
 /// Fields that are null, unknown or say the same twice leave a configuration
 /// valid.
 static void
@@ -371,6 +402,7 @@
         {"configuration", test_config},
         {"configuration faults", test_config_faults},
         {"variants of a configuration", test_config_variants},
+        {"slow-start rates", test_slow_start_rates},
         {"document", test_document_compression},
         {"upstream status", test_upstream_status},
         {"malformed upstream statuses", test_malformed_upstream_status},
