--- a/test/odd_entry_test.c
+++ b/test/odd_entry_test.c
@@ -249,6 +249,99 @@
     }
 }
 
+/// Fields of a configuration with their valid values, in the order of
+/// CONFIG_TEMPLATE.
+static const char *const CONFIG_FIELDS[][2] = {
+    {"version", "7"},         {"max_conns", "2000"},
+    {"cold_start_s", "2.0"},  {"cold_per_s", "0.5"},
+    {"host", "\"10.0.0.1\""}, {"path_prefix", "\"/80/\""},
+    {"timeout_ms", "1500"},   {"slo_ms", "150"},
+    {"priority", "1"},        {"weight", "1"},
+    {"idle_ms", "1"},
+};
+
+static const char CONFIG_TEMPLATE[] =
+    "{\"version\":%s,\"services\":[{\"name\":\"a\",\"max_conns\":%s,"
+    "\"cold_start_s\":%s,\"cold_per_s\":%s}],\"routes\":[{\"name\":\"r\","
+    "\"host\":%s,\"path_prefix\":%s,\"type\":\"x\",\"timeout_ms\":%s,"
+    "\"slo_ms\":%s,\"priority\":%s,\"backends\":[{\"service\":\"a\","
+    "\"weight\":%s}]}],\"limits\":{\"idle_timeout_ms\":%s}}";
+
+enum {
+    CONFIG_FIELD_COUNT = sizeof(CONFIG_FIELDS) / sizeof(CONFIG_FIELDS[0]),
+};
+
+static enum SlStatus
+parse_config(uint32_t odd_field, const char *odd_value)
+{
+    const char *values[CONFIG_FIELD_COUNT];
+    struct SlError error;
+    char text[TEXT_BYTES];
+    uint64_t version;
+
+    for (uint32_t i = 0; i < CONFIG_FIELD_COUNT; i++) {
+        values[i] = i == odd_field ? odd_value : CONFIG_FIELDS[i][1];
+    }
+    snprintf(text, sizeof(text), CONFIG_TEMPLATE, values[0], values[1],
+             values[2], values[3], values[4], values[5], values[6], values[7],
+             values[8], values[9], values[10]);
+    return platform_parse_config((const uint8_t *)text, strlen(text), NULL,
+                                 &version, &error);
+}
+
+static const struct odd_value ODD_CONFIG_VALUES[] = {
+    {"null", "max_conns cold_start_s cold_per_s slo_ms priority idle_ms"},
+    {"true", ""},
+    {"[]", ""},
+    {"{}", ""},
+    {"[[[[[[[[[[0]]]]]]]]]]", ""},
+    {"0", "max_conns cold_start_s cold_per_s slo_ms priority idle_ms"},
+    {"-1", ""},
+    {"1.5", "cold_start_s cold_per_s"},
+    {"1e999", ""},
+    {"Infinity", ""},
+    {"4294967295", "version max_conns timeout_ms slo_ms priority idle_ms"},
+    {"4294967296", "version"},
+    {"9223372036854775807", "version"},
+    {"9223372036854775808", ""},
+    {"\"\"", ""},
+    {"\"10.0.0.1\"", "host"},
+    {"\"10.0.0.1\\u0000\"", ""},
+    {"\"10.0.0.1:80\"", ""},
+    {"\"10.0.0.256\"", ""},
+    {"\"::1\"", ""},
+    {"\"/0/\"", ""},
+    {"\"/65535/\"", "path_prefix"},
+    {"\"/65536/\"", ""},
+    {"\"/-1/\"", ""},
+    {"\"/18446744073709551696/\"", ""},
+    {"\"/80\"", ""},
+    {"\"/80/\xc3\"", ""},
+    {"\"\xff\"", ""},
+};
+
+static void
+test_odd_configs(void)
+{
+    CU_ASSERT_EQUAL(parse_config(CONFIG_FIELD_COUNT, NULL), SL_OK);
+    for (uint32_t field = 0; field < CONFIG_FIELD_COUNT; field++) {
+        for (size_t i = 0;
+             i < sizeof(ODD_CONFIG_VALUES) / sizeof(ODD_CONFIG_VALUES[0]);
+             i++) {
+            const struct odd_value *odd = &ODD_CONFIG_VALUES[i];
+            const char *name = CONFIG_FIELDS[field][0];
+            bool is_valid = strstr(odd->valid_fields, name) != NULL;
+            bool is_taken = parse_config(field, odd->value) == SL_OK;
+
+            if (is_taken != is_valid) {
+                printf("    %s is %s with %s\n", name,
+                       is_taken ? "taken" : "refused", odd->value);
+            }
+            CU_ASSERT_EQUAL(is_taken, is_valid);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -256,6 +349,7 @@
         {"texts of the largest size", test_large_texts},
         {"valid configuration of the largest size", test_largest_config},
         {"odd heartbeats", test_odd_heartbeats},
+        {"odd configurations", test_odd_configs},
     };
 
     return RUN_SUITE("odd entries", CASES);
