--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -178,11 +178,17 @@
         {"\"version\":7", "\"version\":0"},
         {"\"version\":7", "\"version\":\"7\""},
         {"\"version\":7,", ""},
+        {"\"version\":7,", "\"version\":7,\"version\":8,"},
+        {"\"timeout_ms\":1500", "\"timeout_ms\":1500,\"timeout_ms\":9"},
         {"\"timeout_ms\":1500", "\"timeout_ms\":0"},
         {"\"timeout_ms\":1500,", ""},
         {"\"timeout_ms\":1500", "\"timeout_ms\":-1"},
         {"\"service\":\"workroom\",\"max", "\"service\":\"nobody\",\"max"},
         {"\"service\":\"workroom\",\"max", "\"max"},
+        {"\"backends\":[", "\"service\":\"nobody\",\"backends\":["},
+        {"\"backends\":[", "\"service\":7,\"backends\":["},
+        {"\"service\":\"workroom\",\"max",
+         "\"service\":\"workroom\",\"backends\":7,\"max"},
         {"/8443/", "/8080/"},
         {"/8443/", "/"},
         {"/8443/", "/70000/"},
@@ -195,8 +201,12 @@
         {"\"name\":\"catalogue\"", "\"name\":\"workroom\""},
         {"\"routes\":[", "\"roads\":["},
         {"\"max_conns\":1000", "\"max_conns\":\"many\""},
+        {"\"health_path\":\"/health\"", "\"health_path\":7"},
+        {"\"health_path\":\"/health\"", "\"health_path\":{}"},
         {"\"limits\":{\"idle_timeout_ms\":15000}",
          "\"limits\":{\"idle_timeout_ms\":true}"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":7"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":[]"},
     };
     char text[sizeof(CONFIG) + 100];
 
@@ -216,6 +226,73 @@
     CU_ASSERT_EQUAL(parse_config_text("[]", NULL), SL_INVALID);
 }
 
+/// A slow-start rate that is not a whole number is rounded up: 0 would mean
+/// that a cold upstream gets flows without a limit.
+static void
+test_slow_start_rates(void)
+{
+    static const struct {
+        const char *cold_per_s;
+        uint32_t flows_per_s;
+    } RATES[] = {
+        {"0", 0},        {"0.0", 0},  {"1e-9", 1}, {"0.5", 1},
+        {"0.99999", 1},  {"1", 1},    {"7.25", 8}, {"12.0", 12},
+        {"1e5", 100000}, {"-0.0", 0}, {"null", 0},
+    };
+    char text[sizeof(CONFIG) + 100];
+    char rate[40];
+    struct SlPlan *plan;
+
+    for (size_t i = 0; i < sizeof(RATES) / sizeof(RATES[0]); i++) {
+        plan = NULL;
+        snprintf(rate, sizeof(rate), "\"cold_per_s\":%s", RATES[i].cold_per_s);
+        CU_ASSERT_EQUAL_FATAL(
+            parse_config_text(replace_in_config("\"cold_per_s\":12.0", rate,
+                                                text, sizeof(text)),
+                              &plan),
+            SL_OK);
+        CU_ASSERT_EQUAL(SlPlan_ServiceAt(plan, 0)->slow_start_flows_per_s,
+                        RATES[i].flows_per_s);
+        SlPlan_Unref(plan);
+    }
+}
+
+/// Fields that are null, unknown or say the same twice leave a configuration
+/// valid.
+static void
+test_config_variants(void)
+{
+    static const char *const REPLACEMENTS[][2] = {
+        {"\"backends\":[", "\"service\":\"catalogue\",\"backends\":["},
+        {"\"backends\":[", "\"service\":null,\"backends\":["},
+        {"\"backends\":[", "\"service\":\"\",\"backends\":["},
+        {"\"service\":\"workroom\",\"max",
+         "\"service\":\"workroom\",\"backends\":null,\"max"},
+        {"\"max_attempts\":2", "\"max_attempts\":[]"},
+        {"\"health_path\":\"/health\"", "\"health_path\":null"},
+        {"\"health_path\":\"/health\"", "\"health_path\":\"\""},
+        {"\"health_path\":\"/health\",", ""},
+        {"\"health_path\":\"/health\"",
+         "\"health_path\":\"/0123456789/0123456789/0123456789/0123456789"
+         "/0123456789/0123456789/0123456789/0123456789/0123456789\""},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":null"},
+        {"\"limits\":{\"idle_timeout_ms\":15000}", "\"limits\":{}"},
+        {"\"limits\":{\"idle_timeout_ms\":15000},", ""},
+        {"\"version\":7", "\"version\":7,\"more\":{\"version\":\"\"}"},
+    };
+    char text[sizeof(CONFIG) + 200];
+
+    for (size_t i = 0; i < sizeof(REPLACEMENTS) / sizeof(REPLACEMENTS[0]);
+         i++) {
+        CU_ASSERT_EQUAL(
+            parse_config_text(replace_in_config(REPLACEMENTS[i][0],
+                                                REPLACEMENTS[i][1], text,
+                                                sizeof(text)),
+                              NULL),
+            SL_OK);
+    }
+}
+
 static void
 test_document_compression(void)
 {
@@ -288,6 +365,7 @@
         {"\"seq\":4,", ""},
         {"\"born\":17000", "\"born\":\"now\""},
         {"\"zone\":\"ub-a\",", ""},
+        {"\"seq\":4", "\"seq\":4,\"seq\":5"},
     };
     struct SlUpstreamStatus upstream_status;
     char text[sizeof(UPSTREAM_STATUS) + 40];
@@ -323,6 +401,8 @@
         {"packet faults", test_packet_faults},
         {"configuration", test_config},
         {"configuration faults", test_config_faults},
+        {"variants of a configuration", test_config_variants},
+        {"slow-start rates", test_slow_start_rates},
         {"document", test_document_compression},
         {"upstream status", test_upstream_status},
         {"malformed upstream statuses", test_malformed_upstream_status},
