Ask agents that control calls unreachable before saying that nobody holds

Cause: a broadcast query left out agents that bore the mark "unreachable" for 10 s, and counted as complete. Control's mark stays until a leader has heard the process again. An agent that was not asked has not said no, and an idle flow lives on without an answer for longer than 10 s.

Evidence: every agent of the configuration is asked. Its silence means "no" only when it has borne the mark, and sent nothing here, for as long as an unused flow may live (the longest idle timeout and 3 s), and does not answer this query within 60 ms, or did not answer another one in the last 4 s. So agents that are gone for good delay an answer rarely and shortly. The entry's own query to homes still leaves them out, which is no answer: the broadcast query includes them.

Two tests stated that a flow with an idle timeout of 15 s is reset once a silent agent was unreachable for 10 s, which is the fault: relay_test, "flows of unreachable agents", and relay_search_test, "the agent for a broadcast query is unreachable". They now wait for 18 s; their other bounds stay, of 100 ms for the reset among them.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -58,6 +58,11 @@
      "claims", "unheard",
      "An agent sent an entry the combined answers of all agents to a "
      "broadcast query."},
+    {SL_EVENT_RELAY_OUT_OF_TOUCH, SL_LEVEL_INFO, "out_of_touch", "agents",
+     "life_us",
+     "Agents that have been unreachable for as long as an unused flow may "
+     "live "
+     "left a query unanswered; for a while their answers are not awaited."},
     {SL_EVENT_TRANSFER_HELD, SL_LEVEL_INFO, "transfer_held", "ahead",
      "expected_us",
      "The opening segment of an upload waits in an entry, because as many "
--- a/packages/coordination/include/savoryledge/coordination/relay.h
+++ b/packages/coordination/include/savoryledge/coordination/relay.h
@@ -23,10 +23,8 @@
 
 enum {
     /// Time in microseconds after which an agent that neither control nor this
-    /// process receives anything from is assumed to hold no flow. No segment
-    /// reaches such an agent, and callers wait for an answer for less than
-    /// this time, so they have given up the flows of the agent even if its
-    /// upstream still runs.
+    /// process receives anything from is no longer asked before all others. It
+    /// may still hold flows.
     SL_RELAY_UNREACHABLE_US = 10 * 1000 * 1000,
 };
 
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -314,6 +314,10 @@
 /// Records that a frame arrived from another agent.
 void
 SlRelayAgent_RecordPeerFrame(struct SlRelayAgent *agent, uint64_t node_id);
+/// Records that another agent has left a query unanswered.
+void
+SlRelayAgent_RecordPeerSilence(struct SlRelayAgent *agent, uint64_t now_us,
+                               uint64_t node_id);
 /// Sends the answer to an offer with the current load, of which only changes
 /// are reported to the entry afterwards. frame: its load is set.
 void
--- a/packages/coordination/src/relay_broadcast.c
+++ b/packages/coordination/src/relay_broadcast.c
@@ -8,6 +8,8 @@
 enum {
     /// An agent that is short of processor time answers within 100 ms.
     ANSWER_TIMEOUT_MIN_US = 150 * 1000,
+    /// The same for an agent that is out of touch, and most likely lost.
+    OUT_OF_TOUCH_TIMEOUT_US = 60 * 1000,
     /// Retries to agents that do not answer: a datagram may be lost, and
     /// without a single answer nothing is certain for any flow of the query.
     RETRIES_MAX = 2,
@@ -32,7 +34,8 @@
 
 enum SlStatus
 SlRelayBroadcast_Begin(struct SlRelayBroadcast *broadcast, uint64_t now_us,
-                       uint32_t number, const struct SlBroadcastPeer *peers,
+                       uint32_t number, const struct SlFlowLife *life,
+                       const struct SlBroadcastPeer *peers,
                        uint32_t peer_count)
 {
     if (reserve_targets(broadcast, peer_count) != SL_OK) {
@@ -40,18 +43,25 @@
     }
     broadcast->number = number;
     broadcast->claims = (struct SlRelayQueryList){.count = 0};
-    broadcast->target_count = 0;
+    broadcast->target_count = peer_count;
     broadcast->next_target = 0;
     broadcast->retries = 0;
-    broadcast->answered = 0;
+    broadcast->missing = 0;
+    broadcast->missing_out_of_touch = 0;
     broadcast->sent_us = now_us;
     for (uint32_t i = 0; i < peer_count; i++) {
-        if (peers[i].unreachable_since_us == 0 ||
-            now_us - peers[i].unreachable_since_us < SL_RELAY_UNREACHABLE_US) {
-            broadcast->targets[broadcast->target_count++] =
-                (struct SlBroadcastTarget){.node_id = peers[i].node_id,
-                                           .address = peers[i].address};
-        }
+        const struct SlPeerEvidence *evidence = &peers[i].evidence;
+        struct SlBroadcastTarget target = {
+            .node_id = peers[i].node_id,
+            .address = peers[i].address,
+            .out_of_touch =
+                SlPeerEvidence_IsOutOfTouch(evidence, life, now_us),
+            .silent = SlPeerEvidence_IsSilent(evidence, life, now_us)};
+
+        broadcast->targets[i] = target;
+        broadcast->missing += !target.out_of_touch;
+        broadcast->missing_out_of_touch +=
+            target.out_of_touch && !target.silent;
     }
     return SL_OK;
 }
@@ -82,7 +92,8 @@
     }
     *took_us = now_us - target->sent_us;
     target->answered = true;
-    broadcast->answered++;
+    broadcast->missing -= !target->out_of_touch;
+    broadcast->missing_out_of_touch -= target->out_of_touch && !target->silent;
     return true;
 }
 
@@ -165,13 +176,39 @@
     sink->type->send_frame(sink, entry, &frame);
 }
 
+/// Records which agents have left the query unanswered. Those that are out of
+/// touch then count as agents whose upstreams hold nothing.
+static void
+record_silent_peers(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                    uint64_t now_us, const struct SlRelayBroadcast *broadcast)
+{
+    if (broadcast->missing_out_of_touch == 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < broadcast->target_count; i++) {
+        const struct SlBroadcastTarget *target = &broadcast->targets[i];
+
+        if (target->out_of_touch && !target->silent && !target->answered &&
+            target->sent_us != 0) {
+            SlRelayAgent_RecordPeerSilence(agent, now_us, target->node_id);
+        }
+    }
+    SlRelayAgent_LogEvent(
+        agent, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_RELAY_OUT_OF_TOUCH,
+                         .reason = "unanswered",
+                         .value = broadcast->missing_out_of_touch,
+                         .limit =
+                             (int64_t)SlFlowLife_UnseenUs(&agent->flow_life)});
+}
+
 /// Sends the collected claims to the entry and frees the query for reuse.
 static void
 end_broadcast(struct SlRelayAgent *agent, struct SlRelaySink *sink,
               uint64_t now_us, struct SlRelayBroadcast *broadcast)
 {
-    broadcast->claims.unanswered +=
-        broadcast->target_count - broadcast->answered;
+    record_silent_peers(agent, sink, now_us, broadcast);
+    broadcast->claims.unanswered += broadcast->missing;
     send_claims(agent, sink, &broadcast->entry, &broadcast->claims);
     SlRelayAgent_LogEvent(
         agent, sink, now_us,
@@ -218,24 +255,34 @@
     }
 }
 
-/// Ends the query when all agents have answered, and queries those again that
-/// have not answered in time.
+static bool
+has_all_answers(const struct SlRelayBroadcast *broadcast)
+{
+    return broadcast->missing == 0 && broadcast->missing_out_of_touch == 0;
+}
+
+/// Ends the query when all agents have answered whose answer is awaited, and
+/// queries those again that have not answered in time.
 static void
 continue_broadcast(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                    uint64_t now_us, struct SlRelayBroadcast *broadcast)
 {
     uint64_t timeout_us =
-        SlAnswerTimeout_Us(&agent->answer_timeout, ANSWER_TIMEOUT_MIN_US);
+        SlAnswerTimeout_Us(&agent->answer_timeout,
+                           broadcast->missing > 0 ? ANSWER_TIMEOUT_MIN_US
+                                                  : OUT_OF_TOUCH_TIMEOUT_US);
 
-    if (broadcast->answered == broadcast->target_count) {
+    if (has_all_answers(broadcast)) {
         end_broadcast(agent, sink, now_us, broadcast);
         return;
     }
     if (broadcast->next_target == broadcast->target_count &&
         now_us - broadcast->sent_us > timeout_us) {
-        SlQueryBudget_ReduceOnLoss(&agent->query_budget, now_us,
-                                   &agent->answer_timeout);
-        if (broadcast->retries == RETRIES_MAX) {
+        if (broadcast->missing > 0) {
+            SlQueryBudget_ReduceOnLoss(&agent->query_budget, now_us,
+                                       &agent->answer_timeout);
+        }
+        if (broadcast->missing == 0 || broadcast->retries == RETRIES_MAX) {
             end_broadcast(agent, sink, now_us, broadcast);
             return;
         }
@@ -290,7 +337,8 @@
     if (broadcast == NULL ||
         SlVersion_Compare(agent->version, queries.version) < 0 ||
         SlRelayBroadcast_Begin(broadcast, now_us, agent->last_broadcast + 1,
-                               agent->peers, agent->peer_count) != SL_OK) {
+                               &agent->flow_life, agent->peers,
+                               agent->peer_count) != SL_OK) {
         queries.count = 0;
         queries.unanswered = SL_RELAY_NOT_QUERIED;
         send_claims(agent, sink, from, &queries);
@@ -342,7 +390,7 @@
         SlRelayBroadcast_RecordClaim(broadcast, frame->sender,
                                      &answer.items[i]);
     }
-    if (broadcast->answered == broadcast->target_count) {
+    if (has_all_answers(broadcast)) {
         end_broadcast(agent, sink, now_us, broadcast);
     }
 }
--- a/packages/coordination/src/relay_broadcast.h
+++ b/packages/coordination/src/relay_broadcast.h
@@ -11,13 +11,13 @@
 
 #include "savoryledge/protocol/relay.h"
 
+#include "relay_evidence.h"
+
 /// Another agent in the configuration. Arrays are sorted by node_id.
 struct SlBroadcastPeer {
     uint64_t node_id;
     struct SlAddress address;
-    /// Since when the configuration has marked the agent as unreachable and no
-    /// frame has arrived from it here; otherwise 0.
-    uint64_t unreachable_since_us;
+    struct SlPeerEvidence evidence;
 };
 
 /// An agent that is queried in a broadcast query.
@@ -27,6 +27,10 @@
     /// When the last query was sent to the agent; 0 before the first query.
     uint64_t sent_us;
     bool answered;
+    /// The agent has been out of touch for so long that no answer means "no".
+    bool out_of_touch;
+    /// The answer is not awaited.
+    bool silent;
 };
 
 /// Zero-initialise before first use.
@@ -50,16 +54,20 @@
     struct SlBroadcastTarget *targets;
     uint32_t next_target;
     uint32_t retries;
-    uint32_t answered;
+    /// Targets whose answer is missing: of those that are not out of touch,
+    /// and of those that are and whose answer is awaited.
+    uint32_t missing;
+    uint32_t missing_out_of_touch;
     /// When the last query frame was sent.
     uint64_t sent_us;
 };
 
-/// Starts a broadcast query to the peers that may hold a flow. Errors:
-/// SL_NO_MEMORY.
+/// Starts a broadcast query to all peers. life: what is known of the life of
+/// flows. Errors: SL_NO_MEMORY.
 enum SlStatus
 SlRelayBroadcast_Begin(struct SlRelayBroadcast *broadcast, uint64_t now_us,
-                       uint32_t number, const struct SlBroadcastPeer *peers,
+                       uint32_t number, const struct SlFlowLife *life,
+                       const struct SlBroadcastPeer *peers,
                        uint32_t peer_count);
 /// Records a peer's answer. Returns false when the peer was not queried or has
 /// already answered. took_us: time in microseconds since the last query to it.
--- a/packages/coordination/src/relay_evidence.c
+++ b/packages/coordination/src/relay_evidence.c
@@ -36,3 +36,20 @@
     return table->saw_start ||
            now_us >= table->since_us + SlFlowLife_UnseenUs(life);
 }
+
+bool
+SlPeerEvidence_IsOutOfTouch(const struct SlPeerEvidence *peer,
+                            const struct SlFlowLife *life, uint64_t now_us)
+{
+    return peer->unreachable_since_us != 0 &&
+           now_us - peer->unreachable_since_us >= SlFlowLife_UnseenUs(life);
+}
+
+bool
+SlPeerEvidence_IsSilent(const struct SlPeerEvidence *peer,
+                        const struct SlFlowLife *life, uint64_t now_us)
+{
+    return SlPeerEvidence_IsOutOfTouch(peer, life, now_us) &&
+           peer->unanswered_us != 0 &&
+           now_us - peer->unanswered_us < SL_EVIDENCE_SILENCE_US;
+}
--- a/packages/coordination/src/relay_evidence.h
+++ b/packages/coordination/src/relay_evidence.h
@@ -7,12 +7,18 @@
 /// Load pattern: agents restart one after the other, or all at once, while
 /// their upstreams keep their flows, and routes and idle timeouts change
 /// meanwhile. A flow stays where it is when its route moves, so what the
-/// present plan says of the route is no evidence.
+/// present plan says of the route is no evidence. Machines stand still and go
+/// on while control calls them unreachable, for as long as it has no leader
+/// that hears them: an agent that was not asked has not said no. Machines that
+/// are gone for good must not make every answer uncertain.
 
 #include <stdbool.h>
 #include <stdint.h>
 
 enum {
+    /// How long it counts that an agent has left a query unanswered. One that
+    /// was not in touch then may be in touch again.
+    SL_EVIDENCE_SILENCE_US = 4 * 1000 * 1000,
     /// Time within which a change of the idle timeout reaches every process. A
     /// flow that is idle for longer than the timeout known here may live by a
     /// newer one until then.
@@ -52,4 +58,25 @@
 SlTableEvidence_IsComplete(const struct SlTableEvidence *table,
                            const struct SlFlowLife *life, uint64_t now_us);
 
+/// What is known of an agent that may have been lost with its upstream.
+struct SlPeerEvidence {
+    /// Since when the configuration has marked the agent as unreachable and no
+    /// frame has arrived from it here; otherwise 0.
+    uint64_t unreachable_since_us;
+    /// When the agent last left a query unanswered; 0 when it has answered
+    /// since.
+    uint64_t unanswered_us;
+};
+
+/// True when the agent has been out of touch for as long as an unused flow may
+/// live. It is asked, but no answer within a short time means "no".
+bool
+SlPeerEvidence_IsOutOfTouch(const struct SlPeerEvidence *peer,
+                            const struct SlFlowLife *life, uint64_t now_us);
+/// True when, besides, it has just left a query unanswered. It is asked, but
+/// its answer is not awaited.
+bool
+SlPeerEvidence_IsSilent(const struct SlPeerEvidence *peer,
+                        const struct SlFlowLife *life, uint64_t now_us);
+
 #endif
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -68,7 +68,7 @@
         for (uint32_t index = members->first_index[service];
              index < members->first_index[service + 1]; index++) {
             if (is_queried(entry, route, flow_service, search->stage, index) &&
-                SlRelayMembers_MayHoldFlows(members, index, now_us)) {
+                SlRelayMembers_IsAskedAtHome(members, index, now_us)) {
                 SlRelayEntry_SendFrame(entry, sink, index, &frame);
                 entry->counters.queries++;
                 search->unanswered++;
--- a/packages/coordination/src/relay_members.c
+++ b/packages/coordination/src/relay_members.c
@@ -421,8 +421,8 @@
 }
 
 bool
-SlRelayMembers_MayHoldFlows(const struct SlRelayMembers *members,
-                            uint32_t index, uint64_t now_us)
+SlRelayMembers_IsAskedAtHome(const struct SlRelayMembers *members,
+                             uint32_t index, uint64_t now_us)
 {
     uint64_t unreachable_since_us =
         members->members[index].unreachable_since_us;
--- a/packages/coordination/src/relay_members.h
+++ b/packages/coordination/src/relay_members.h
@@ -137,11 +137,12 @@
 SlRelayMembers_MarkHomes(struct SlRelayMembers *members, uint32_t service,
                          const struct SlFlowKey *flow);
 
-/// True when the member may hold flows. False when it has been unreachable for
-/// SL_RELAY_UNREACHABLE_US, so that no flow can continue there.
+/// True when the member is asked as a home of a flow. False when it has been
+/// unreachable for SL_RELAY_UNREACHABLE_US and would most likely delay the
+/// search. It may hold flows all the same; a broadcast query includes it.
 bool
-SlRelayMembers_MayHoldFlows(const struct SlRelayMembers *members,
-                            uint32_t index, uint64_t now_us);
+SlRelayMembers_IsAskedAtHome(const struct SlRelayMembers *members,
+                             uint32_t index, uint64_t now_us);
 
 /// True when the configuration allows new flows to the agent's upstream: the
 /// node is not leaving, and no hold keeps the node or its zone out of service.
--- a/packages/coordination/src/relay_report.c
+++ b/packages/coordination/src/relay_report.c
@@ -103,11 +103,14 @@
 
     *peer = (struct SlBroadcastPeer){.node_id = node->node.node_id,
                                      .address = node->node.tunnel};
-    if (node->node.unreachable) {
-        peer->unreachable_since_us =
-            previous != NULL && previous->unreachable_since_us != 0
-                ? previous->unreachable_since_us
-                : now_us;
+    if (!node->node.unreachable) {
+        return;
+    }
+    if (previous != NULL) {
+        peer->evidence = previous->evidence;
+    }
+    if (peer->evidence.unreachable_since_us == 0) {
+        peer->evidence.unreachable_since_us = now_us;
     }
 }
 
@@ -165,7 +168,19 @@
         find_peer(agent->peers, agent->peer_count, node_id);
 
     if (peer != NULL) {
-        peer->unreachable_since_us = 0;
+        peer->evidence = (struct SlPeerEvidence){.unanswered_us = 0};
+    }
+}
+
+void
+SlRelayAgent_RecordPeerSilence(struct SlRelayAgent *agent, uint64_t now_us,
+                               uint64_t node_id)
+{
+    struct SlBroadcastPeer *peer =
+        find_peer(agent->peers, agent->peer_count, node_id);
+
+    if (peer != NULL) {
+        peer->evidence.unanswered_us = now_us;
     }
 }
 
--- a/test/relay_evidence_test.c
+++ b/test/relay_evidence_test.c
@@ -134,6 +134,108 @@
     relay_simulation_destroy(sim);
 }
 
+/// Control marks an agent as unreachable, or takes the mark back.
+static void
+mark_unreachable(struct relay_simulation *sim, uint32_t agent,
+                 bool is_unreachable)
+{
+    struct SlObject object = *SlConfig_FindObject(
+        sim->config, SL_KIND_NODE, sim->nodes[ENTRIES + agent].name);
+
+    object.node.unreachable = is_unreachable;
+    CU_ASSERT_EQUAL(SlConfig_PutObject(sim->config, &object), SL_OK);
+    relay_configure_all(sim);
+}
+
+/// An agent stands still and goes on, and control calls it unreachable for
+/// longer than that. It is asked, and its flow stays.
+static void
+test_unreachable_agent_lives(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 73);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+
+    sim->nodes[ENTRIES + holder].isolated = true;
+    mark_unreachable(sim, holder, true);
+    relay_simulation_run(sim, 5000);
+    sim->nodes[ENTRIES + holder].isolated = false;
+    relay_simulation_run(sim, 6000);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// The upstream of an agent starts anew, and holds no flows.
+static void
+restart_upstream(struct relay_simulation *sim, uint32_t agent)
+{
+    sim->upstreams[agent].held_count = 0;
+    sim->upstreams[agent].status.started_ms += 5000;
+    sim->upstreams[agent].status.seq = 0;
+    CU_ASSERT(relay_report_status(sim, agent));
+}
+
+/// The mark stays for long, as when control has no leader, while the flow is
+/// in use through the entry that knows its holder. The agent stands still for
+/// a while in between, and others find that it does not answer.
+static void
+test_mark_stays(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 74);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+
+    for (uint32_t i = 0; i < 8; i++) {
+        (void)relay_open_flow_and_request(sim, 0);
+    }
+    mark_unreachable(sim, holder, true);
+    for (uint32_t i = 0; i < 4; i++) {
+        relay_simulation_run(sim, 5000);
+        check_answered(sim, 0, flow);
+    }
+    sim->nodes[ENTRIES + holder].isolated = true;
+    restart_upstream(sim, (holder + 1) % AGENTS);
+    restart_upstream(sim, (holder + 2) % AGENTS);
+    restart_upstream(sim, (holder + 3) % AGENTS);
+    for (uint32_t i = 1; i <= 8; i++) {
+        relay_send_request(sim, 1, i);
+        relay_simulation_run(sim, 300);
+    }
+    relay_simulation_run(sim, 1000);
+    sim->nodes[ENTRIES + holder].isolated = false;
+    relay_simulation_run(sim, 5000);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// Agents that are gone for good delay the answers about flows that nobody
+/// holds only once: the first by one short answer timeout.
+static void
+test_agents_gone_for_good(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 75);
+    uint32_t gone = 1;
+
+    for (uint32_t i = 0; i < 8; i++) {
+        (void)relay_open_flow_and_request(sim, 0);
+    }
+    sim->nodes[ENTRIES + gone].isolated = true;
+    mark_unreachable(sim, gone, true);
+    relay_simulation_run(sim, 18000);
+    for (uint32_t i = 0; i < AGENTS; i++) {
+        restart_upstream(sim, i);
+    }
+    for (uint32_t i = 0; i < 8; i++) {
+        relay_send_request(sim, 1, i);
+        relay_simulation_run(sim, i < 4 ? 100 : 30);
+        CU_ASSERT_EQUAL(sim->callers[i].resets, 1);
+    }
+    relay_simulation_destroy(sim);
+}
+
 int
 main(void)
 {
@@ -142,6 +244,9 @@
         {"the idle timeout changes after a restart",
          test_idle_timeout_changes},
         {"a longer idle timeout arrives late", test_idle_timeout_grows_late},
+        {"an unreachable agent lives", test_unreachable_agent_lives},
+        {"an agent stays marked as unreachable", test_mark_stays},
+        {"agents are gone for good", test_agents_gone_for_good},
     };
 
     return RUN_SUITE("relay evidence", CASES);
--- a/test/relay_search_test.c
+++ b/test/relay_search_test.c
@@ -241,7 +241,7 @@
         sim->nodes[2 + i].isolated = true;
     }
     relay_configure_all(sim);
-    relay_simulation_run(sim, 10500);
+    relay_simulation_run(sim, 18000);
     for (uint32_t i = 0; i < 30; i++) {
         relay_send_request(sim, 1, i);
         relay_simulation_run(sim, 60);
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -129,8 +129,8 @@
 }
 
 /// An agent that control cannot reach may still hold a flow, so the flow is
-/// not reset. It is reset after the agent has been unreachable for a long
-/// time. An agent whose upstream has announced that it is gone never prevents
+/// not reset. It is reset after the agent has been unreachable for as long as
+/// an unused flow may live: the idle timeout, and 3 s for a change of it. An agent whose upstream has announced that it is gone never prevents
 /// a reset.
 static void
 test_flows_of_unreachable_agents(void)
@@ -154,7 +154,7 @@
     relay_simulation_run(sim, 1000);
     CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
 
-    relay_simulation_run(sim, 10000);
+    relay_simulation_run(sim, 17000);
     relay_configure_all(sim);
     relay_send_request(sim, 1, flow);
     relay_simulation_run(sim, 100);
