Send an operator's read on to an instance that can answer it

Callers saw 503 for reads of the configuration in calm spans. A process without a log refused every read; a control instance whose lease was over refused reads and orders though it heard its leader all the time; an instance that the full members table left out refused them for good. Orders at processes without a log all went to the instance that is first by name, reachable or not.

The decision now stands in coordination/call_route.h, without input or output: a read is answered under a lease, as before, and otherwise redirected with 307, as orders are. A process without a log names the instance that it uses while that confirms that it is current, else one of its configuration, by turns; an instance names a leader heard within two election timeouts, and outside the group one that it is linked to. A member that hears no leader refuses, so that no chain is longer than two. Orders follow the same rules. Each redirect is counted, and logged at most 8 times a second (SL1609).

The answers over HTTP themselves have no test yet.

--- a/packages/common/include/savoryledge/common/event.h
+++ b/packages/common/include/savoryledge/common/event.h
@@ -121,6 +121,7 @@
     SL_EVENT_FAILED = 1606,
     SL_EVENT_CALL_REFUSED = 1607,
     SL_EVENT_READ_REFUSED = 1608,
+    SL_EVENT_CALL_REDIRECTED = 1609,
 };
 
 /// One event. Pointers are borrowed for the duration of a call. A field that
--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -246,6 +246,10 @@
      "leader_silent_us",
      "A read of the configuration was refused; lease_us is negative by the "
      "time for which the lease has been over, and node is the last leader."},
+    {SL_EVENT_CALL_REDIRECTED, SL_LEVEL_INFO, "call_redirected", "lease_us",
+     "leader_silent_us",
+     "An operator's call was redirected to a control instance that is the "
+     "leader, is linked to this process, or is listed in the configuration."},
 };
 
 const struct SlEventRow *
--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -109,6 +109,20 @@
 /// until the next call of SlControl_HandleInput.
 const char *
 SlControl_LeaderName(const struct SlControl *control);
+/// Finds the leader, if that is another instance and a message of it arrived
+/// within twice the election timeout. Returns false if there is none. The
+/// leader decides for itself whether its lease lasts.
+bool
+SlControl_FindLeader(const struct SlControl *control, uint64_t now_us,
+                     struct SlControlMember *leader);
+/// True when the log of this instance lists it as a member.
+bool
+SlControl_IsMember(const struct SlControl *control);
+/// Finds another control instance that this one is linked to. turn: selects
+/// among several. Returns false if there is none. is_voter is not set.
+bool
+SlControl_FindLinkedInstance(const struct SlControl *control, uint64_t turn,
+                             struct SlControlMember *instance);
 /// Returns the time since the last message of a leader, or since this instance
 /// started; 0 at a leader.
 uint64_t
--- a/packages/coordination/include/savoryledge/coordination/order_handler.h
+++ b/packages/coordination/include/savoryledge/coordination/order_handler.h
@@ -17,8 +17,8 @@
 
 enum SlOrderOutcome {
     SL_ORDER_DONE = 0,
-    /// Another instance is the leader. Its address comes with the outcome; the
-    /// order was not run.
+    /// Another instance is, or knows, the leader. Its address comes with the
+    /// outcome; the order was not run.
     SL_ORDER_NOT_LEADER,
     /// No leader is known, or too many orders are pending; the order was not
     /// run.
@@ -46,7 +46,8 @@
 struct SlControlView {
     /// This instance is the leader.
     bool is_leader;
-    /// Address of the leader; NULL when it is unknown.
+    /// Address of the leader, or of an instance that may know it; NULL when
+    /// none is known.
     const struct SlAddress *leader;
     /// Version of the latest log record that the instance has applied.
     struct SlVersion applied_version;
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -323,6 +323,40 @@
     return leader != NULL ? leader->name : "";
 }
 
+static struct SlControlMember
+copy_member(const struct SlRaftMember *source)
+{
+    struct SlControlMember member = {.node_id = source->node_id,
+                                     .link_address = source->link_address,
+                                     .is_voter = source->is_voter};
+
+    memcpy(member.name, source->name, sizeof(member.name));
+    return member;
+}
+
+bool
+SlControl_FindLeader(const struct SlControl *control, uint64_t now_us,
+                     struct SlControlMember *leader)
+{
+    const struct SlRaft *raft = &control->raft;
+    const struct SlRaftMember *member =
+        SlRaft_FindMember(raft, raft->leader_id);
+
+    if (member == NULL || member->node_id == control->node_id ||
+        now_us - raft->last_leader_message_us >=
+            SL_CONTROL_LEADER_CONTACT_ELECTIONS * raft->options.election_us) {
+        return false;
+    }
+    *leader = copy_member(member);
+    return true;
+}
+
+bool
+SlControl_IsMember(const struct SlControl *control)
+{
+    return SlRaft_FindMember(&control->raft, control->node_id) != NULL;
+}
+
 uint64_t
 SlControl_LeaderSilentUs(const struct SlControl *control, uint64_t now_us)
 {
@@ -356,13 +390,7 @@
     const struct SlRaftMembers *source = &control->raft.members;
 
     for (uint32_t i = 0; i < source->count && i < capacity; i++) {
-        members[i] = (struct SlControlMember){
-            .node_id = source->items[i].node_id,
-            .link_address = source->items[i].link_address,
-            .is_voter = source->items[i].is_voter,
-        };
-        memcpy(members[i].name, source->items[i].name,
-               sizeof(members[i].name));
+        members[i] = copy_member(&source->items[i]);
     }
     return source->count;
 }
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -17,6 +17,9 @@
     /// The instance with the higher node id dials only in every n-th round.
     SL_CONTROL_FALLBACK_DIAL_ROUNDS = 4,
     SL_CONTROL_JOIN_INTERVAL_US = 300 * 1000,
+    /// Number of election timeouts without a message after which a leader
+    /// counts as lost.
+    SL_CONTROL_LEADER_CONTACT_ELECTIONS = 2,
     /// Maximum number of events buffered during start, until there is a sink.
     SL_CONTROL_EARLY_EVENTS_MAX = 8,
     /// Maximum number of modifications recorded for building deltas.
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -154,7 +154,47 @@
     return raft->state == SL_CONTROL_LEADER ||
            (raft->leader_id != 0 &&
             control->now_us - raft->last_leader_message_us <
-                2 * raft->options.election_us);
+                SL_CONTROL_LEADER_CONTACT_ELECTIONS *
+                    raft->options.election_us);
+}
+
+/// Finds the link address of a control instance among the members, or the
+/// instances in the settings.
+static const struct SlRaftMember *
+find_known_instance(const struct SlControl *control, uint64_t node_id)
+{
+    const struct SlRaftMembers *founding_members =
+        &control->raft.options.first_members;
+    const struct SlRaftMember *member =
+        SlRaft_FindMember(&control->raft, node_id);
+
+    for (uint32_t i = 0; member == NULL && i < founding_members->count; i++) {
+        if (founding_members->items[i].node_id == node_id) {
+            member = &founding_members->items[i];
+        }
+    }
+    return member;
+}
+
+bool
+SlControl_FindLinkedInstance(const struct SlControl *control, uint64_t turn,
+                             struct SlControlMember *instance)
+{
+    for (uint64_t i = 0; i < control->link_count; i++) {
+        const struct SlPeer *peer =
+            &control->links[(i + turn) % control->link_count].peer;
+        const struct SlRaftMember *known =
+            find_known_instance(control, peer->node_id);
+
+        if ((peer->roles & SL_ROLE_CONTROL) && known != NULL &&
+            peer->node_id != control->node_id) {
+            *instance = (struct SlControlMember){
+                .node_id = peer->node_id, .link_address = known->link_address};
+            memcpy(instance->name, peer->name, sizeof(instance->name));
+            return true;
+        }
+    }
+    return false;
 }
 
 /// True when this instance should dial the other one. Two instances share one
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -177,6 +177,33 @@
     return now_us - replica->last_fresh_us > replica->options.lease_us;
 }
 
+bool
+SlReplica_FindCurrentControl(const struct SlReplica *replica, uint64_t now_us,
+                             uint64_t *node_id, struct SlAddress *link)
+{
+    const struct SlReplicaOptions *options = &replica->options;
+    const struct config_source *control = &replica->control;
+    const struct SlObject *node =
+        SlConfig_FindNode(replica->config, control->node_id);
+
+    if (control->link == 0 || replica->last_fresh_us < control->since_us ||
+        SlReplica_IsCutOff(replica, now_us)) {
+        return false;
+    }
+    *node_id = control->node_id;
+    if (node != NULL) {
+        *link = node->node.link;
+        return true;
+    }
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->control_ids[i] == control->node_id) {
+            *link = options->control[i];
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 emit_event(const struct SlReplica *replica, struct SlSink *sink,
            struct SlEvent event)
--- a/packages/daemon/src/adapter.h
+++ b/packages/daemon/src/adapter.h
@@ -36,8 +36,8 @@
                            const struct SlHttpRequest *request);
     /// Answers the HTTP call that started an order, after the order has ended.
     /// path: the path of the call. leader: for the outcome
-    /// SL_ORDER_NOT_LEADER, the address of the leader's HTTP interface for
-    /// operators.
+    /// SL_ORDER_NOT_LEADER, the address of the HTTP interface for operators of
+    /// the leader, or of another control instance.
     void (*handle_order_end)(struct SlFront *front, uint64_t exchange,
                              const char *path, enum SlOrderOutcome outcome,
                              const struct SlAddress *leader);
--- a/packages/daemon/src/front.c
+++ b/packages/daemon/src/front.c
@@ -49,6 +49,9 @@
     struct unanswered_call unanswered_calls[UNANSWERED_CALLS_MAX];
     struct log_window refused_calls;
     struct log_window refused_reads;
+    struct log_window redirected_calls;
+    /// Number of reads and orders that other processes were to handle.
+    uint64_t calls_sent_on;
     struct SlFrontCounters counters;
 };
 
@@ -104,10 +107,7 @@
         return;
     }
     if (leader != NULL) {
-        /* Every control instance has its HTTP interface for operators at the
-           same port number. */
         address = *leader;
-        address.port = front->shell->settings.relay.control.port;
     }
     front->counters.orders_done += outcome == SL_ORDER_DONE;
     front->counters.orders_redirected += outcome == SL_ORDER_NOT_LEADER;
@@ -256,21 +256,54 @@
     return SlNode_Control(front->shell->node) != NULL;
 }
 
-/// Counts and logs a read of the configuration that is refused.
+/// Describes what this process knows about control instances.
+static struct SlCallView
+make_call_view(const struct SlFront *front, uint64_t now_us)
+{
+    const struct SlControl *control = SlNode_Control(front->shell->node);
+    const struct SlReplica *replica = SlNode_Replica(front->shell->node);
+    struct SlCallView view = {.node_id =
+                                  SlNode_Id(front->shell->settings.node.name),
+                              .has_control = control != NULL,
+                              .config = SlReplica_Config(replica),
+                              .turn = front->calls_sent_on};
+    struct SlControlMember other;
+
+    if (control == NULL) {
+        (void)SlReplica_FindCurrentControl(
+            replica, now_us, &view.linked.node_id, &view.linked.link);
+        return view;
+    }
+    view.is_current = SlControl_IsFresh(control, now_us);
+    view.is_leader = SlControl_State(control) == SL_CONTROL_LEADER;
+    view.is_member = SlControl_IsMember(control);
+    if (SlControl_FindLeader(control, now_us, &other)) {
+        view.leader.node_id = other.node_id;
+        view.leader.link = other.link_address;
+    }
+    if (SlControl_FindLinkedInstance(control, view.turn, &other)) {
+        view.linked.node_id = other.node_id;
+        view.linked.link = other.link_address;
+    }
+    return view;
+}
+
+/// Logs a call that this process cannot handle. peer: to whom it is sent on,
+/// or NULL.
 static void
-report_refused_read(struct SlFront *front, uint64_t now_us, uint64_t *counter,
-                    const char *reason)
+log_call(struct SlFront *front, struct log_window *window, uint64_t now_us,
+         enum SlEventNumber number, const char *peer, const char *reason)
 {
     const struct SlControl *control = SlNode_Control(front->shell->node);
     const struct SlReplica *replica = SlNode_Replica(front->shell->node);
-    struct SlEvent event = {.number = SL_EVENT_READ_REFUSED,
+    struct SlEvent event = {.number = number,
                             .now_us = now_us,
                             .version =
                                 SlConfig_Version(SlReplica_Config(replica)),
+                            .peer = peer,
                             .reason = reason};
 
-    ++*counter;
-    if (!may_log(&front->refused_reads, now_us)) {
+    if (!may_log(window, now_us)) {
         return;
     }
     if (control != NULL) {
@@ -282,24 +315,73 @@
     log_event(front->shell, event);
 }
 
-enum SlStatus
-SlFront_FindDocument(struct SlFront *front, const struct SlDocument **document)
+/// Counts and logs a read of the configuration that is refused.
+static void
+report_refused_read(struct SlFront *front, uint64_t now_us, uint64_t *counter,
+                    const char *reason)
 {
-    const struct SlControl *control = SlNode_Control(front->shell->node);
-    uint64_t now_us = SlClock_Monotonic();
+    ++*counter;
+    log_call(front, &front->refused_reads, now_us, SL_EVENT_READ_REFUSED, NULL,
+             reason);
+}
 
-    if (control == NULL) {
+/// Returns the address of the interface for operators at the control instance
+/// with this address for links, and logs that a call is sent there.
+static struct SlAddress
+send_call_on(struct SlFront *front, uint64_t now_us,
+             const struct SlCallTarget *target, const char *reason)
+{
+    struct SlAddress address = target->link;
+    char text[SL_ADDRESS_TEXT_BYTES];
+
+    front->calls_sent_on++;
+    log_call(front, &front->redirected_calls, now_us, SL_EVENT_CALL_REDIRECTED,
+             SlAddress_Format(&target->link, text), reason);
+    /* Every control instance has its HTTP interface for operators at the
+       same port number. */
+    address.port = front->shell->settings.relay.control.port;
+    return address;
+}
+
+static enum SlStatus
+refuse_read(struct SlFront *front, uint64_t now_us)
+{
+    if (SlNode_Control(front->shell->node) == NULL) {
         report_refused_read(front, now_us,
                             &front->counters.reads_refused_no_log, "no_log");
-        return SL_STALE;
     }
-    if (!SlControl_IsFresh(control, now_us)) {
+    else {
         report_refused_read(front, now_us,
                             &front->counters.reads_refused_no_lease,
                             "no_lease");
-        return SL_STALE;
     }
-    *document = SlConfig_Document(SlControl_Config(control));
+    return SL_STALE;
+}
+
+enum SlStatus
+SlFront_FindDocument(struct SlFront *front, const struct SlDocument **document,
+                     struct SlAddress *other)
+{
+    static const char *const REASONS[SL_CALL_ROUTE_COUNT] = {
+        [SL_CALL_TO_LEADER] = "read_to_leader",
+        [SL_CALL_TO_LINKED] = "read_to_linked",
+        [SL_CALL_TO_LISTED] = "read_to_listed",
+    };
+    uint64_t now_us = SlClock_Monotonic();
+    struct SlCallView view = make_call_view(front, now_us);
+    struct SlCallTarget target;
+    enum SlCallRoute route = SlCallRoute_ForRead(&view, &target);
+
+    if (route == SL_CALL_REFUSED) {
+        return refuse_read(front, now_us);
+    }
+    if (route != SL_CALL_HERE) {
+        front->counters.reads_redirected++;
+        *other = send_call_on(front, now_us, &target, REASONS[route]);
+        return SL_NOT_LEADER;
+    }
+    *document = SlConfig_Document(
+        SlControl_Config(SlNode_Control(front->shell->node)));
     if (*document == NULL) {
         report_refused_read(front, now_us,
                             &front->counters.reads_refused_no_document,
@@ -325,51 +407,31 @@
     *counters = front->counters;
 }
 
-/// Finds the link address of a control instance in the configuration that is
-/// reachable and not leaving.
-static bool
-find_control_address(const struct SlFront *front, struct SlAddress *address)
-{
-    const struct SlConfig *config =
-        SlReplica_Config(SlNode_Replica(front->shell->node));
-
-    for (uint32_t i = 0; i < SlConfig_ObjectCount(config, SL_KIND_NODE); i++) {
-        const struct SlNodeSpec *node =
-            &SlConfig_ObjectAt(config, SL_KIND_NODE, i)->node;
-
-        if ((node->roles & SL_ROLE_CONTROL) && !node->unreachable &&
-            !node->leaving) {
-            *address = node->link;
-            return true;
-        }
-    }
-    return false;
-}
-
-/// Describes the state of the control instance for the order handler. leader:
-/// storage for the leader's address, to which the result may point.
+/// Describes the state of the control instance for the order handler. address:
+/// storage for the address of the instance that may accept the order instead,
+/// to which the result may point.
 static struct SlControlView
-make_control_view(const struct SlFront *front, struct SlAddress *leader)
+make_control_view(struct SlFront *front, uint64_t now_us,
+                  struct SlAddress *address)
 {
+    static const char *const REASONS[SL_CALL_ROUTE_COUNT] = {
+        [SL_CALL_TO_LEADER] = "order_to_leader",
+        [SL_CALL_TO_LINKED] = "order_to_linked",
+        [SL_CALL_TO_LISTED] = "order_to_listed",
+    };
     const struct SlControl *control = SlNode_Control(front->shell->node);
-    struct SlControlMember members[SL_MEMBERS_CONTROL_MAX];
-    struct SlControlView view = {.is_leader = false};
-    uint32_t count;
+    struct SlCallView call_view = make_call_view(front, now_us);
+    struct SlControlView view = {.is_leader = call_view.is_leader};
+    struct SlCallTarget target;
+    enum SlCallRoute route = SlCallRoute_ForOrder(&call_view, &target);
 
-    if (control == NULL) {
-        view.leader = find_control_address(front, leader) ? leader : NULL;
-        return view;
+    if (control != NULL) {
+        view.applied_version = SlControl_AppliedVersion(control);
+        view.config = SlControl_Config(control);
     }
-    view.is_leader = SlControl_State(control) == SL_CONTROL_LEADER;
-    view.applied_version = SlControl_AppliedVersion(control);
-    view.config = SlControl_Config(control);
-    count = SlControl_Members(control, members, SL_MEMBERS_CONTROL_MAX);
-    for (uint32_t i = 0; i < count; i++) {
-        if (members[i].node_id == SlControl_LeaderId(control) &&
-            SlControl_IsFresh(control, SlClock_Monotonic())) {
-            *leader = members[i].link_address;
-            view.leader = leader;
-        }
+    if (route != SL_CALL_HERE && route != SL_CALL_REFUSED) {
+        *address = send_call_on(front, now_us, &target, REASONS[route]);
+        view.leader = address;
     }
     return view;
 }
@@ -394,24 +456,26 @@
 SlFront_PutDocument(struct SlFront *front, uint64_t exchange, const char *path,
                     const struct SlDocumentText *document)
 {
+    uint64_t now_us = SlClock_Monotonic();
     struct SlAddress leader;
-    struct SlControlView view = make_control_view(front, &leader);
+    struct SlControlView view = make_control_view(front, now_us, &leader);
 
     add_unanswered_call(front, exchange, path);
-    SlOrderHandler_PutDocument(&front->order_handler, SlClock_Monotonic(),
-                               &view, exchange, document);
+    SlOrderHandler_PutDocument(&front->order_handler, now_us, &view, exchange,
+                               document);
 }
 
 void
 SlFront_SetZoneHold(struct SlFront *front, uint64_t exchange, const char *path,
                     const char *zone, bool out)
 {
+    uint64_t now_us = SlClock_Monotonic();
     struct SlAddress leader;
-    struct SlControlView view = make_control_view(front, &leader);
+    struct SlControlView view = make_control_view(front, now_us, &leader);
 
     add_unanswered_call(front, exchange, path);
-    SlOrderHandler_HoldZone(&front->order_handler, SlClock_Monotonic(), &view,
-                            exchange, zone, out);
+    SlOrderHandler_HoldZone(&front->order_handler, now_us, &view, exchange,
+                            zone, out);
 }
 
 bool
--- a/packages/daemon/src/front.h
+++ b/packages/daemon/src/front.h
@@ -8,6 +8,7 @@
 /// HTTP call. The call is answered when the outcome of the order is known.
 
 #include "adapter.h"
+#include "savoryledge/coordination/call_route.h"
 #include "savoryledge/coordination/relay_agent.h"
 
 struct SlShell;
@@ -16,6 +17,7 @@
 /// their outcome.
 struct SlFrontCounters {
     uint64_t reads_answered;
+    uint64_t reads_redirected;
     /// The process holds no copy of the log.
     uint64_t reads_refused_no_log;
     /// The control instance is not current.
@@ -70,12 +72,13 @@
 SlFront_HasControl(const struct SlFront *front);
 /// Finds the configuration document in force, which the control instance owns,
 /// for an operator's read. Counts the read, and logs it at a limited rate if
-/// there is none. Errors: SL_NOT_FOUND if there is no document; SL_STALE if
-/// the process has no control instance, or one that cannot confirm that its
-/// document is the newest.
+/// there is none. Errors: SL_NOT_FOUND if there is no document; SL_NOT_LEADER
+/// if another process can answer, whose address for operators is then copied
+/// to other; SL_STALE if the process has no control instance, or one that
+/// cannot confirm that its document is the newest, and knows no other.
 enum SlStatus
-SlFront_FindDocument(struct SlFront *front,
-                     const struct SlDocument **document);
+SlFront_FindDocument(struct SlFront *front, const struct SlDocument **document,
+                     struct SlAddress *other);
 /// Counts and logs that the document found for a read cannot be decoded.
 void
 SlFront_ReportUnreadableDocument(struct SlFront *front);
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -439,6 +439,7 @@
 
     SlFront_Counters(front, &counters);
     append_count(out, "reads_answered", counters.reads_answered);
+    append_count(out, "reads_redirected", counters.reads_redirected);
     append_count(out, "reads_refused_no_log", counters.reads_refused_no_log);
     append_count(out, "reads_refused_no_lease",
                  counters.reads_refused_no_lease);
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -470,6 +470,43 @@
     destroy_control_fixture(fixture);
 }
 
+/// A follower whose lease is over still names the leader that it hears, and no
+/// instance names a leader that has long been silent, or itself.
+static void
+test_leader_is_named_without_lease(void)
+{
+    struct control_fixture *fixture = create_control_fixture(3, 12);
+    struct control_simulation *simulation = &fixture->simulation;
+    uint32_t leader = find_leader(fixture);
+    const struct SlControl *follower =
+        simulation->nodes[(leader + 1) % 3].control;
+    struct SlControlMember named;
+    uint32_t steps_without_lease = 0;
+
+    for (uint32_t i = 0; i < 300; i++) {
+        fixture_step(fixture);
+        steps_without_lease +=
+            !SlControl_IsFresh(follower, simulation->now_us);
+        CU_ASSERT_FATAL(
+            SlControl_FindLeader(follower, simulation->now_us, &named));
+        CU_ASSERT_EQUAL(named.node_id, simulation->nodes[leader].node_id);
+    }
+    CU_ASSERT(steps_without_lease > 0);
+    CU_ASSERT_FALSE(SlControl_FindLeader(simulation->nodes[leader].control,
+                                         simulation->now_us, &named));
+    CU_ASSERT(SlControl_IsMember(follower));
+    CU_ASSERT(SlControl_FindLinkedInstance(follower, 0, &named));
+    CU_ASSERT_NOT_EQUAL(named.node_id,
+                        simulation->nodes[(leader + 1) % 3].node_id);
+    simulation_crash_node(simulation, leader);
+    simulation_crash_node(simulation, (leader + 2) % 3);
+    fixture_run(fixture, 3 * SIMULATION_ELECTION_US / SIMULATION_STEP_US);
+    CU_ASSERT_FALSE(
+        SlControl_FindLeader(follower, simulation->now_us, &named));
+    CU_ASSERT_FALSE(SlControl_FindLinkedInstance(follower, 0, &named));
+    destroy_control_fixture(fixture);
+}
+
 /// With a full disk at the leader a change is refused and stored at no
 /// instance, while queries still work. Once there is space, the same request
 /// is accepted.
@@ -520,6 +557,8 @@
         {"an isolated leader serves nothing",
          test_isolated_leader_serves_nothing},
         {"the lease of each instance is told", test_lease_is_told},
+        {"a leader is named without a lease",
+         test_leader_is_named_without_lease},
         {"a full disk at the leader refuses changes",
          test_full_disk_at_leader},
     };
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -526,6 +526,33 @@
     SlReplica_Destroy(replica);
 }
 
+/* Operators are sent to the instance in use only while it confirms that the
+   configuration is current. */
+static void
+test_current_control_is_named(void)
+{
+    struct fake_sink sink = {.sink = {.type = &FAKE_SINK}};
+    struct SlReplica *replica = create_replica();
+    uint64_t first = connect_first_control(replica, &sink);
+    uint64_t named = 0;
+    struct SlAddress link;
+
+    CU_ASSERT_FALSE(
+        SlReplica_FindCurrentControl(replica, 25 * MS, &named, &link));
+    send_config(replica, &sink, 30 * MS, LINK_1, 0, 5);
+    CU_ASSERT(SlReplica_FindCurrentControl(replica, 40 * MS, &named, &link));
+    CU_ASSERT_EQUAL(named, first);
+    CU_ASSERT_FALSE(
+        SlReplica_FindCurrentControl(replica, 1600 * MS, &named, &link));
+    handle_input(replica, &sink,
+                 (struct SlInput){.kind = SL_INPUT_LINK_DOWN,
+                                  .now_us = 50 * MS,
+                                  .link = LINK_1});
+    CU_ASSERT_FALSE(
+        SlReplica_FindCurrentControl(replica, 60 * MS, &named, &link));
+    SlReplica_Destroy(replica);
+}
+
 /* Each control instance that is left is counted by its reason and logged. */
 static void
 test_reason_of_leaving_is_told(void)
@@ -583,6 +610,8 @@
          test_newer_version_is_fetched_from_peer},
         {"an incomplete configuration is discarded",
          test_incomplete_config_is_discarded},
+        {"the current control instance is named",
+         test_current_control_is_named},
         {"the reason of leaving a control instance is told",
          test_reason_of_leaving_is_told},
         {"a peer is answered and a stop is announced",
