Keep a line of the log one line

A text from outside that is logged, such as the name of a route in a configuration that is refused, could contain a line feed and with it write whole lines of its own into the log, such as "<6>SL1602 stopped".

Cause: the texts of an event were copied as they are.

Evidence: events_test, code of before: `CU_ASSERT_PTR_NOT_NULL(strstr(text, " node=a?" ...))` fails.

Change: the control characters of an event's texts are replaced by "?".

Measured: events_test, recording_test and settings_test pass.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -1,5 +1,6 @@
 #include "savoryledge/common/event.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -298,11 +299,21 @@
     }
 }
 
+/// Appends a text, which may be from outside: its control characters are
+/// replaced, so that a line of the log stays one line.
 static void
 append_text_field(struct log_line *line, const char *key, const char *value)
 {
-    if (value != NULL && *value != '\0') {
-        append_formatted(line, " %s=%s", key, value);
+    size_t start = line->used_bytes;
+
+    if (value == NULL || *value == '\0') {
+        return;
+    }
+    append_formatted(line, " %s=%s", key, value);
+    for (size_t i = start; i < line->used_bytes; i++) {
+        if (iscntrl((unsigned char)line->text[i])) {
+            line->text[i] = '?';
+        }
     }
 }
 
--- a/test/events_test.c
+++ b/test/events_test.c
@@ -77,6 +77,22 @@
                            "limit_flows=9223372036854775807 version=0.0");
 }
 
+/* A text from outside, such as a name in a configuration, cannot end a log
+   line and begin one of its own. */
+static void
+test_control_characters_are_replaced(void)
+{
+    char text[SL_EVENT_TEXT_BYTES];
+    struct SlEvent event = {.number = SL_EVENT_CALL_REFUSED,
+                            .node = "a\r\n<6>SL1602 stopped",
+                            .reason = "\x1b[2J\x7f\xc3\xa4\t"};
+
+    SlEvent_Format(&event, text);
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(text, " node=a?"
+                     "?<6>SL1602 stopped reason=?[2J?\xc3\xa4? "));
+}
+
 int
 main(void)
 {
@@ -87,6 +103,8 @@
          test_page_matches_catalogue},
         {"long fields of an event are truncated",
          test_long_fields_are_truncated},
+        {"control characters are replaced",
+         test_control_characters_are_replaced},
     };
 
     return RUN_SUITE("events", CASES);
