Leave sources of the configuration that cannot be current within the bound

An entry followed an old version more than 5 s after others had the newer one. Two faults let a process sit on a source that can never be current.

A seed without a disk is no control instance, but a replica took it for one: it waited 1 to 1.5 s for the first to say that its configuration is current, then 2, 4 and 8 s for the next, and again at each pass through its list. The role that the peer announces now tells: a process without a configuration takes a copy from it with the short wait of an empty instance, any other goes on at once; pauses grow when it meets nothing else. A process that finds itself among its seeds does not dial itself.

An instance that answers, but says that it is not current, raised the time for the next one too, up to 8.5 s, though the doubling is meant for slow networks. It now has 0.4 to 0.8 s on a new link, after four such in a row 0.8 to 1.2 s, with the random part as before, and raises nothing. A prompt confirmation makes a raised time short again at once; it held before until the next dial.

The list of control instances and the attempts to connect move to files of their own.

--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -43,6 +43,8 @@
     uint64_t controls_not_current;
     /// Neither the instance nor this process had a configuration.
     uint64_t controls_empty;
+    /// The process in the settings has no control instance.
+    uint64_t controls_no_log;
 };
 
 /// Creates a replica. Returns NULL when out of memory.
--- /dev/null
+++ b/packages/coordination/src/control_list.c
@@ -0,0 +1,45 @@
+#include "control_list.h"
+
+static bool
+is_unlisted_control(const struct SlReplicaOptions *options,
+                    const struct SlObject *node)
+{
+    if (!(node->node.roles & SL_ROLE_CONTROL) || node->node.leaving ||
+        node->node.unreachable) {
+        return false;
+    }
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->control_ids[i] == node->node.node_id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SlControlList_Find(const struct SlReplicaOptions *options,
+                   const struct SlConfig *config, uint32_t index,
+                   uint64_t *node_id, struct SlAddress *link)
+{
+    uint32_t nodes = options->discover_controls
+                         ? SlConfig_ObjectCount(config, SL_KIND_NODE)
+                         : 0;
+
+    if (index < options->control_count) {
+        *node_id = options->control_ids[index];
+        *link = options->control[index];
+        return true;
+    }
+    index -= options->control_count;
+    for (uint32_t i = 0; i < nodes; i++) {
+        const struct SlObject *node =
+            SlConfig_ObjectAt(config, SL_KIND_NODE, i);
+
+        if (is_unlisted_control(options, node) && index-- == 0) {
+            *node_id = node->node.node_id;
+            *link = node->node.link;
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "config_parts.h"
+#include "control_list.h"
+#include "dial_attempts.h"
 
 enum {
     DEFAULT_LEASE_US = 1500 * 1000,
@@ -29,11 +31,20 @@
     /// elected.
     EMPTY_CONTROL_TIMEOUT_US = 30 * 1000,
     EMPTY_DOUBLINGS_MAX = 5,
+    /// Time on the link of a control instance that reports that it is not
+    /// current, before the next one is dialled; up to twice as long with the
+    /// random addition. It doubles once, after OUTDATED_STREAK_MAX consecutive
+    /// such instances, because then the site may have no leader. Three such
+    /// instances in a row cost less than the 4 s within which a process has to
+    /// follow changes after a disturbance.
+    OUTDATED_TIMEOUT_US = 400 * 1000,
+    OUTDATED_JITTER_US = 400 * 1000,
+    OUTDATED_STREAK_MAX = 4,
+    /// A confirmation that is not older than this came over a fast network.
+    PROMPT_CONFIRMATION_US = 500 * 1000,
     /// Maximum random addition to the answer timeout, so that processes do not
     /// reconnect simultaneously.
     ANSWER_TIMEOUT_JITTER_US = 500 * 1000,
-    /// Maximum number of control instances dialled at the same time.
-    ATTEMPTS_MAX = 4,
     /// Time for control to deliver a version that a peer already holds, before
     /// it is fetched from the peer.
     PULL_DELAY_US = 200 * 1000,
@@ -49,6 +60,8 @@
     uint64_t since_us;
     /// Name of the process; empty before its link came up.
     char name[SL_NAME_BYTES];
+    /// The process announced on the link that it has no control instance.
+    bool lacks_log;
     struct SlConfigAssembly assembly;
 };
 
@@ -57,14 +70,13 @@
     struct SlConfig *config;
     uint64_t generation;
     /// The control instance in use, and its index in the list that
-    /// find_listed_control goes through.
+    /// SlControlList_Find goes through.
     struct config_source control;
     uint32_t control_index;
     /// The control instances being dialled; the last one is control.node_id
     /// while that is not linked. Without a configuration the earlier attempts
     /// continue, and the first link that is established is used.
-    uint32_t attempt_count;
-    uint64_t attempts[ATTEMPTS_MAX];
+    struct SlDialAttempts attempts;
     /// A control instance that was linked while another one was in use, for
     /// the case that the one in use has no configuration; node_id is 0 when
     /// there is none.
@@ -75,13 +87,17 @@
     /// confirmed that the configuration is current, that it is not current.
     bool is_control_outdated;
     /// Number of consecutive control instances that were left because they had
-    /// no configuration.
+    /// no configuration, or were none.
     uint32_t empty_control_streak;
+    /// Number of consecutive control instances that were left because they
+    /// were not current.
+    uint32_t outdated_control_streak;
     /// Number of consecutive control instances that were not connected in
     /// time.
     uint32_t unreached_control_streak;
     uint64_t answer_timeout_us;
     uint32_t answer_timeout_doublings;
+    uint64_t answer_jitter_us;
     /// A peer that holds a newer version than this replica; node_id is 0 when
     /// no such peer is known.
     struct config_source peer;
@@ -109,6 +125,24 @@
     return *state >> 33;
 }
 
+/// Removes this process from the control instances to dial, among which the
+/// settings may name it although it has no control instance.
+static void
+remove_own_address(struct SlReplicaOptions *options)
+{
+    uint64_t own_id = SlNode_Id(options->core.name);
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->discover_controls && options->control_ids[i] == own_id) {
+            continue;
+        }
+        options->control_ids[count] = options->control_ids[i];
+        options->control[count++] = options->control[i];
+    }
+    options->control_count = count;
+}
+
 struct SlReplica *
 SlReplica_Create(const struct SlReplicaOptions *options, uint64_t now_us)
 {
@@ -118,6 +152,7 @@
         return NULL;
     }
     replica->options = *options;
+    remove_own_address(&replica->options);
     if (replica->options.lease_us == 0) {
         replica->options.lease_us = DEFAULT_LEASE_US;
     }
@@ -126,9 +161,9 @@
         SlReplica_Destroy(replica);
         return NULL;
     }
-    if (options->control_count != 0) {
-        replica->control_index =
-            (uint32_t)(SlNode_Id(options->core.name) % options->control_count);
+    if (replica->options.control_count != 0) {
+        replica->control_index = (uint32_t)(SlNode_Id(options->core.name) %
+                                            replica->options.control_count);
     }
     replica->last_fresh_us = now_us;
     return replica;
@@ -259,9 +294,16 @@
     sink->type->send_message(sink, replica->control.link, &message);
 }
 
+static uint64_t
+base_answer_timeout_us(const struct SlReplica *replica)
+{
+    return CONTROL_ANSWER_TIMEOUT_US + replica->answer_jitter_us;
+}
+
 /// Sets the answer timeout for the next control instance. The timeout grows
 /// when the previous instance was connected but did not answer, and is reset
-/// when the previous instance confirmed that the configuration is current.
+/// when the previous instance confirmed that the configuration is current. An
+/// answer that does not confirm it is no sign of a slow network.
 static void
 set_answer_timeout(struct SlReplica *replica)
 {
@@ -271,63 +313,16 @@
         replica->answer_timeout_doublings = 0;
     }
     else if (last->link != 0 && !replica->is_control_empty &&
+             !replica->is_control_outdated && !last->lacks_log &&
              replica->answer_timeout_doublings <
                  ANSWER_TIMEOUT_DOUBLINGS_MAX) {
         replica->answer_timeout_doublings++;
     }
-    replica->answer_timeout_us =
-        ((uint64_t)CONTROL_ANSWER_TIMEOUT_US
-         << replica->answer_timeout_doublings) +
+    replica->answer_jitter_us =
         next_random(&replica->options.core.seed) % ANSWER_TIMEOUT_JITTER_US;
-}
-
-static bool
-is_unlisted_control(const struct SlReplica *replica,
-                    const struct SlObject *node)
-{
-    const struct SlReplicaOptions *options = &replica->options;
-
-    if (!(node->node.roles & SL_ROLE_CONTROL) || node->node.leaving ||
-        node->node.unreachable) {
-        return false;
-    }
-    for (uint32_t i = 0; i < options->control_count; i++) {
-        if (options->control_ids[i] == node->node.node_id) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/// Finds the control instance at an index of the list: first the instances in
-/// the settings, then the others in the configuration. Returns false past the
-/// end.
-static bool
-find_listed_control(const struct SlReplica *replica, uint32_t index,
-                    uint64_t *node_id, struct SlAddress *link)
-{
-    const struct SlReplicaOptions *options = &replica->options;
-    uint32_t nodes = options->discover_controls
-                         ? SlConfig_ObjectCount(replica->config, SL_KIND_NODE)
-                         : 0;
-
-    if (index < options->control_count) {
-        *node_id = options->control_ids[index];
-        *link = options->control[index];
-        return true;
-    }
-    index -= options->control_count;
-    for (uint32_t i = 0; i < nodes; i++) {
-        const struct SlObject *node =
-            SlConfig_ObjectAt(replica->config, SL_KIND_NODE, i);
-
-        if (is_unlisted_control(replica, node) && index-- == 0) {
-            *node_id = node->node.node_id;
-            *link = node->node.link;
-            return true;
-        }
-    }
-    return false;
+    replica->answer_timeout_us = ((uint64_t)CONTROL_ANSWER_TIMEOUT_US
+                                  << replica->answer_timeout_doublings) +
+                                 replica->answer_jitter_us;
 }
 
 /// True while any control instance with a configuration will do.
@@ -338,45 +333,6 @@
            SlConfig_Version(replica->config).index == 0;
 }
 
-static void
-end_attempt(struct SlReplica *replica, struct SlSink *sink, uint32_t index)
-{
-    sink->type->drop_node(sink, replica->attempts[index]);
-    replica->attempt_count--;
-    memmove(&replica->attempts[index], &replica->attempts[index + 1],
-            (replica->attempt_count - index) * sizeof(replica->attempts[0]));
-}
-
-/// Ends the attempts to connect to all instances but one, which may be 0.
-static void
-end_other_attempts(struct SlReplica *replica, struct SlSink *sink,
-                   uint64_t node_id)
-{
-    for (uint32_t i = replica->attempt_count; i > 0; i--) {
-        if (replica->attempts[i - 1] != node_id) {
-            end_attempt(replica, sink, i - 1);
-        }
-    }
-}
-
-/// Dials a control instance. An earlier attempt to the same instance starts
-/// anew, since its opening packet may be lost.
-static void
-begin_attempt(struct SlReplica *replica, struct SlSink *sink, uint64_t node_id,
-              const struct SlAddress *link)
-{
-    for (uint32_t i = replica->attempt_count; i > 0; i--) {
-        if (replica->attempts[i - 1] == node_id) {
-            end_attempt(replica, sink, i - 1);
-        }
-    }
-    if (replica->attempt_count == ATTEMPTS_MAX) {
-        end_attempt(replica, sink, 0);
-    }
-    replica->attempts[replica->attempt_count++] = node_id;
-    sink->type->dial_node(sink, node_id, link);
-}
-
 /// Counts and logs that the control instance in use is left, with the time
 /// for which it was not reached or did not confirm that the configuration is
 /// current. limit_us: the longest such time.
@@ -400,6 +356,10 @@
         replica->counters.controls_link_lost++;
         return;
     }
+    else if (control->lacks_log) {
+        reason = "no_log";
+        counter = &replica->counters.controls_no_log;
+    }
     else if (replica->is_control_empty) {
         reason = "empty";
         counter = &replica->counters.controls_empty;
@@ -432,15 +392,16 @@
 
     if (replica->control.node_id != 0) {
         if (replica->control.link != 0 || !needs_any_control(replica)) {
-            end_other_attempts(replica, sink, 0);
+            SlDialAttempts_EndOthers(&replica->attempts, sink, 0);
         }
         replica->control_index++;
         replica->unreached_control_streak += replica->control.link == 0;
     }
-    if (!find_listed_control(replica, replica->control_index, &node_id,
-                             &link)) {
+    if (!SlControlList_Find(&replica->options, replica->config,
+                            replica->control_index, &node_id, &link)) {
         replica->control_index = 0;
-        if (!find_listed_control(replica, 0, &node_id, &link)) {
+        if (!SlControlList_Find(&replica->options, replica->config, 0,
+                                &node_id, &link)) {
             return;
         }
     }
@@ -450,7 +411,7 @@
         (struct config_source){.node_id = node_id, .since_us = now_us};
     replica->is_control_empty = false;
     replica->is_control_outdated = false;
-    begin_attempt(replica, sink, node_id, &link);
+    SlDialAttempts_Begin(&replica->attempts, sink, node_id, &link);
 }
 
 static uint64_t
@@ -463,14 +424,55 @@
     return (uint64_t)EMPTY_CONTROL_TIMEOUT_US << doublings;
 }
 
-/// True when neither this process nor the control instance in use has a
-/// configuration, and the time to wait for one on this link has passed.
+/// Time on the link of a process without a log: for one that it may send, and
+/// without a pause through the list once there is a configuration.
+static uint64_t
+no_log_timeout_us(const struct SlReplica *replica)
+{
+    return SlConfig_Version(replica->config).index != 0 &&
+                   replica->empty_control_streak <
+                       replica->options.control_count
+               ? 0
+               : empty_timeout_us(replica);
+}
+
+/// True when the control instance in use is none, or has no configuration like
+/// this process itself, and the time to wait for one on this link has passed.
+/// limit_us: set to that time.
 static bool
-should_leave_empty_control(const struct SlReplica *replica, uint64_t now_us)
+should_leave_empty_control(const struct SlReplica *replica, uint64_t now_us,
+                           uint64_t *limit_us)
 {
+    const struct config_source *control = &replica->control;
+
+    if (control->link != 0 && control->lacks_log) {
+        *limit_us = no_log_timeout_us(replica);
+        return now_us - control->since_us >= *limit_us;
+    }
+    *limit_us = empty_timeout_us(replica);
     return replica->is_control_empty && replica->options.discover_controls &&
            SlConfig_Version(replica->config).index == 0 &&
-           now_us - replica->control.since_us >= empty_timeout_us(replica);
+           now_us - control->since_us >= *limit_us;
+}
+
+/// True when the control instance in use reported on this link that it is not
+/// current, never that it is, and has had its time. limit_us: set to that
+/// time.
+static bool
+should_leave_outdated_control(const struct SlReplica *replica, uint64_t now_us,
+                              uint64_t *limit_us)
+{
+    const struct config_source *control = &replica->control;
+    uint32_t doublings =
+        replica->outdated_control_streak >= OUTDATED_STREAK_MAX;
+
+    *limit_us = ((uint64_t)OUTDATED_TIMEOUT_US << doublings) +
+                replica->answer_jitter_us * OUTDATED_JITTER_US /
+                    ANSWER_TIMEOUT_JITTER_US;
+    return control->link != 0 && replica->is_control_outdated &&
+           !replica->is_control_empty &&
+           replica->last_fresh_us < control->since_us &&
+           now_us - control->since_us >= *limit_us;
 }
 
 static uint64_t
@@ -564,15 +566,17 @@
 /// Begins to use the control instance, whose link is up.
 static void
 begin_control_link(struct SlReplica *replica, struct SlSink *sink,
-                   uint64_t now_us, uint64_t link, const char *name)
+                   uint64_t now_us, const struct config_source *linked)
 {
-    replica->control.link = link;
-    memcpy(replica->control.name, name, SL_NAME_BYTES);
+    replica->control.link = linked->link;
+    replica->control.lacks_log = linked->lacks_log;
+    memcpy(replica->control.name, linked->name, SL_NAME_BYTES);
     replica->control.since_us = now_us;
     replica->unreached_control_streak = 0;
-    end_other_attempts(replica, sink, replica->control.node_id);
+    SlDialAttempts_EndOthers(&replica->attempts, sink,
+                             replica->control.node_id);
     send_announce(replica, sink, now_us);
-    send_subscribe(replica, sink, link);
+    send_subscribe(replica, sink, linked->link);
     send_heartbeat(replica, sink, now_us);
 }
 
@@ -597,7 +601,7 @@
                                 .now_us = now_us,
                                 .reason = "no_configuration",
                                 .value = (int64_t)waited_us});
-    begin_control_link(replica, sink, now_us, source->link, source->name);
+    begin_control_link(replica, sink, now_us, source);
 }
 
 static void
@@ -621,11 +625,16 @@
     uint64_t limit_us;
 
     update_cut_off(replica, sink, now_us);
-    if (should_leave_empty_control(replica, now_us)) {
-        report_control_left(replica, sink, now_us, empty_timeout_us(replica));
+    if (should_leave_empty_control(replica, now_us, &limit_us)) {
+        report_control_left(replica, sink, now_us, limit_us);
         replica->empty_control_streak++;
         leave_empty_control(replica, sink, now_us);
     }
+    else if (should_leave_outdated_control(replica, now_us, &limit_us)) {
+        report_control_left(replica, sink, now_us, limit_us);
+        replica->outdated_control_streak++;
+        dial_next_control(replica, sink, now_us);
+    }
     else if (has_control_timed_out(replica, now_us, &limit_us)) {
         if (replica->control.node_id != 0) {
             report_control_left(replica, sink, now_us, limit_us);
@@ -647,19 +656,21 @@
 handle_link_up(struct SlReplica *replica, struct SlSink *sink,
                const struct SlInput *input)
 {
-    struct config_source linked = {.node_id = input->peer->node_id,
-                                   .link = input->link};
+    struct config_source linked = {
+        .node_id = input->peer->node_id,
+        .link = input->link,
+        .lacks_log = (input->peer->roles & SL_ROLE_CONTROL) == 0};
 
     memcpy(linked.name, input->peer->name, SL_NAME_BYTES);
     if (linked.node_id == replica->control.node_id &&
         replica->control.link == 0) {
-        begin_control_link(replica, sink, input->now_us, input->link,
-                           linked.name);
+        begin_control_link(replica, sink, input->now_us, &linked);
     }
     else if (needs_any_control(replica) &&
              linked.node_id != replica->control.node_id &&
              (input->peer->roles & SL_ROLE_CONTROL)) {
-        if (replica->control.link == 0 || replica->is_control_empty) {
+        if (replica->control.link == 0 || replica->is_control_empty ||
+            replica->control.lacks_log) {
             use_linked_control(replica, sink, input->now_us, &linked);
         }
         else {
@@ -752,8 +763,19 @@
 {
     uint64_t fresh_us = replica->options.discover_controls ? echo_us : now_us;
 
-    if (fresh_us > replica->last_fresh_us && fresh_us <= now_us) {
-        replica->last_fresh_us = fresh_us;
+    if (fresh_us <= replica->last_fresh_us || fresh_us > now_us) {
+        return;
+    }
+    replica->last_fresh_us = fresh_us;
+    if (fresh_us < replica->control.since_us) {
+        return;
+    }
+    replica->empty_control_streak = 0;
+    replica->outdated_control_streak = 0;
+    if (replica->options.discover_controls &&
+        now_us - fresh_us <= PROMPT_CONFIRMATION_US) {
+        replica->answer_timeout_doublings = 0;
+        replica->answer_timeout_us = base_answer_timeout_us(replica);
     }
 }
 
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -430,6 +430,7 @@
     append_count(out, "replica_controls_not_current",
                  counters.controls_not_current);
     append_count(out, "replica_controls_empty", counters.controls_empty);
+    append_count(out, "replica_controls_no_log", counters.controls_no_log);
 }
 
 static void
