Read the flow records after a bundle that another writer encoded

A whole bundle with a valid checksum whose payload could not be read, for example one of a later version with more records, ended the reading of the file: all records after it were lost, and the flows that they kept.

Cause: such a bundle was taken for the torn end of the file.

Change: only a bundle that is incomplete or has a wrong checksum ends the reading; a malformed one is left out.

Measured: the 310 records after each of the 9 bundles are read. The test of torn and damaged journals is unchanged and passes.

--- a/packages/state/include/savoryledge/state/flow_journal.h
+++ b/packages/state/include/savoryledge/state/flow_journal.h
@@ -80,7 +80,8 @@
 SlFlowJournal_Encode(const struct SlFlowJournal *journal,
                      size_t *length_bytes);
 /// Applies all encoded bundles up to the first one that is incomplete or
-/// damaged. Returns the length in bytes of those that were applied.
+/// damaged, and returns their length in bytes. A whole bundle that another
+/// writer encoded differently is left out.
 size_t
 SlFlowJournal_Decode(struct SlFlowJournal *journal, const uint8_t *bytes,
                      size_t length_bytes);
--- a/packages/state/src/flow_journal.c
+++ b/packages/state/src/flow_journal.c
@@ -371,8 +371,8 @@
     return in == end ? count : UINT32_MAX;
 }
 
-/// Decodes and applies one bundle. Returns its length; 0 when it is incomplete
-/// or damaged.
+/// Decodes and applies one bundle; a whole one whose payload is malformed is
+/// left out. Returns its length; 0 when it is incomplete or damaged.
 static size_t
 decode_bundle(struct SlFlowJournal *journal, const uint8_t *bytes,
               size_t length_bytes)
@@ -400,10 +400,9 @@
     bundle.started_ms = read_number(&in, 8);
     bundle.count = (uint32_t)read_number(&in, 4);
     bundle.count = read_records(in, end, bundle.count, records);
-    if (bundle.count == UINT32_MAX) {
-        return 0;
+    if (bundle.count != UINT32_MAX) {
+        (void)SlFlowJournal_Apply(journal, &bundle);
     }
-    (void)SlFlowJournal_Apply(journal, &bundle);
     return BUNDLE_HEADER_BYTES + payload_bytes;
 }
 
--- a/test/flow_journal_test.c
+++ b/test/flow_journal_test.c
@@ -1,8 +1,10 @@
 /* The journal of kept flows in memory: runs of upstreams, limits, and encoded
    journals that are cut short or damaged. */
 
+#include <endian.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "flow_records.h"
 
@@ -180,6 +182,66 @@
     free(bytes);
 }
 
+/// Writes a bundle with a valid checksum whose payload is the start of a
+/// bundle of count records, then payload_bytes - 20 bytes of fill. Returns its
+/// length.
+static size_t
+write_odd_bundle(uint8_t *out, uint32_t count, uint32_t payload_bytes,
+                 uint8_t fill)
+{
+    uint8_t *payload = out + 16;
+    uint64_t checksum;
+
+    memset(payload, fill, payload_bytes);
+    memset(payload, 0, 20);
+    payload[0] = 5;
+    payload[8] = 200;
+    for (uint32_t i = 0; i < 4; i++) {
+        payload[16 + i] = (uint8_t)(count >> (8 * i));
+        out[4 + i] = (uint8_t)(payload_bytes >> (8 * i));
+    }
+    memcpy(out, "\x11\x0a\xf1\x5a", 4);
+    checksum = htole64(XXH3_64bits(payload, payload_bytes));
+    memcpy(out + 8, &checksum, sizeof(checksum));
+    return 16 + payload_bytes;
+}
+
+/// A bundle of another writer that cannot be read is left out; those after it
+/// are read.
+static void
+test_odd_bundles(void)
+{
+    static const struct {
+        uint32_t count;
+        uint32_t payload_bytes;
+        uint8_t fill;
+    } ODD_BUNDLES[] = {
+        {257, 20 + 257 * 18, 0}, {UINT32_MAX, 20, 0}, {1, 20, 0},
+        {1, 20 + 17, 0},         {1, 20 + 19, 0},     {1, 20 + 18, 2},
+        {1, 20 + 18, 0xff},      {0, 21, 0},          {2, 20 + 18, 0},
+    };
+    size_t sample_bytes;
+    uint8_t *sample = encode_sample(&sample_bytes);
+    uint8_t *bytes = malloc(sample_bytes + SL_FLOW_BUNDLE_BYTES);
+
+    for (size_t i = 0; i < sizeof(ODD_BUNDLES) / sizeof(ODD_BUNDLES[0]); i++) {
+        struct SlFlowJournal *journal = SlFlowJournal_Create(2000, 1000);
+        size_t length = write_odd_bundle(bytes, ODD_BUNDLES[i].count,
+                                         ODD_BUNDLES[i].payload_bytes,
+                                         ODD_BUNDLES[i].fill);
+
+        memcpy(bytes + length, sample, sample_bytes);
+        CU_ASSERT_EQUAL(
+            SlFlowJournal_Decode(journal, bytes, length + sample_bytes),
+            length + sample_bytes);
+        CU_ASSERT_EQUAL(count_of(journal, 5), 300);
+        CU_ASSERT_EQUAL(count_of(journal, 6), 10);
+        SlFlowJournal_Destroy(journal);
+    }
+    free(bytes);
+    free(sample);
+}
+
 int
 main(void)
 {
@@ -189,6 +251,7 @@
         {"limits", test_limits},
         {"an encoded journal", test_encoding},
         {"an encoded journal that is torn or damaged", test_torn_and_damaged},
+        {"bundles of another writer", test_odd_bundles},
     };
 
     return RUN_SUITE("flow journal", CASES);
