Propose the first record of a term again when it could not be synced

Callers saw: after a disk was full for seconds, every read and every change was refused as stale for as long as the leader kept its place, with all processes running.

Cause: a new leader appends one record of its own term; until that is committed it is not ready and nobody counts as current. If the disk was full at the sync that followed, the record was dropped and nothing proposed it again, while the leader's heartbeats kept others from leading.

Change: a leader whose log ends before the first record of its term proposes it again with each heartbeat.

--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -16,12 +16,24 @@
                                         reason, value, limit);
 }
 
+/// Appends the first record of the leader's term if the log does not have it:
+/// at the election, and again if it could not be synced. Without it nothing of
+/// earlier terms is known to be committed.
+static void
+propose_first_record(struct SlRaft *raft)
+{
+    struct SlChange noop = {.verb = SL_VERB_NOOP};
+    uint64_t index;
+
+    if (SlRaft_LastIndex(raft) < raft->term_start_index) {
+        SlRaft_ProposeChange(raft, &noop, 0, &index);
+    }
+}
+
 void
 SlRaft_BecomeLeader(struct SlRaft *raft, uint32_t votes)
 {
-    struct SlChange noop = {.verb = SL_VERB_NOOP};
     uint64_t next = SlRaft_LastIndex(raft) + 1;
-    uint64_t index;
 
     raft->state = SL_CONTROL_LEADER;
     raft->leader_id = raft->options.node_id;
@@ -43,7 +55,7 @@
     }
     emit_event(raft, SL_EVENT_ELECTED, NULL, "majority",
                (int64_t)raft->hard_state.term, votes);
-    SlRaft_ProposeChange(raft, &noop, 0, &index);
+    propose_first_record(raft);
 }
 
 enum SlStatus
@@ -305,6 +317,7 @@
         for (uint32_t i = 0; i < raft->members.count; i++) {
             raft->progress[i].append_due = true;
         }
+        propose_first_record(raft);
     }
     SlRaft_RepairMembers(raft);
 }
--- a/test/full_disk_test.c
+++ b/test/full_disk_test.c
@@ -16,6 +16,9 @@
     /// File calls of an instance that saves a term and replaces its log, and
     /// some more.
     CALLS_MAX = 12,
+    /// File calls that save a vote.
+    VOTE_CALLS = 4,
+    ELECTION_STEPS = 60,
     CLIENT = 3,
 };
 
@@ -223,12 +226,46 @@
     check_full_in_turn(5, 50, 5);
 }
 
+/// The disk of an instance is full from the moment when its vote for itself,
+/// or for another, is saved: a new leader cannot write the first record of its
+/// term, without which nothing counts as current.
+static void
+test_disk_full_after_election(void)
+{
+    uint32_t refused = 0;
+
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        struct full_disks disks;
+        uint32_t leader;
+        uint32_t other;
+
+        create_disks(&disks, 3, seed);
+        leader = find_leader(disks.fixture);
+        other = (leader + 1 + (uint32_t)seed % 2) % 3;
+        fill_disk(&disks, other, VOTE_CALLS + 1);
+        disks.fixture->simulation.nodes[leader].is_partitioned = true;
+        fixture_run(disks.fixture, ELECTION_STEPS);
+        disks.fixture->simulation.nodes[leader].is_partitioned = false;
+        fixture_run(disks.fixture, FULL_STEPS);
+        empty_disk(&disks, other);
+        refused += accept_change(&disks) == ACK_STEPS;
+        destroy_disks(&disks);
+    }
+    if (refused > 0) {
+        printf("full after an election: no change accepted in %u of 10 runs\n",
+               refused);
+    }
+    CU_ASSERT_EQUAL(refused, 0);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"instances whose disks are full in turn",
          test_instances_full_in_turn},
+        {"a disk that is full after an election",
+         test_disk_full_after_election},
     };
 
     return RUN_SUITE("full disk", CASES);
