Let a draining upstream refuse connections without being taken for gone

Cause: an agent that stops took a refused connection for the end of its upstream, also of one that had said that it drains and had just sent its status. It announced the end, nobody asked for the flows any more, and its successor believed the announcement until the next status.

Evidence: a refused connection shows the end of an upstream that has not said that it drains. One that drains, or has not reported its status to this process yet, has ended only when nothing, neither a status nor a segment, was heard from it for 1.5 s. The agent waits for that before it exits: for the next status of an upstream that runs, 1.5 s otherwise. Requests in progress are waited for as before.

Test: relay_stop_test, "a draining upstream no longer listens"; with the code of before: relay_stop_test.c:177 - CU_ASSERT_FALSE( SlRelayAgent_IsUpstreamGone(node->agent)), and lines 183, 184, for an agent that has the status and for one that has restarted. "An upstream has drained and ended" holds with both: the callers of one that is silent are reset.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -138,6 +138,10 @@
     {SL_EVENT_RELAY_TABLE, SL_LEVEL_INFO, "table", "since_us", "life_us",
      "An agent that has restarted again knows all flows of its upstream, or a "
      "longer idle timeout has made that uncertain."},
+    {SL_EVENT_UPSTREAM_REFUSES, SL_LEVEL_NOTICE, "upstream_refuses",
+     "silent_us", "limit_us",
+     "An upstream refused a connection while its agent stops; the reason says "
+     "whether it has ended, may be draining, or was heard since."},
     {SL_EVENT_RELAY_TRANSFER, SL_LEVEL_INFO, "transfer", "took_us",
      "transfers", "The body of an upload ended, stalled or went on."},
     {SL_EVENT_RELAY_WORK, SL_LEVEL_INFO, "work", "work_us",
--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -143,12 +143,13 @@
                                 const char *id);
 /// True when the upstream accepts connections while it runs, because its
 /// service has a health path. A refused connection then shows that the
-/// upstream has stopped.
+/// upstream has stopped or drains.
 bool
 SlRelayAgent_HasListeningUpstream(const struct SlRelayAgent *agent);
 /// Handles the observation that nothing listens at the upstream's address any
-/// more: the upstream stopped without announcing it. It counts as gone once
-/// it has answered the requests that it has, or after 3 s.
+/// more. The upstream counts as gone once it has answered the requests that it
+/// has, or after 3 s; one that drains, or has not reported its status yet,
+/// only if it is not heard for 1.5 s.
 void
 SlRelayAgent_HandleUpstreamStopped(struct SlRelayAgent *agent,
                                    struct SlRelaySink *sink, uint64_t now_us);
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -16,9 +16,6 @@
     /// the upstream that started while this process was running.
     FIRST_STATUS_SEQ_MAX = 1,
     DEFAULT_CAPACITY_FLOWS = 2000,
-    /// Upstreams report their status about every second; one that runs has
-    /// reported it by then.
-    ANNOUNCED_VALID_US = 1500 * 1000,
     /// Initial limit of queries per tick. The link of an agent is sized for
     /// the downloads that its upstream serves, so it can carry this many.
     INITIAL_QUERIES_PER_TICK = 256,
@@ -55,7 +52,7 @@
     agent->table.since_us = now_us;
     agent->query_budget.limit = INITIAL_QUERIES_PER_TICK;
     agent->admission.slots = 1;
-    agent->announced_until_us = now_us + ANNOUNCED_VALID_US;
+    agent->announced_until_us = now_us + SL_EVIDENCE_STATUS_US;
     agent->upstream_last_seen_us = now_us;
     agent->admission.capacity_flows = DEFAULT_CAPACITY_FLOWS;
     agent->admission.cold_limit = COLD_EXTRA_FLOWS;
@@ -380,13 +377,48 @@
     return false;
 }
 
-/// Takes an upstream that no longer listens for gone once it has answered all
-/// requests.
+static enum SlRefusal
+judge_refusal(const struct SlRelayAgent *agent, uint64_t now_us)
+{
+    struct SlRefusalEvidence refusal = {
+        .refused_us = agent->refuses_since_us,
+        .heard_us = agent->upstream_last_seen_us,
+        .may_drain = agent->last_status_us == 0 || agent->upstream.draining};
+
+    return SlRefusalEvidence_Judge(&refusal, now_us);
+}
+
+static void
+log_refusal(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+            uint64_t now_us, const char *reason)
+{
+    SlRelayAgent_LogEvent(
+        agent, sink, now_us,
+        (struct SlEvent){.number = SL_EVENT_UPSTREAM_REFUSES,
+                         .reason = reason,
+                         .value =
+                             (int64_t)(now_us - agent->upstream_last_seen_us),
+                         .limit = SL_EVIDENCE_STATUS_US});
+}
+
+/// Takes an upstream that no longer listens, and does not merely drain, for
+/// gone once it has answered all requests.
 static void
 check_refusing_upstream(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                         uint64_t now_us)
 {
-    if (agent->refuses_since_us == 0 ||
+    enum SlRefusal refusal;
+
+    if (agent->refuses_since_us == 0) {
+        return;
+    }
+    refusal = judge_refusal(agent, now_us);
+    if (refusal == SL_REFUSAL_RUNS) {
+        agent->refuses_since_us = 0;
+        log_refusal(agent, sink, now_us, "heard_since");
+        return;
+    }
+    if (refusal == SL_REFUSAL_UNKNOWN ||
         (now_us - agent->refuses_since_us < UNANSWERED_TIMEOUT_US &&
          has_unanswered_request(agent))) {
         return;
@@ -406,6 +438,10 @@
         return;
     }
     agent->refuses_since_us = now_us;
+    log_refusal(agent, sink, now_us,
+                judge_refusal(agent, now_us) == SL_REFUSAL_UNKNOWN
+                    ? "may_drain"
+                    : "ended");
     check_refusing_upstream(agent, sink, now_us);
 }
 
--- a/packages/coordination/src/relay_evidence.c
+++ b/packages/coordination/src/relay_evidence.c
@@ -53,3 +53,18 @@
            peer->unanswered_us != 0 &&
            now_us - peer->unanswered_us < SL_EVIDENCE_SILENCE_US;
 }
+
+enum SlRefusal
+SlRefusalEvidence_Judge(const struct SlRefusalEvidence *refusal,
+                        uint64_t now_us)
+{
+    if (!refusal->may_drain) {
+        return SL_REFUSAL_ENDED;
+    }
+    if (refusal->heard_us > refusal->refused_us) {
+        return SL_REFUSAL_RUNS;
+    }
+    return now_us - refusal->heard_us < SL_EVIDENCE_STATUS_US
+               ? SL_REFUSAL_UNKNOWN
+               : SL_REFUSAL_ENDED;
+}
--- a/packages/coordination/src/relay_evidence.h
+++ b/packages/coordination/src/relay_evidence.h
@@ -10,12 +10,16 @@
 /// present plan says of the route is no evidence. Machines stand still and go
 /// on while control calls them unreachable, for as long as it has no leader
 /// that hears them: an agent that was not asked has not said no. Machines that
-/// are gone for good must not make every answer uncertain.
+/// are gone for good must not make every answer uncertain. An upstream that
+/// drains may refuse connections long before its last flow ends.
 
 #include <stdbool.h>
 #include <stdint.h>
 
 enum {
+    /// Upstreams report their status about every second; one that runs has
+    /// reported it by then.
+    SL_EVIDENCE_STATUS_US = 1500 * 1000,
     /// How long it counts that an agent has left a query unanswered. One that
     /// was not in touch then may be in touch again.
     SL_EVIDENCE_SILENCE_US = 4 * 1000 * 1000,
@@ -79,4 +83,29 @@
 SlPeerEvidence_IsSilent(const struct SlPeerEvidence *peer,
                         const struct SlFlowLife *life, uint64_t now_us);
 
+/// An upstream that refuses connections while its agent stops.
+struct SlRefusalEvidence {
+    uint64_t refused_us;
+    /// When the last segment or status arrived from the upstream, or the agent
+    /// started.
+    uint64_t heard_us;
+    /// The upstream has said that it drains, or has not reported to the agent
+    /// yet. It may then refuse connections for as long as its flows last.
+    bool may_drain;
+};
+
+enum SlRefusal {
+    /// The upstream no longer runs.
+    SL_REFUSAL_ENDED = 0,
+    /// It may run; the next status will tell.
+    SL_REFUSAL_UNKNOWN,
+    /// It was heard since.
+    SL_REFUSAL_RUNS,
+};
+
+/// Returns what a refused connection means.
+enum SlRefusal
+SlRefusalEvidence_Judge(const struct SlRefusalEvidence *refusal,
+                        uint64_t now_us);
+
 #endif
--- a/test/relay_stop_test.c
+++ b/test/relay_stop_test.c
@@ -155,6 +155,81 @@
     relay_simulation_destroy(sim);
 }
 
+/// An upstream drains and refuses connections, but keeps an idle flow. Its
+/// agent, which has_status says whether the upstream has reported to, is
+/// stopped and started. The flow stays.
+static void
+check_draining_upstream(bool has_status, uint64_t seed)
+{
+    struct relay_simulation *sim = relay_simulation_create(2, 2, 2, seed);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+    struct relay_node *node = &sim->nodes[2 + holder];
+
+    sim->upstreams[holder].status.draining = true;
+    sim->upstreams[holder].status.seq = 30;
+    CU_ASSERT(relay_report_status(sim, holder));
+    if (!has_status) {
+        relay_restart_node(sim, 2 + holder);
+    }
+    relay_simulation_run(sim, 300);
+    stop_agent(sim, 2 + holder, false);
+    CU_ASSERT_FALSE(SlRelayAgent_IsUpstreamGone(node->agent));
+    node->isolated = false;
+    relay_restart_node(sim, 2 + holder);
+    relay_simulation_run(sim, 100);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
+/// One that drains, refuses connections and reports nothing for longer than
+/// the interval of its statuses has ended, whether its agent has heard from it
+/// or not. The callers of its flows are reset.
+static void
+check_drained_upstream(bool has_status, uint64_t seed)
+{
+    struct relay_simulation *sim = relay_simulation_create(2, 2, 2, seed);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+    struct relay_node *node = &sim->nodes[2 + holder];
+    uint64_t began_us;
+
+    sim->upstreams[holder].status.draining = true;
+    sim->upstreams[holder].status.seq = 30;
+    CU_ASSERT(relay_report_status(sim, holder));
+    if (!has_status) {
+        relay_restart_node(sim, 2 + holder);
+    }
+    sim->upstreams[holder].status_paused = true;
+    sim->upstreams[holder].held_count = 0;
+    began_us = sim->now_us;
+    relay_simulation_run(sim, 300);
+    stop_agent(sim, 2 + holder, false);
+    CU_ASSERT(SlRelayAgent_IsUpstreamGone(node->agent));
+    CU_ASSERT(sim->now_us - began_us <= 1600 * 1000);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 200);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 1);
+    relay_simulation_destroy(sim);
+}
+
+static void
+test_draining_upstream_refuses(void)
+{
+    check_draining_upstream(true, 45);
+    check_draining_upstream(false, 46);
+}
+
+static void
+test_drained_upstream_refuses(void)
+{
+    check_drained_upstream(true, 47);
+    check_drained_upstream(false, 48);
+}
+
 int
 main(void)
 {
@@ -165,6 +240,9 @@
          test_refusing_upstream_answers},
         {"an agent restarts after its upstream has gone",
          test_restart_after_gone},
+        {"a draining upstream no longer listens",
+         test_draining_upstream_refuses},
+        {"an upstream has drained and ended", test_drained_upstream_refuses},
     };
 
     return RUN_SUITE("relay stop", CASES);
