--- a/soak/callers.c
+++ b/soak/callers.c
@@ -105,11 +105,18 @@
     }
 }
 
-/// True if the last fault ended more than 8 s ago.
+/// True if the last fault ended more than 8 s ago, and no loss began.
 static bool
 is_after_faults(uint64_t now_us)
 {
-    return now_us > site->faults_end_us + 8ull * US_PER_S;
+    return now_us > site->faults_end_us + 8ull * US_PER_S &&
+           now_us < site->end_us;
+}
+
+static bool
+is_after_loss(uint64_t now_us)
+{
+    return site->recovered_us != 0 && now_us > site->recovered_us;
 }
 
 static void
@@ -122,6 +129,7 @@
     caller->next_resend_us = now_us + RESEND_US;
     site->asked++;
     site->asked_calm += is_after_faults(now_us);
+    site->asked_recovered += is_after_loss(now_us);
     send_packet(caller, now_us, PACKET_ACK, REQUEST_BYTES);
 }
 
@@ -189,6 +197,7 @@
     }
     site->answered++;
     site->answered_calm += is_after_faults(caller->start_us);
+    site->answered_recovered += is_after_loss(caller->start_us);
     caller->seq += REQUEST_BYTES;
     caller->state = OPEN;
     if (--caller->requests_left == 0) {
@@ -296,7 +305,7 @@
 
         switch (caller->state) {
         case IDLE:
-            if (now_us >= caller->next_us && now_us < soak->end_us) {
+            if (now_us >= caller->next_us && now_us < soak->callers_end_us) {
                 open_flow(caller, now_us);
             }
             break;
@@ -326,6 +335,9 @@
     }
     caller_count =
         agents * 4 < SOAK_CALLERS_MAX ? agents * 4 : SOAK_CALLERS_MAX;
+    if (soak->callers > 0 && soak->callers < caller_count) {
+        caller_count = soak->callers;
+    }
     for (uint32_t i = 0; i < SOURCE_SOCKETS; i++) {
         struct SlAddress address =
             soak_address(soak, 2, i + 1, SOAK_CALLERS_PORT);
--- a/soak/http_client.c
+++ b/soak/http_client.c
@@ -1,16 +1,24 @@
-/// Non-blocking HTTP client of the soak, with one connection per request.
+/// Non-blocking HTTP client of the soak, with one connection per request. It
+/// follows redirects to other control instances.
 
 #include <errno.h>
 #include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "savoryledge/protocol/message.h"
 #include "soak.h"
 
+enum {
+    REDIRECTS_MAX = 2,
+    HTTP_TEMPORARY_REDIRECT = 307,
+    LOCATION_BYTES = 128,
+};
+
 /// A request and the response received so far.
 struct exchange {
     struct SlWatch watch;
@@ -22,12 +30,37 @@
     size_t sent_bytes;
     struct SlBuffer body;
     uint64_t deadline_us;
+    uint32_t redirects;
+    bool is_location;
+    char location[LOCATION_BYTES];
     bool is_complete;
     bool is_finished;
 };
 
 static struct exchange *exchanges;
 
+static int
+on_header_name(struct http_parser *parser, const char *bytes, size_t length)
+{
+    struct exchange *exchange = parser->data;
+
+    exchange->is_location = length == strlen("Location") &&
+                            strncasecmp(bytes, "Location", length) == 0;
+    return 0;
+}
+
+static int
+on_header_value(struct http_parser *parser, const char *bytes, size_t length)
+{
+    struct exchange *exchange = parser->data;
+
+    if (exchange->is_location) {
+        snprintf(exchange->location, sizeof(exchange->location), "%.*s",
+                 (int)length, bytes);
+    }
+    return 0;
+}
+
 static int
 on_body(struct http_parser *parser, const char *bytes, size_t length)
 {
@@ -44,6 +77,8 @@
 }
 
 static const struct http_parser_settings SETTINGS = {
+    .on_header_field = on_header_name,
+    .on_header_value = on_header_value,
     .on_body = on_body,
     .on_message_complete = on_complete,
 };
@@ -64,6 +99,53 @@
                         exchange->body.length_bytes);
 }
 
+/// Connects to the address in order to send the request from its beginning.
+static void
+connect_exchange(struct exchange *exchange, const struct SlAddress *to)
+{
+    struct sockaddr_storage name;
+    socklen_t length = SlAddress_ToSockaddr(to, &name);
+
+    exchange->watch.descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    exchange->deadline_us =
+        SlClock_Monotonic() + exchange->call.answer_timeout_us;
+    exchange->sent_bytes = 0;
+    exchange->is_complete = false;
+    http_parser_init(&exchange->parser, HTTP_RESPONSE);
+    exchange->parser.data = exchange;
+    (void)connect(exchange->watch.descriptor, (struct sockaddr *)&name,
+                  length);
+    (void)SlLoop_Watch(exchange->loop, &exchange->watch,
+                       SL_LOOP_READ | SL_LOOP_WRITE);
+}
+
+/// Sends the request to the address of a redirect, which the process
+/// advertises (127.NET.1.n) and on which it listens as 127.NET.0.n. Returns
+/// false if the response is no redirect or if it is one too many.
+static bool
+follow_redirect(struct exchange *exchange)
+{
+    struct SlAddress to = exchange->call.to;
+    unsigned int ip[4];
+    unsigned int port;
+
+    if (exchange->parser.status_code != HTTP_TEMPORARY_REDIRECT ||
+        exchange->redirects == REDIRECTS_MAX ||
+        sscanf(exchange->location, "http://%u.%u.%u.%u:%u/", &ip[0], &ip[1],
+               &ip[2], &ip[3], &port) != 5) {
+        return false;
+    }
+    exchange->redirects++;
+    SlLoop_Unwatch(exchange->loop, &exchange->watch);
+    close(exchange->watch.descriptor);
+    to.ip[15] = (uint8_t)ip[3];
+    to.port = (uint16_t)port;
+    exchange->body.length_bytes = 0;
+    connect_exchange(exchange, &to);
+    return true;
+}
+
 static void
 send_request_bytes(struct exchange *exchange)
 {
@@ -103,7 +185,7 @@
                                           (size_t)count) != (size_t)count) {
         finish_exchange(exchange, 0);
     }
-    else if (exchange->is_complete) {
+    else if (exchange->is_complete && !follow_redirect(exchange)) {
         finish_exchange(exchange, exchange->parser.status_code);
     }
 }
@@ -112,23 +194,15 @@
 http_client_call(struct SlLoop *loop, const struct http_call *call)
 {
     struct exchange *exchange = calloc(1, sizeof(*exchange));
-    struct sockaddr_storage name;
-    socklen_t length = SlAddress_ToSockaddr(&call->to, &name);
     char head[512];
     int head_bytes = snprintf(
         head, sizeof(head),
         "%s %s HTTP/1.1\r\nHost: soak\r\nContent-Length: %zu\r\n\r\n",
         call->method, call->path, call->body ? strlen(call->body) : 0);
-    int descriptor =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
     exchange->loop = loop;
     exchange->call = *call;
-    exchange->deadline_us = SlClock_Monotonic() + call->answer_timeout_us;
-    exchange->watch.descriptor = descriptor;
     exchange->watch.on_ready = on_ready;
-    http_parser_init(&exchange->parser, HTTP_RESPONSE);
-    exchange->parser.data = exchange;
     (void)SlBuffer_Append(&exchange->request, head, (size_t)head_bytes);
     if (call->body != NULL) {
         (void)SlBuffer_Append(&exchange->request, call->body,
@@ -136,8 +210,7 @@
     }
     exchange->next = exchanges;
     exchanges = exchange;
-    (void)connect(descriptor, (struct sockaddr *)&name, length);
-    (void)SlLoop_Watch(loop, &exchange->watch, SL_LOOP_READ | SL_LOOP_WRITE);
+    connect_exchange(exchange, &call->to);
 }
 
 void
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -16,9 +16,12 @@
     /// an older one.
     APPLY_LIMIT_US = 3 * 1000 * 1000,
     UNUSED_ROUTES = 20,
-    BODY_BYTES = 16 * 1024,
-    ROUTE_BYTES = 256,
+    BODY_BYTES = 32 * 1024,
     REQUESTS_MAX = 8,
+    /// Pauses after failed attempts: the first one, and how often it doubles.
+    FIRST_PAUSE_US = 100 * 1000,
+    PAUSE_DOUBLINGS_MAX = 4,
+    ACCEPTED_MAX = 64,
 };
 
 /// A change of the configuration, or of the state of a zone, that has not been
@@ -29,9 +32,12 @@
     bool is_evacuation;
     uint32_t zone;
     uint64_t version;
-    uint64_t sent_us;
+    uint64_t start_us;
     uint64_t next_us;
+    uint32_t attempts;
     bool is_in_flight;
+    /// It was not accepted in time.
+    bool is_late;
 };
 
 /// A read of the configuration that has not been answered yet.
@@ -48,9 +54,12 @@
 static struct version_read version_reads[REQUESTS_MAX];
 static uint64_t last_version;
 static uint64_t accepted_version;
-static uint64_t accepted_version_us;
-/// Newest version that was accepted longer than APPLY_LIMIT_US ago.
-static uint64_t required_version;
+/// The last versions that were accepted while they were the newest, and when.
+static struct {
+    uint64_t version;
+    uint64_t at_us;
+} accepted[ACCEPTED_MAX];
+static uint32_t accepted_count;
 static uint64_t next_change_us;
 static uint64_t next_read_us;
 static bool zone_has_request[SOAK_ZONES];
@@ -62,12 +71,63 @@
     return accepted_version > 0;
 }
 
+uint64_t
+operator_last_version(void)
+{
+    return last_version;
+}
+
+uint64_t
+operator_version_accepted(uint64_t at_us, uint64_t *accepted_us)
+{
+    for (uint32_t i = 0; i < ACCEPTED_MAX && i < accepted_count; i++) {
+        uint32_t slot = (accepted_count - 1 - i) % ACCEPTED_MAX;
+
+        if (accepted[slot].at_us <= at_us) {
+            if (accepted_us != NULL) {
+                *accepted_us = accepted[slot].at_us;
+            }
+            return accepted[slot].version;
+        }
+    }
+    return 0;
+}
+
+uint64_t
+operator_pause_us(uint32_t attempts)
+{
+    uint32_t doublings =
+        attempts < PAUSE_DOUBLINGS_MAX ? attempts : PAUSE_DOUBLINGS_MAX;
+
+    return (uint64_t)FIRST_PAUSE_US << doublings;
+}
+
 uint32_t
 operator_service_for_port(uint16_t port)
 {
     return port == 8443;
 }
 
+/// Adds the routes of the last PROBE_ROUTES versions, one for each number.
+static size_t
+write_probe_routes(uint64_t number, char *out, size_t size_bytes)
+{
+    uint64_t first = number > PROBE_ROUTES ? number - PROBE_ROUTES + 1 : 1;
+    size_t used = 0;
+
+    for (uint64_t i = first; i <= number; i++) {
+        used += (size_t)snprintf(
+            out + used, size_bytes - used,
+            ",{\"name\":\"probe-%llu\",\"host\":\"127.%u.3.%u\","
+            "\"path_prefix\":\"/%llu/\",\"type\":\"idempotent\","
+            "\"timeout_ms\":2000,\"slo_ms\":200,\"priority\":1,"
+            "\"service\":\"service-0\"}",
+            (unsigned long long)i, site->net, PROBE_HOST,
+            (unsigned long long)(PROBE_FIRST_PORT + i));
+    }
+    return used;
+}
+
 static void
 write_config(uint64_t number, char *body, size_t size_bytes)
 {
@@ -90,6 +150,9 @@
             i == 0 ? "" : ",", i, site->net, i < 2 ? 1 : i + 1,
             i == 1 ? 8443 : 8080, (unsigned long long)(2000 + number), i == 1);
     }
+    if (site->diskless > 0) {
+        used += write_probe_routes(number, body + used, size_bytes - used);
+    }
     (void)snprintf(body + used, size_bytes - used, "]}");
 }
 
@@ -120,7 +183,9 @@
     }
     if (request->version > accepted_version) {
         accepted_version = request->version;
-        accepted_version_us = now_us;
+        accepted[accepted_count % ACCEPTED_MAX].version = accepted_version;
+        accepted[accepted_count % ACCEPTED_MAX].at_us = now_us;
+        accepted_count++;
     }
 }
 
@@ -134,7 +199,7 @@
     (void)body;
     (void)body_bytes;
     request->is_in_flight = false;
-    request->next_us = now_us + 100ull * US_PER_MS;
+    request->next_us = now_us + operator_pause_us(request->attempts - 1);
     if (status == 200) {
         record_accepted(request, now_us);
     }
@@ -157,6 +222,7 @@
                              .done = on_request_done};
 
     request->is_in_flight = true;
+    request->attempts++;
     if (request->is_zone) {
         call.method = request->is_evacuation ? "POST" : "DELETE";
         snprintf(path, sizeof(path), "/api/evacuations/zone-%u",
@@ -182,6 +248,42 @@
     return NULL;
 }
 
+uint64_t
+operator_change_config(uint64_t now_us)
+{
+    struct request *request = find_free_request();
+
+    if (request == NULL) {
+        return 0;
+    }
+    last_version += 1 + soak_random(site, 3);
+    *request = (struct request){.used = true,
+                                .version = last_version,
+                                .start_us = now_us,
+                                .next_us = now_us};
+    return last_version;
+}
+
+/// Reports a change that was not accepted in SOAK_ACCEPT_US of calm time.
+static void
+check_late(struct request *request, uint64_t now_us)
+{
+    uint64_t calm_since_us = soak_calm_since_us(site);
+    uint64_t from_us =
+        calm_since_us > request->start_us ? calm_since_us : request->start_us;
+
+    if (request->is_late || from_us > now_us ||
+        now_us - from_us <= SOAK_ACCEPT_US) {
+        return;
+    }
+    request->is_late = true;
+    soak_report_violation(
+        site,
+        "a change was not accepted for 8 s although nothing was "
+        "disturbed (%u attempts)",
+        request->attempts);
+}
+
 static void
 start_request(uint64_t now_us)
 {
@@ -197,11 +299,13 @@
             other_zones_in_service && !zone_has_request[i] &&
             (site->zone_evacuated_us[i] == 0 || i == zone);
     }
-    *request = (struct request){.used = true, .next_us = now_us};
     if (accepted_version > 0 && other_zones_in_service &&
         soak_random(site, 3) == 0) {
-        request->is_zone = true;
-        request->zone = zone;
+        *request = (struct request){.used = true,
+                                    .is_zone = true,
+                                    .zone = zone,
+                                    .start_us = now_us,
+                                    .next_us = now_us};
         request->is_evacuation =
             site->zone_evacuated_us[zone] == 0 && now_us < site->faults_end_us;
         zone_has_request[zone] = true;
@@ -210,12 +314,11 @@
         }
         return;
     }
-    last_version += 1 + soak_random(site, 3);
-    request->version = last_version;
+    (void)operator_change_config(now_us);
 }
 
-static uint64_t
-parse_version(const char *body, size_t body_bytes)
+uint64_t
+operator_parse_version(const char *body, size_t body_bytes)
 {
     json_t *root = json_loadb(body, body_bytes, 0, NULL);
     uint64_t number =
@@ -236,7 +339,7 @@
     if (status != 200) {
         return;
     }
-    number = parse_version(body, body_bytes);
+    number = operator_parse_version(body, body_bytes);
     if (number < version_read->min_version) {
         soak_report_violation(
             site,
@@ -261,10 +364,11 @@
                                  .done = on_version_read};
 
         if (!version_read->used) {
-            *version_read =
-                (struct version_read){.used = true,
-                                      .min_version = required_version,
-                                      .instance = call.to.ip[15]};
+            *version_read = (struct version_read){
+                .used = true,
+                .min_version = operator_version_accepted(
+                    SlClock_Monotonic() - APPLY_LIMIT_US, NULL),
+                .instance = call.to.ip[15]};
             http_client_call(site->loop, &call);
             return;
         }
@@ -274,10 +378,6 @@
 void
 operator_tick(struct soak *soak, uint64_t now_us)
 {
-    if (accepted_version_us != 0 &&
-        now_us - accepted_version_us > APPLY_LIMIT_US) {
-        required_version = accepted_version;
-    }
     if (now_us >= next_change_us && now_us < soak->end_us) {
         next_change_us =
             now_us + soak_random(soak, 2ull * CHANGE_INTERVAL_MEAN_US);
@@ -288,6 +388,9 @@
         start_version_read();
     }
     for (uint32_t i = 0; i < REQUESTS_MAX; i++) {
+        if (requests[i].used) {
+            check_late(&requests[i], now_us);
+        }
         if (requests[i].used && !requests[i].is_in_flight &&
             now_us >= requests[i].next_us) {
             send_request(&requests[i]);
--- a/soak/process_faults.c
+++ b/soak/process_faults.c
@@ -62,37 +62,26 @@
     node->last_fault_us = SlClock_Monotonic();
 }
 
-/// Draws from a separate random stream, so that the schedules of the other
-/// faults, for which seeds are kept, do not change.
-static uint64_t
-draw_random(uint64_t below)
-{
-    struct soak stream = {.random = random_state};
-    uint64_t drawn = soak_random(&stream, below);
-
-    random_state = stream.random;
-    return drawn;
-}
-
 static void
 begin_fault(struct soak *soak, struct soak_node *node, bool is_file_fault,
             uint64_t now_us)
 {
     if (is_file_fault) {
         process_faults[node->number].file_fault =
-            FILE_FAULT_NAMES[draw_random(FILE_FAULTS)];
+            FILE_FAULT_NAMES[soak_draw(soak, &random_state, FILE_FAULTS)];
         soak_log_fault(soak, "files of %u: %s", node->number,
                        process_faults[node->number].file_fault);
     }
     else {
         process_faults[node->number].clock_offset_ms =
-            draw_random(2) == 0 ? CLOCK_OFFSET_MS : -(int64_t)CLOCK_OFFSET_MS;
+            soak_draw(soak, &random_state, 2) == 0 ? CLOCK_OFFSET_MS
+                                                   : -(int64_t)CLOCK_OFFSET_MS;
         soak_log_fault(
             soak, "clock of %u is %lld ms off", node->number,
             (long long)process_faults[node->number].clock_offset_ms);
     }
     process_faults[node->number].end_us =
-        now_us + 1 + draw_random(FAULT_DURATION_MAX_US);
+        now_us + 1 + soak_draw(soak, &random_state, FAULT_DURATION_MAX_US);
     node->last_fault_us = now_us;
     soak->faults++;
     write_faults_file(soak, node->number);
@@ -105,15 +94,17 @@
                    bool (*may_disturb)(const struct soak_node *node))
 {
     bool is_file_fault = next_is_file_fault;
-    struct soak_node *node = &soak->nodes[draw_random(soak->node_count)];
+    struct soak_node *node =
+        &soak->nodes[soak_draw(soak, &random_state, soak->node_count)];
 
-    while (is_file_fault && node->role != SOAK_CONTROL) {
-        node = &soak->nodes[draw_random(soak->node_count)];
+    while (is_file_fault && !node->has_disk) {
+        node = &soak->nodes[soak_draw(soak, &random_state, soak->node_count)];
     }
     if (may_disturb(node)) {
         begin_fault(soak, node, is_file_fault, now_us);
-        next_is_file_fault = draw_random(2) == 0;
-        next_fault_us = now_us + draw_random(FAULT_INTERVAL_MAX_US);
+        next_is_file_fault = soak_draw(soak, &random_state, 2) == 0;
+        next_fault_us =
+            now_us + soak_draw(soak, &random_state, FAULT_INTERVAL_MAX_US);
     }
     else {
         next_fault_us = now_us + RETRY_US;
@@ -141,9 +132,6 @@
     if (now_us < next_fault_us || may_disturb == NULL) {
         return;
     }
-    if (random_state == 0) {
-        random_state = soak->seed * 40503u + 7;
-    }
     begin_random_fault(soak, now_us, may_disturb);
 }
 
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -22,14 +22,16 @@
 static const char *const ROLE_NAMES[] = {"control", "entry", "agent"};
 
 void
-soak_add_node(struct soak *soak, enum soak_role role, uint32_t zone)
+soak_add_node(struct soak *soak, enum soak_role role, bool has_disk,
+              uint32_t zone)
 {
     struct soak_node *node = &soak->nodes[soak->node_count++];
 
     node->role = role;
+    node->has_disk = has_disk;
     node->number = soak->node_count;
     node->zone = zone;
-    node->is_first_start = role == SOAK_CONTROL;
+    node->is_first_start = has_disk;
 }
 
 static void
@@ -47,8 +49,27 @@
             ROLE_NAMES[node->role], soak->net, node->number, SOAK_LINK_PORT,
             soak->net, node->number, SOAK_LINK_PORT, soak->net, node->number,
             SOAK_LINK_PORT);
-    fprintf(file, "seeds = 127.%u.1.1,127.%u.1.2,127.%u.1.3\n", soak->net,
-            soak->net, soak->net);
+}
+
+/// At the first start all processes have the same seeds, with a disk each.
+/// Later ones are drawn from all control processes if some have no disk.
+static void
+write_seeds(const struct soak *soak, const struct soak_node *node, FILE *file)
+{
+    static uint64_t random_state;
+    uint32_t seeds[SEED_NODES] = {1, 2, 3};
+
+    while (soak->diskless > 0 && node->was_started) {
+        for (uint32_t i = 0; i < SEED_NODES; i++) {
+            seeds[i] = soak_draw_control(soak, &random_state)->number;
+        }
+        if (seeds[0] != seeds[1] && seeds[0] != seeds[2] &&
+            seeds[1] != seeds[2]) {
+            break;
+        }
+    }
+    fprintf(file, "seeds = 127.%u.1.%u,127.%u.1.%u,127.%u.1.%u\n", soak->net,
+            seeds[0], soak->net, seeds[1], soak->net, seeds[2]);
 }
 
 static void
@@ -61,7 +82,8 @@
         return;
     }
     write_common_settings(soak, node, file);
-    if (node->role == SOAK_CONTROL) {
+    write_seeds(soak, node, file);
+    if (node->has_disk) {
         fprintf(file, "bootstrap = %s\ndata_folder = %s/data-%u\n",
                 node->is_first_start && node->number <= SEED_NODES ? "yes"
                                                                    : "no",
@@ -111,6 +133,7 @@
     mkdir(path, 0755);
     write_settings(soak, node, settings);
     snprintf(path, sizeof(path), "%s/node-%u.log", soak->folder, node->number);
+    node->was_started = true;
     node->pid = fork();
     if (node->pid == 0) {
         exec_program(soak, settings, path);
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -22,6 +22,7 @@
     LOSS_PERCENT = 10,
     DELAY_MAX_US = 30 * 1000,
     DELAYED_MAX = 2000,
+    CHUNKS_MAX = 128,
 };
 
 /// The proxy's sockets for one process.
@@ -32,12 +33,22 @@
     enum proxy_fault fault;
 };
 
+/// Bytes of a stream that may be forwarded at due_us.
+struct chunk {
+    uint64_t due_us;
+    size_t length_bytes;
+};
+
 /// One direction of a connection.
 struct stream {
     struct SlWatch watch;
     struct connection *connection;
     uint8_t bytes[BUFFER_BYTES];
     size_t length_bytes;
+    /// The bytes that are delayed, in order; the first due_bytes are not.
+    struct chunk chunks[CHUNKS_MAX];
+    uint32_t chunk_count;
+    size_t due_bytes;
     /// The buffer is full and reading is suspended.
     bool is_full;
 };
@@ -159,6 +170,43 @@
     }
 }
 
+/// Adds bytes that were read to the stream. Those of connections to control
+/// instances may be forwarded only after a delay.
+static void
+add_chunk(struct stream *stream, size_t length_bytes)
+{
+    uint32_t number = stream->connection->number;
+    uint64_t delay_us =
+        site->nodes[number - 1].has_disk ? site->control_delay_us : 0;
+
+    stream->length_bytes += length_bytes;
+    if (delay_us == 0) {
+        stream->due_bytes += length_bytes;
+        return;
+    }
+    stream->chunks[stream->chunk_count++] =
+        (struct chunk){.due_us = SlClock_Monotonic() + delay_us,
+                       .length_bytes = length_bytes};
+}
+
+static void
+release_due_chunks(struct stream *stream)
+{
+    uint64_t now_us;
+    uint32_t due = 0;
+
+    if (stream->chunk_count == 0) {
+        return;
+    }
+    now_us = SlClock_Monotonic();
+    while (due < stream->chunk_count && stream->chunks[due].due_us <= now_us) {
+        stream->due_bytes += stream->chunks[due++].length_bytes;
+    }
+    stream->chunk_count -= due;
+    memmove(stream->chunks, stream->chunks + due,
+            stream->chunk_count * sizeof(*stream->chunks));
+}
+
 /// Forwards buffered bytes from one side to the other. They stay in the buffer
 /// while a fault blocks that direction.
 static void
@@ -167,13 +215,14 @@
 {
     ssize_t sent;
 
-    if (connection->is_closed || from->length_bytes == 0 ||
+    release_due_chunks(from);
+    if (connection->is_closed || from->due_bytes == 0 ||
         endpoints[connection->number].fault == PROXY_CUT ||
         endpoints[connection->number].fault ==
             (from == &connection->client ? PROXY_CUT_IN : PROXY_CUT_OUT)) {
         return;
     }
-    sent = send(to->watch.descriptor, from->bytes, from->length_bytes,
+    sent = send(to->watch.descriptor, from->bytes, from->due_bytes,
                 MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent < 0 && errno != EAGAIN && errno != ENOTCONN) {
         close_connection(connection, false);
@@ -181,6 +230,7 @@
     }
     if (sent > 0) {
         from->length_bytes -= (size_t)sent;
+        from->due_bytes -= (size_t)sent;
         memmove(from->bytes, from->bytes + sent, from->length_bytes);
         if (from->is_full) {
             from->is_full = false;
@@ -202,7 +252,8 @@
     if (connection->is_closed) {
         return;
     }
-    if (stream->length_bytes == BUFFER_BYTES) {
+    if (stream->length_bytes == BUFFER_BYTES ||
+        stream->chunk_count == CHUNKS_MAX) {
         stream->is_full = true;
         (void)SlLoop_SetEvents(site->loop, watch, 0);
         return;
@@ -213,7 +264,9 @@
         close_connection(connection, false);
         return;
     }
-    stream->length_bytes += length > 0 ? (size_t)length : 0;
+    if (length > 0) {
+        add_chunk(stream, (size_t)length);
+    }
     forward_bytes(connection, stream, other);
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,7 +19,7 @@
 #include "savoryledge/transport/loop.h"
 
 enum {
-    SOAK_NODES_MAX = 200,
+    SOAK_NODES_MAX = 250,
     SOAK_CALLERS_MAX = 400,
     SOAK_FLOWS = 600,
     SOAK_ZONES = 3,
@@ -33,6 +33,16 @@
     SOAK_PATH_BYTES = 256,
     US_PER_MS = 1000,
     US_PER_S = 1000 * 1000,
+    /// Time without a fault after which bounds hold again; a read of the
+    /// configuration that begins then succeeds within the same time.
+    SOAK_CONTACT_US = 6 * US_PER_S,
+    /// Time within which a change is accepted, and within which an accepted
+    /// change is in force.
+    SOAK_ACCEPT_US = 8 * US_PER_S,
+    SOAK_APPLY_US = 5 * US_PER_S,
+    /// Time after which requests are served again after the loss of all
+    /// processes.
+    SOAK_RECOVERY_US = 15 * US_PER_S,
 };
 
 enum soak_role {
@@ -50,6 +60,9 @@
 
 struct soak_node {
     enum soak_role role;
+    /// A control process with a data folder, which is a control instance.
+    bool has_disk;
+    bool was_started;
     uint32_t number;
     uint32_t zone;
     /// Process id; 0 while the process is not running.
@@ -58,6 +71,7 @@
     /// The soak sent SIGTERM or SIGKILL. An exit without this flag is a
     /// violation.
     bool is_stopping;
+
     /// A control instance that has not been restarted yet; only such an
     /// instance may bootstrap the control group.
     bool is_first_start;
@@ -78,8 +92,25 @@
     uint32_t net;
     uint64_t start_us;
     uint64_t faults_end_us;
-    /// Time after which callers open no new flows.
+    /// Number of control processes without a disk. If there are any, the
+    /// soak also chooses seeds, reads and probes as an operator does who knows
+    /// only control processes.
+    uint32_t diskless;
+    /// Faults are kills and stops only.
+    bool restarts_only;
+    /// One-way delay of connections to control instances.
+    uint64_t control_delay_us;
+    /// Rounds of losing all processes after the faults.
+    uint32_t losses;
+    /// Callers; 0 for a number that follows from the number of agents.
+    uint32_t callers;
+    /// Time until which control processes, or the host, were disturbed apart
+    /// from the faults of processes.
+    uint64_t disturbed_until_us;
+    /// Time after which the operator makes no changes of its own, and after
+    /// which callers open no new flows.
     uint64_t end_us;
+    uint64_t callers_end_us;
     /// Folder for settings, data and logs.
     char folder[SOAK_PATH_BYTES];
     /// Path of the daemon to test.
@@ -102,6 +133,11 @@
     /// fault.
     uint64_t asked_calm;
     uint64_t answered_calm;
+    /// The same for requests sent more than SOAK_RECOVERY_US after the loss of
+    /// all processes.
+    uint64_t recovered_us;
+    uint64_t asked_recovered;
+    uint64_t answered_recovered;
 };
 
 /// Returns a random number less than below, or 0 if below is 0.
@@ -119,10 +155,27 @@
 struct SlAddress
 soak_address(const struct soak *soak, uint32_t group, uint32_t number,
              uint16_t port);
+/// Returns true while a fault of the process is active.
+bool
+soak_node_has_fault(const struct soak_node *node);
+/// Returns the time since which bounds hold: SOAK_CONTACT_US after the last
+/// fault of any control process and of the host. UINT64_MAX while such a fault
+/// is active.
+uint64_t
+soak_calm_since_us(const struct soak *soak);
+/// Draws from a stream of random numbers of its own, so that the schedules for
+/// which seeds are kept do not change. state: 0 before the first draw.
+uint64_t
+soak_draw(const struct soak *soak, uint64_t *state, uint64_t below);
+/// Returns a random control process, with or without a disk, drawn from the
+/// stream `state`.
+const struct soak_node *
+soak_draw_control(const struct soak *soak, uint64_t *state);
 
 /* processes.c */
 void
-soak_add_node(struct soak *soak, enum soak_role role, uint32_t zone);
+soak_add_node(struct soak *soak, enum soak_role role, bool has_disk,
+              uint32_t zone);
 void
 soak_start_node(struct soak *soak, struct soak_node *node);
 /// Sends the signal `number` to the process if it is running, and counts a
@@ -232,6 +285,51 @@
 /// Returns true if a read returned the newest accepted configuration.
 bool
 operator_config_was_read(struct soak *soak);
+/// Returns the newest version that was sent.
+uint64_t
+operator_last_version(void);
+/// Returns the newest version that was accepted at this time or before, and
+/// the time at which it was accepted; 0 if there is none.
+uint64_t
+operator_version_accepted(uint64_t at_us, uint64_t *accepted_us);
+/// Sends a new configuration now. Returns its version, or 0 if too many
+/// changes are under way.
+uint64_t
+operator_change_config(uint64_t now_us);
+/// Returns the version of the configuration in a response.
+uint64_t
+operator_parse_version(const char *body, size_t body_bytes);
+/// Pause of an operator after this number of failed attempts.
+uint64_t
+operator_pause_us(uint32_t attempts);
+
+/* patient_reads.c: reads of the configuration that have to succeed in time */
+void
+patient_reads_tick(struct soak *soak, uint64_t now_us);
+void
+patient_reads_print(void);
+
+/* probes.c: opening packets to routes that come and go */
+enum {
+    /// Service port of the route that the configuration with version 0 adds.
+    PROBE_FIRST_PORT = 20000,
+    /// A configuration has the routes that the last so many versions added.
+    PROBE_ROUTES = 30,
+    PROBE_HOST = 200,
+};
+enum SlStatus
+probes_open(struct soak *soak);
+void
+probes_close(void);
+void
+probes_tick(uint64_t now_us);
+void
+probes_print(void);
+
+/* losses.c: loss of all processes right after a change was accepted */
+/// Begins a loss if one is due. Returns true once all losses are over.
+bool
+losses_tick(struct soak *soak, uint64_t now_us);
 
 /* http_client.c */
 /// An HTTP request. done is called exactly once, with status 0 if no complete
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -22,7 +22,12 @@
     RECOVERY_US = 14 * 1000 * 1000,
     FAULT_INTERVAL_MAX_US = 900 * 1000,
     FAULT_DURATION_RANGE_US = 4 * 1000 * 1000,
+    /// Length of the alternating spans without and with faults, where some
+    /// control processes have no disk.
+    CALM_INTERVAL_US = 20 * 1000 * 1000,
+    HOST_PAUSE_US = 300 * 1000,
     MIN_ANSWERED_PERCENT = 95,
+    MIN_RECOVERED_PERCENT = 50,
     MEMORY_MAX_KB = 64 * 1024,
     DESCRIPTOR_GROWTH_MAX = 64,
     /// Range of the second address byte, 127.NET.0.0/16, that no other program
@@ -102,19 +107,35 @@
 }
 
 static void
-add_nodes(uint32_t controls, uint32_t entries, uint32_t agents)
+add_nodes(enum soak_role role, bool has_disk, uint32_t count)
 {
-    for (uint32_t i = 0; i < controls; i++) {
-        soak_add_node(&soak, SOAK_CONTROL, i % SOAK_ZONES);
-    }
-    for (uint32_t i = 0; i < entries; i++) {
-        soak_add_node(&soak, SOAK_ENTRY, i % SOAK_ZONES);
-    }
-    for (uint32_t i = 0; i < agents; i++) {
-        soak_add_node(&soak, SOAK_AGENT, i % SOAK_ZONES);
+    for (uint32_t i = 0; i < count; i++) {
+        soak_add_node(&soak, role, has_disk, i % SOAK_ZONES);
     }
 }
 
+uint64_t
+soak_draw(const struct soak *self, uint64_t *state, uint64_t below)
+{
+    struct soak stream = {.random =
+                              *state != 0 ? *state : self->seed * 40503u + 7};
+    uint64_t drawn = soak_random(&stream, below);
+
+    *state = stream.random;
+    return drawn;
+}
+
+const struct soak_node *
+soak_draw_control(const struct soak *self, uint64_t *state)
+{
+    const struct soak_node *node;
+
+    do {
+        node = &self->nodes[soak_draw(self, state, self->node_count)];
+    } while (node->role != SOAK_CONTROL);
+    return node;
+}
+
 static void
 end_timed_fault(struct timed_fault *fault)
 {
@@ -141,8 +162,8 @@
     }
 }
 
-static bool
-has_fault(const struct soak_node *node)
+bool
+soak_node_has_fault(const struct soak_node *node)
 {
     for (uint32_t i = 0; i < timed_fault_count; i++) {
         if (timed_faults[i].node == node) {
@@ -153,6 +174,26 @@
            process_faults_is_active(node);
 }
 
+uint64_t
+soak_calm_since_us(const struct soak *self)
+{
+    uint64_t last_us = 0;
+
+    for (uint32_t i = 0; i < self->node_count; i++) {
+        const struct soak_node *node = &self->nodes[i];
+
+        if (node->role == SOAK_CONTROL && soak_node_has_fault(node)) {
+            return UINT64_MAX;
+        }
+        if (node->role == SOAK_CONTROL && node->last_fault_us > last_us) {
+            last_us = node->last_fault_us;
+        }
+    }
+    last_us += SOAK_CONTACT_US;
+    return last_us > self->disturbed_until_us ? last_us
+                                              : self->disturbed_until_us;
+}
+
 /// True if the process may get a fault now. At most one control instance may
 /// have a fault at a time, and another control instance may get a fault only 6
 /// s after its end; entries and agents may have faults in any number.
@@ -161,14 +202,14 @@
 {
     uint64_t now_us = SlClock_Monotonic();
 
-    if (has_fault(node)) {
+    if (soak_node_has_fault(node)) {
         return false;
     }
     for (uint32_t i = 0; i < soak.node_count; i++) {
         const struct soak_node *other = &soak.nodes[i];
 
-        if (node->role == SOAK_CONTROL && other->role == SOAK_CONTROL &&
-            (has_fault(other) ||
+        if (node->has_disk && other->has_disk &&
+            (soak_node_has_fault(other) ||
              now_us - other->last_fault_us < 6ull * US_PER_S)) {
             return false;
         }
@@ -204,7 +245,7 @@
 static void
 kill_and_wipe(struct soak_node *node)
 {
-    if (node->role != SOAK_CONTROL) {
+    if (!node->has_disk) {
         soak_signal_node(&soak, node, SIGKILL);
         return;
     }
@@ -216,7 +257,7 @@
 static void
 inject_process_fault(struct soak_node *node, uint64_t now_us)
 {
-    switch (soak_random(&soak, 9)) {
+    switch (soak_random(&soak, soak.restarts_only ? 4 : 9)) {
     case 0:
     case 1:
         soak_log_fault(&soak, "kill %u", node->number);
@@ -284,20 +325,50 @@
     }
 }
 
+/// True if faults may begin now: from the warm-up to the end of the faults,
+/// with pauses in which the bounds of an undisturbed site are checked.
+static bool
+is_fault_time(uint64_t now_us)
+{
+    uint64_t begin_us = soak.start_us + WARM_UP_US;
+
+    return now_us > begin_us && now_us < soak.faults_end_us &&
+           (soak.diskless == 0 ||
+            (now_us - begin_us) / CALM_INTERVAL_US % 2 == 1);
+}
+
+/// Takes a pause of this program, in which nothing passes the proxy, for a
+/// disturbance of all processes.
+static void
+notice_host_pause(uint64_t now_us)
+{
+    static uint64_t last_tick_us;
+
+    if (last_tick_us != 0 && now_us - last_tick_us > HOST_PAUSE_US) {
+        soak_log_fault(&soak, "the host paused for %llu ms",
+                       (unsigned long long)(now_us - last_tick_us) /
+                           US_PER_MS);
+        soak.disturbed_until_us = now_us + SOAK_CONTACT_US;
+    }
+    last_tick_us = now_us;
+}
+
 static void
 tick_soak(void)
 {
     static uint64_t next_fault_us;
     uint64_t now_us = SlClock_Monotonic();
 
+    notice_host_pause(now_us);
     soak_update_nodes(&soak, now_us);
     end_due_faults(now_us);
-    if (now_us > soak.start_us + WARM_UP_US && now_us < soak.faults_end_us) {
+    if (is_fault_time(now_us)) {
         if (now_us >= next_fault_us) {
             next_fault_us = now_us + soak_random(&soak, FAULT_INTERVAL_MAX_US);
             inject_fault(now_us);
         }
-        process_faults_tick(&soak, now_us, may_inject_fault);
+        process_faults_tick(&soak, now_us,
+                            soak.restarts_only ? NULL : may_inject_fault);
     }
     else {
         process_faults_tick(&soak, now_us, NULL);
@@ -306,6 +377,10 @@
     upstreams_tick(&soak, now_us);
     operator_tick(&soak, now_us);
     callers_tick(&soak, now_us);
+    if (soak.diskless > 0) {
+        patient_reads_tick(&soak, now_us);
+        probes_tick(now_us);
+    }
     http_client_tick(now_us);
 }
 
@@ -362,6 +437,17 @@
             (unsigned long long)soak.answered_calm,
             (unsigned long long)soak.asked_calm);
     }
+    if (soak.losses > 0 && soak.answered_recovered * 100 <=
+                               soak.asked_recovered * MIN_RECOVERED_PERCENT) {
+        soak_report_violation(
+            &soak, "only %llu of %llu requests after losses were answered",
+            (unsigned long long)soak.answered_recovered,
+            (unsigned long long)soak.asked_recovered);
+    }
+    if (soak.diskless > 0) {
+        patient_reads_print();
+        probes_print();
+    }
 }
 
 static enum SlStatus
@@ -371,6 +457,7 @@
 
     status = status == SL_OK ? upstreams_open(&soak) : status;
     status = status == SL_OK ? callers_open(&soak) : status;
+    status = status == SL_OK ? probes_open(&soak) : status;
     return status == SL_OK ? operator_open(&soak) : status;
 }
 
@@ -397,7 +484,11 @@
     run_until(soak.faults_end_us);
     end_all_faults();
     run_until(soak.end_us);
-    run_until(soak.end_us + 2ull * US_PER_S);
+    while (!losses_tick(&soak, SlClock_Monotonic())) {
+        run_until(SlClock_Monotonic() + 1);
+    }
+    soak.callers_end_us = SlClock_Monotonic();
+    run_until(soak.callers_end_us + 2ull * US_PER_S);
     check_final_state();
 }
 
@@ -407,6 +498,7 @@
     soak_kill_nodes(&soak);
     http_client_close();
     callers_close();
+    probes_close();
     upstreams_close();
     operator_close();
     proxy_close();
@@ -438,8 +530,10 @@
     return -1;
 }
 
-int
-main(int argc, char **argv)
+/// Reads the options and arguments. Returns false after printing the usage if
+/// they are wrong.
+static bool
+parse_arguments(int argc, char **argv)
 {
     struct arg_int *seed =
         arg_int1("s", "seed", "N", "seed of the fault schedule");
@@ -450,39 +544,91 @@
                  "second address byte, 80 to 179; the next free one is used");
     struct arg_int *size =
         arg_int0("z", "size", "N", "number of agents; 9 by default");
+    struct arg_int *entries =
+        arg_int0("e", "entries", "N",
+                 "number of entries; a third of the agents by "
+                 "default");
+    struct arg_int *controls =
+        arg_int0("c", "controls", "N",
+                 "number of control processes with a disk; 4 by default");
+    struct arg_int *diskless = arg_int0(
+        "d", "diskless", "N", "number of control processes without a disk");
+    struct arg_int *callers =
+        arg_int0(NULL, "callers", "N", "maximum number of callers");
+    struct arg_int *losses = arg_int0(
+        "l", "losses", "N", "losses of all processes after the faults");
+    struct arg_int *delay =
+        arg_int0(NULL, "control-delay", "MS",
+                 "one-way delay of connections to control instances");
+    struct arg_lit *restarts =
+        arg_lit0("r", "restarts-only", "no faults but kills and stops");
     struct arg_file *program =
         arg_file1(NULL, NULL, "PROGRAM", "daemon to test");
     struct arg_file *folder =
         arg_file1(NULL, NULL, "FOLDER", "for settings, data and logs");
     struct arg_end *end = arg_end(4);
-    void *table[] = {seed, seconds, net, size, program, folder, end};
+    void *table[] = {seed,     seconds,  net,     size,   entries,
+                     controls, diskless, callers, losses, delay,
+                     restarts, program,  folder,  end};
     uint32_t agents;
-    int claim;
-
-    if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) != 0) {
+    bool is_valid;
+
+    *size->ival = 9;
+    *entries->ival = 0;
+    *controls->ival = 4;
+    *diskless->ival = *callers->ival = *losses->ival = *delay->ival = 0;
+    is_valid = arg_parse(argc, argv, table) == 0;
+    agents = (uint32_t)*size->ival;
+    if (*entries->ival == 0) {
+        *entries->ival = (int)(agents / 3 > 3 ? agents / 3 : 3);
+    }
+    if (!is_valid || *controls->ival < 3 ||
+        *controls->ival + *diskless->ival + *entries->ival + *size->ival >
+            SOAK_NODES_MAX) {
         fprintf(stderr, "usage: soak_main");
         arg_print_syntax(stderr, table, "\n");
-        return EXIT_USAGE;
+        arg_print_glossary(stderr, table, "  %-22s %s\n");
+        return false;
     }
-    agents = size->count > 0 ? (uint32_t)size->ival[0] : 9;
-    soak.seed = (uint64_t)seed->ival[0];
+    soak.seed = (uint64_t)*seed->ival;
     soak.random = soak.seed * 2654435761u + 1;
-    soak.net = (uint32_t)net->ival[0];
+    soak.net = (uint32_t)*net->ival;
+    soak.diskless = (uint32_t)*diskless->ival;
+    soak.callers = (uint32_t)*callers->ival;
+    soak.losses = (uint32_t)*losses->ival;
+    soak.control_delay_us = (uint64_t)*delay->ival * US_PER_MS;
+    soak.restarts_only = restarts->count > 0;
     soak.program = program->filename[0];
     snprintf(soak.folder, sizeof(soak.folder), "%s", folder->filename[0]);
-    mkdir(soak.folder, 0755);
-    setvbuf(stdout, NULL, _IOLBF, 0);
-    soak.loop = SlLoop_Create();
     soak.start_us = SlClock_Monotonic();
     soak.faults_end_us =
-        soak.start_us + WARM_UP_US + (uint64_t)seconds->ival[0] * US_PER_S;
+        soak.start_us + WARM_UP_US + (uint64_t)*seconds->ival * US_PER_S;
     soak.end_us = soak.faults_end_us + RECOVERY_US;
+    soak.callers_end_us = soak.losses > 0 ? UINT64_MAX : soak.end_us;
+    add_nodes(SOAK_CONTROL, true, (uint32_t)*controls->ival);
+    add_nodes(SOAK_CONTROL, false, soak.diskless);
+    add_nodes(SOAK_ENTRY, false, (uint32_t)*entries->ival);
+    add_nodes(SOAK_AGENT, false, agents);
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    int claim;
+
+    if (!parse_arguments(argc, argv)) {
+        return EXIT_USAGE;
+    }
+    mkdir(soak.folder, 0755);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    soak.loop = SlLoop_Create();
     claim = claim_net();
     if (claim < 0) {
         fprintf(stderr, "soak_main: all nets 127.80 to 127.179 are in use\n");
         return EXIT_USAGE;
     }
-    add_nodes(4, agents / 3 > 3 ? agents / 3 : 3, agents);
     if (open_simulation() != SL_OK) {
         fprintf(
             stderr,
@@ -498,6 +644,5 @@
            (unsigned long long)soak.asked, (unsigned long long)soak.answered,
            (unsigned long long)soak.reset, (unsigned long long)soak.expired,
            soak.violations);
-    arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return soak.violations == 0 ? 0 : EXIT_VIOLATIONS;
 }
