--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the soak for each of several seeds. Arguments: the build folder, seconds
-# of faults, number of parallel runs, and the seeds. The logs of a failed seed
-# are kept in out/soak.
+# of faults, number of parallel runs, and the seeds. SOAK_OPTIONS has further
+# options of soak_main. The logs of a failed seed are kept in out/soak.
 set -u
 build=$1
 seconds=$2
@@ -12,8 +12,9 @@
     local folder="out/soak/seed-$4"
     rm -rf "$folder"
     mkdir -p "$folder"
+    # shellcheck disable=SC2086
     if "$1/soak/soak_main" --seed "$4" --seconds "$2" --net "$3" \
-        "$1/soak/soak_daemon" "$folder" >"$folder/soak.log" 2>&1; then
+        ${SOAK_OPTIONS-} "$1/soak/soak_daemon" "$folder" >"$folder/soak.log" 2>&1; then
         tail -1 "$folder/soak.log"
         rm -rf "$folder"
     else
--- a/soak/operator.c
+++ b/soak/operator.c
@@ -163,7 +163,8 @@
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < site->node_count; i++) {
-        if (site->nodes[i].role == SOAK_CONTROL) {
+        if (site->nodes[i].role == SOAK_CONTROL &&
+            !site->nodes[i].is_removed) {
             numbers[count++] = site->nodes[i].number;
         }
     }
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -176,7 +176,7 @@
     node->pid = 0;
     node->is_paused = false;
     node->last_fault_us = now_us;
-    node->restart_us = now_us + RESTART_DELAY_US;
+    node->restart_us = node->is_removed ? 0 : now_us + RESTART_DELAY_US;
 }
 
 void
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -342,14 +342,20 @@
     return SlLoop_Watch(site->loop, &endpoint->listener, SL_LOOP_READ);
 }
 
+enum SlStatus
+proxy_add(uint32_t number)
+{
+    endpoints[number].number = number;
+    return open_endpoint(&endpoints[number]);
+}
+
 enum SlStatus
 proxy_open(struct soak *soak)
 {
     site = soak;
     delayed = calloc(DELAYED_MAX + 1, sizeof(*delayed));
     for (uint32_t i = 1; i <= soak->node_count; i++) {
-        endpoints[i].number = i;
-        if (open_endpoint(&endpoints[i]) != SL_OK) {
+        if (proxy_add(i) != SL_OK) {
             return SL_IO;
         }
     }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -71,6 +71,8 @@
     /// The soak sent SIGTERM or SIGKILL. An exit without this flag is a
     /// violation.
     bool is_stopping;
+    /// It is replaced by another process and does not start again.
+    bool is_removed;
 
     /// A control instance that has not been restarted yet; only such an
     /// instance may bootstrap the control group.
@@ -100,6 +102,9 @@
     bool restarts_only;
     /// One-way delay of connections to control instances.
     uint64_t control_delay_us;
+    /// Control instances that are still to be replaced by new ones at other
+    /// addresses.
+    uint32_t replacements;
     /// Rounds of losing all processes after the faults.
     uint32_t losses;
     /// Callers; 0 for a number that follows from the number of agents.
@@ -212,6 +217,9 @@
 };
 enum SlStatus
 proxy_open(struct soak *soak);
+/// Opens the sockets for a process that was added.
+enum SlStatus
+proxy_add(uint32_t number);
 void
 proxy_close(void);
 /// Sets the network fault of a process; PROXY_PASS ends it.
@@ -326,7 +334,12 @@
 void
 probes_print(void);
 
-/* losses.c: loss of all processes right after a change was accepted */
+/* losses.c: loss of control instances, and of all processes right after a
+   change was accepted */
+/// Replaces a control instance for good, if one is to be replaced.
+void
+losses_replace_control(struct soak *soak, uint64_t now_us,
+                       bool (*may_disturb)(const struct soak_node *node));
 /// Begins a loss if one is due. Returns true once all losses are over.
 bool
 losses_tick(struct soak *soak, uint64_t now_us);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -22,8 +22,8 @@
     RECOVERY_US = 14 * 1000 * 1000,
     FAULT_INTERVAL_MAX_US = 900 * 1000,
     FAULT_DURATION_RANGE_US = 4 * 1000 * 1000,
-    /// Length of the alternating spans without and with faults, where some
-    /// control processes have no disk.
+    /// Length of the alternating spans without and with faults of control
+    /// processes, where some of them have no disk.
     CALM_INTERVAL_US = 20 * 1000 * 1000,
     HOST_PAUSE_US = 300 * 1000,
     MIN_ANSWERED_PERCENT = 95,
@@ -132,7 +132,7 @@
 
     do {
         node = &self->nodes[soak_draw(self, state, self->node_count)];
-    } while (node->role != SOAK_CONTROL);
+    } while (node->role != SOAK_CONTROL || node->is_removed);
     return node;
 }
 
@@ -182,7 +182,8 @@
     for (uint32_t i = 0; i < self->node_count; i++) {
         const struct soak_node *node = &self->nodes[i];
 
-        if (node->role == SOAK_CONTROL && soak_node_has_fault(node)) {
+        if (node->role == SOAK_CONTROL && !node->is_removed &&
+            soak_node_has_fault(node)) {
             return UINT64_MAX;
         }
         if (node->role == SOAK_CONTROL && node->last_fault_us > last_us) {
@@ -194,6 +195,15 @@
                                               : self->disturbed_until_us;
 }
 
+/// True while control processes may be disturbed. Where some of them have no
+/// disk, the bounds of an undisturbed site are checked in between.
+static bool
+may_disturb_control(uint64_t now_us)
+{
+    return soak.diskless == 0 ||
+           (now_us - soak.start_us) / CALM_INTERVAL_US % 2 == 1;
+}
+
 /// True if the process may get a fault now. At most one control instance may
 /// have a fault at a time, and another control instance may get a fault only 6
 /// s after its end; entries and agents may have faults in any number.
@@ -202,13 +212,14 @@
 {
     uint64_t now_us = SlClock_Monotonic();
 
-    if (soak_node_has_fault(node)) {
+    if (soak_node_has_fault(node) ||
+        (node->role == SOAK_CONTROL && !may_disturb_control(now_us))) {
         return false;
     }
     for (uint32_t i = 0; i < soak.node_count; i++) {
         const struct soak_node *other = &soak.nodes[i];
 
-        if (node->has_disk && other->has_disk &&
+        if (node->has_disk && other->has_disk && !other->is_removed &&
             (soak_node_has_fault(other) ||
              now_us - other->last_fault_us < 6ull * US_PER_S)) {
             return false;
@@ -310,7 +321,11 @@
     uint64_t kind = soak_random(&soak, 20);
 
     if (kind == 0) {
-        kill_role((enum soak_role)soak_random(&soak, 3));
+        enum soak_role role = (enum soak_role)soak_random(&soak, 3);
+
+        if (role != SOAK_CONTROL || may_disturb_control(now_us)) {
+            kill_role(role);
+        }
     }
     else if (kind < 5 && node->role == SOAK_AGENT) {
         soak_log_fault(&soak, "upstream %u crashes", node->number);
@@ -325,18 +340,6 @@
     }
 }
 
-/// True if faults may begin now: from the warm-up to the end of the faults,
-/// with pauses in which the bounds of an undisturbed site are checked.
-static bool
-is_fault_time(uint64_t now_us)
-{
-    uint64_t begin_us = soak.start_us + WARM_UP_US;
-
-    return now_us > begin_us && now_us < soak.faults_end_us &&
-           (soak.diskless == 0 ||
-            (now_us - begin_us) / CALM_INTERVAL_US % 2 == 1);
-}
-
 /// Takes a pause of this program, in which nothing passes the proxy, for a
 /// disturbance of all processes.
 static void
@@ -362,11 +365,12 @@
     notice_host_pause(now_us);
     soak_update_nodes(&soak, now_us);
     end_due_faults(now_us);
-    if (is_fault_time(now_us)) {
+    if (now_us > soak.start_us + WARM_UP_US && now_us < soak.faults_end_us) {
         if (now_us >= next_fault_us) {
             next_fault_us = now_us + soak_random(&soak, FAULT_INTERVAL_MAX_US);
             inject_fault(now_us);
         }
+        losses_replace_control(&soak, now_us, may_inject_fault);
         process_faults_tick(&soak, now_us,
                             soak.restarts_only ? NULL : may_inject_fault);
     }
@@ -401,6 +405,9 @@
         const struct soak_node *node = &soak.nodes[i];
         struct soak_usage usage;
 
+        if (node->is_removed || node->initial_usage.threads == 0) {
+            continue;
+        }
         if (node->pid == 0) {
             soak_report_violation(
                 &soak, "process %u is not running at the end", node->number);
@@ -557,6 +564,8 @@
         arg_int0(NULL, "callers", "N", "maximum number of callers");
     struct arg_int *losses = arg_int0(
         "l", "losses", "N", "losses of all processes after the faults");
+    struct arg_int *replacements = arg_int0(
+        NULL, "replacements", "N", "control instances replaced for good");
     struct arg_int *delay =
         arg_int0(NULL, "control-delay", "MS",
                  "one-way delay of connections to control instances");
@@ -568,22 +577,24 @@
         arg_file1(NULL, NULL, "FOLDER", "for settings, data and logs");
     struct arg_end *end = arg_end(4);
     void *table[] = {seed,     seconds,  net,     size,   entries,
-                     controls, diskless, callers, losses, delay,
-                     restarts, program,  folder,  end};
+                     controls, diskless, callers, losses, replacements,
+                     delay,    restarts, program, folder, end};
     uint32_t agents;
     bool is_valid;
 
     *size->ival = 9;
     *entries->ival = 0;
     *controls->ival = 4;
-    *diskless->ival = *callers->ival = *losses->ival = *delay->ival = 0;
+    *diskless->ival = *callers->ival = *losses->ival = *replacements->ival =
+        *delay->ival = 0;
     is_valid = arg_parse(argc, argv, table) == 0;
     agents = (uint32_t)*size->ival;
     if (*entries->ival == 0) {
         *entries->ival = (int)(agents / 3 > 3 ? agents / 3 : 3);
     }
     if (!is_valid || *controls->ival < 3 ||
-        *controls->ival + *diskless->ival + *entries->ival + *size->ival >
+        *controls->ival + *diskless->ival + *entries->ival + *size->ival +
+                *replacements->ival >
             SOAK_NODES_MAX) {
         fprintf(stderr, "usage: soak_main");
         arg_print_syntax(stderr, table, "\n");
@@ -596,6 +607,7 @@
     soak.diskless = (uint32_t)*diskless->ival;
     soak.callers = (uint32_t)*callers->ival;
     soak.losses = (uint32_t)*losses->ival;
+    soak.replacements = (uint32_t)*replacements->ival;
     soak.control_delay_us = (uint64_t)*delay->ival * US_PER_MS;
     soak.restarts_only = restarts->count > 0;
     soak.program = program->filename[0];
