--- a/soak/callers.c
+++ b/soak/callers.c
@@ -163,7 +163,8 @@
 }
 
 /// Ends the flow on a reset within the window. Resetting a flow that an
-/// upstream still holds is a violation.
+/// upstream still holds is a violation, except while all processes recover
+/// from a loss.
 static void
 handle_reset(struct caller *caller, const struct SlSegment *segment,
              uint64_t now_us)
@@ -175,7 +176,8 @@
         return;
     }
     site->reset++;
-    if (caller->state != OPENING && holder != 0) {
+    if (caller->state != OPENING && holder != 0 &&
+        now_us >= site->recovered_us) {
         soak_report_violation(site, "a flow that upstream %u holds was reset",
                               holder);
     }
--- a/soak/losses.c
+++ b/soak/losses.c
@@ -87,6 +87,7 @@
         delete_disks(soak);
     }
     lost++;
+    soak->agents_lost_us = now_us;
     awaited_version = 0;
     soak->recovered_us = now_us + RESTART_US + SOAK_RECOVERY_US;
     next_us = soak->recovered_us + READ_BACK_US;
--- a/soak/probes.c
+++ b/soak/probes.c
@@ -74,14 +74,15 @@
                  MSG_DONTWAIT, (struct sockaddr *)&name, name_bytes);
 }
 
-/// True if neither the entry nor any control process was disturbed for
-/// SOAK_CONTACT_US before the probe began.
+/// True if neither the entry nor any control process nor all agents were
+/// disturbed for SOAK_CONTACT_US before the probe began.
 static bool
 was_calm(const struct probe *probe)
 {
     return soak_calm_since_us(site) <= probe->start_us &&
            !soak_node_has_fault(probe->entry) &&
-           probe->entry->last_fault_us + SOAK_CONTACT_US <= probe->start_us;
+           probe->entry->last_fault_us + SOAK_CONTACT_US <= probe->start_us &&
+           site->agents_lost_us + SOAK_CONTACT_US <= probe->start_us;
 }
 
 static void
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -112,6 +112,8 @@
     /// Time until which control processes, or the host, were disturbed apart
     /// from the faults of processes.
     uint64_t disturbed_until_us;
+    /// Time at which all agents were killed last.
+    uint64_t agents_lost_us;
     /// Time after which the operator makes no changes of its own, and after
     /// which callers open no new flows.
     uint64_t end_us;
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -307,6 +307,9 @@
 kill_role(enum soak_role role)
 {
     soak_log_fault(&soak, "kill all of role %u", role);
+    if (role == SOAK_AGENT) {
+        soak.agents_lost_us = SlClock_Monotonic();
+    }
     for (uint32_t i = 0; i < soak.node_count; i++) {
         if (soak.nodes[i].role == role && !soak.nodes[i].is_paused) {
             soak_signal_node(&soak, &soak.nodes[i], SIGKILL);
@@ -314,6 +317,21 @@
     }
 }
 
+/// Kills all control processes at the end of a span in which they may be
+/// disturbed, so that the others have to find new ones at the beginning of the
+/// span in which bounds are checked.
+static void
+end_control_disturbance(uint64_t now_us)
+{
+    static bool was_disturbed;
+    bool is_disturbed = may_disturb_control(now_us);
+
+    if (was_disturbed && !is_disturbed) {
+        kill_role(SOAK_CONTROL);
+    }
+    was_disturbed = is_disturbed;
+}
+
 static void
 inject_fault(uint64_t now_us)
 {
@@ -366,6 +384,7 @@
     soak_update_nodes(&soak, now_us);
     end_due_faults(now_us);
     if (now_us > soak.start_us + WARM_UP_US && now_us < soak.faults_end_us) {
+        end_control_disturbance(now_us);
         if (now_us >= next_fault_us) {
             next_fault_us = now_us + soak_random(&soak, FAULT_INTERVAL_MAX_US);
             inject_fault(now_us);
