--- a/soak/losses.c
+++ b/soak/losses.c
@@ -3,7 +3,8 @@
 /// accepted must then be read back, and requests must be served again.
 
 #include <signal.h>
-#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
 
 #include "soak.h"
 
@@ -42,6 +43,7 @@
     node->is_removed = true;
     soak_signal_node(soak, node, SIGKILL);
     soak_add_node(soak, SOAK_CONTROL, true, node->zone);
+    successor->is_successor = true;
     successor->is_first_start = false;
     successor->was_started = true;
     soak_log_fault(soak, "replace %u by %u", node->number, successor->number);
@@ -50,6 +52,40 @@
     }
 }
 
+/// Reports the new control instances that belong to no control group, by the
+/// last line about membership in their logs.
+static void
+check_successors(struct soak *soak)
+{
+    for (uint32_t i = 0; i < soak->node_count; i++) {
+        const struct soak_node *node = &soak->nodes[i];
+        char path[SOAK_PATH_BYTES + 32];
+        char line[512];
+        bool is_member = false;
+        FILE *log;
+
+        if (!node->is_successor || node->is_removed) {
+            continue;
+        }
+        snprintf(path, sizeof(path), "%s/node-%u.log", soak->folder,
+                 node->number);
+        log = fopen(path, "re");
+        while (log != NULL && fgets(line, sizeof(line), log) != NULL) {
+            if (strstr(line, " member ") != NULL) {
+                is_member = strstr(line, " members=0 ") == NULL;
+            }
+        }
+        if (log != NULL) {
+            fclose(log);
+        }
+        if (!is_member) {
+            soak_report_violation(
+                soak, "new control instance %u has not joined any group",
+                node->number);
+        }
+    }
+}
+
 /// Deletes the data of two control instances, or of one if there are fewer
 /// than five.
 static void
@@ -112,5 +148,8 @@
     }
     change_us = now_us;
     awaited_version = operator_change_config(now_us);
+    if (awaited_version != 0) {
+        check_successors(soak);
+    }
     return false;
 }
--- a/soak/patient_reads.c
+++ b/soak/patient_reads.c
@@ -68,7 +68,7 @@
         return;
     }
     if (outcome != ANSWERED) {
-        read->next_us = now_us + operator_pause_us(read->attempts);
+        read->next_us = now_us + operator_pause_us(read->attempts - 1);
         return;
     }
     read->used = false;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,8 @@
     bool is_stopping;
     /// It is replaced by another process and does not start again.
     bool is_removed;
+    /// It replaces another one.
+    bool is_successor;
 
     /// A control instance that has not been restarted yet; only such an
     /// instance may bootstrap the control group.
@@ -309,7 +311,7 @@
 /// Returns the version of the configuration in a response.
 uint64_t
 operator_parse_version(const char *body, size_t body_bytes);
-/// Pause of an operator after this number of failed attempts.
+/// Pause of an operator after this number of failed attempts and one more.
 uint64_t
 operator_pause_us(uint32_t attempts);
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -456,7 +456,7 @@
         soak_report_violation(
             &soak, "no read returned the newest accepted configuration");
     }
-    if (soak.asked_calm < 100 ||
+    if (soak.asked_calm < (soak.callers > 0 ? soak.callers : 100) ||
         soak.answered_calm * 100 < soak.asked_calm * MIN_ANSWERED_PERCENT) {
         soak_report_violation(
             &soak, "only %llu of %llu requests after the faults were answered",
