--- a/soak/probes.c
+++ b/soak/probes.c
@@ -18,6 +18,8 @@
     FIRST_SOURCE_PORT = 20000,
     SOURCE_PORTS = 30000,
     SOURCE = 200,
+    /// Length of the end of a log that is searched.
+    LOG_END_BYTES = 256 * 1024,
     RESEND_US = 200 * 1000,
     TIMEOUT_US = 1400 * 1000,
     /// Ages of changes, in seconds, by which outcomes are counted; the last
@@ -27,8 +29,10 @@
 
 enum outcome {
     OPENED = 0,
-    RESET,
-    SILENT,
+    /// Refused for want of a route.
+    REFUSED,
+    /// Not answered, or reset because no upstream took the flow.
+    UNDECIDED,
     OUTCOMES,
 };
 
@@ -42,6 +46,7 @@
     /// Time from the acceptance of the change to the start of the probe.
     uint64_t age_us;
     uint32_t resends;
+    bool was_reset;
     struct SlAddress source;
 };
 
@@ -85,6 +90,34 @@
            site->agents_lost_us + SOAK_CONTACT_US <= probe->start_us;
 }
 
+/// True if the entry logged that it has no route for the flow.
+static bool
+has_logged_no_route(const struct probe *probe)
+{
+    char path[SOAK_PATH_BYTES + 32];
+    char line[512];
+    char port[32];
+    bool is_logged = false;
+    FILE *log;
+
+    snprintf(port, sizeof(port), ":%u>", probe->source.port);
+    snprintf(path, sizeof(path), "%s/node-%u.log", site->folder,
+             probe->entry->number);
+    log = fopen(path, "re");
+    if (log == NULL) {
+        return false;
+    }
+    if (fseek(log, -LOG_END_BYTES, SEEK_END) != 0) {
+        rewind(log);
+    }
+    while (fgets(line, sizeof(line), log) != NULL) {
+        is_logged = is_logged || (strstr(line, "reason=no_route") != NULL &&
+                                  strstr(line, port) != NULL);
+    }
+    fclose(log);
+    return is_logged;
+}
+
 static void
 end_probe(struct probe *probe, enum outcome outcome)
 {
@@ -96,7 +129,7 @@
     }
     totals[probe->is_removed][age_s < AGES ? age_s : AGES - 1][outcome]++;
     if (probe->age_us > SOAK_APPLY_US &&
-        outcome == (probe->is_removed ? OPENED : RESET)) {
+        outcome == (probe->is_removed ? OPENED : REFUSED)) {
         soak_report_violation(
             site, "entry %u %s a flow of a route that was %s %llu ms before",
             probe->entry->number, probe->is_removed ? "opened" : "refused",
@@ -117,8 +150,15 @@
     port = segment.destination.port;
     for (uint32_t i = 0; i < PROBES_MAX; i++) {
         if (probes[i].used && probes[i].source.port == port) {
-            end_probe(&probes[i],
-                      segment.flags & SL_SEGMENT_RESET ? RESET : OPENED);
+            if (!(segment.flags & SL_SEGMENT_RESET)) {
+                end_probe(&probes[i], OPENED);
+            }
+            else if (probes[i].is_removed) {
+                end_probe(&probes[i], REFUSED);
+            }
+            else {
+                probes[i].was_reset = true;
+            }
         }
     }
 }
@@ -206,9 +246,11 @@
             continue;
         }
         if (now_us - probe->start_us > TIMEOUT_US) {
-            end_probe(probe, SILENT);
+            end_probe(probe, probe->was_reset && has_logged_no_route(probe)
+                                 ? REFUSED
+                                 : UNDECIDED);
         }
-        else if (probe->resends < 2 &&
+        else if (!probe->was_reset && probe->resends < 2 &&
                  now_us - probe->start_us >
                      RESEND_US * (probe->resends == 0 ? 1 : 3)) {
             probe->resends++;
@@ -249,11 +291,11 @@
 probes_print(void)
 {
     for (uint32_t removed = 0; removed < 2; removed++) {
-        printf("probes of routes %s, by age in s, opened/reset/silent:",
+        printf("probes of routes %s, by age in s, opened/refused/undecided:",
                removed ? "removed" : "added");
         for (uint32_t i = 0; i < AGES; i++) {
             printf(" %u/%u/%u", totals[removed][i][OPENED],
-                   totals[removed][i][RESET], totals[removed][i][SILENT]);
+                   totals[removed][i][REFUSED], totals[removed][i][UNDECIDED]);
         }
         printf("\n");
     }
