--- a/soak/patient_reads.c
+++ b/soak/patient_reads.c
@@ -38,7 +38,7 @@
 static uint64_t random_state;
 static uint64_t next_read_us;
 /// Number of reads, of those that began in a calm time, of those of them that
-/// failed, and of attempts by the kind of process asked.
+/// failed, and of their attempts by the kind of process asked.
 static uint32_t read_count;
 static uint32_t calm_count;
 static uint32_t failed_count;
@@ -63,7 +63,7 @@
 
     read->is_in_flight = false;
     read->outcomes[outcome]++;
-    totals[read->asked->has_disk][outcome]++;
+    totals[read->asked->has_disk][outcome] += was_calm(read);
     if (!read->used) {
         return;
     }
@@ -157,7 +157,8 @@
 patient_reads_print(void)
 {
     printf("patient reads: %u, %u of them in calm times, %u failed, slowest "
-           "%llu ms; attempts answered, refused, silent: with a disk %u, %u, "
+           "%llu ms; their attempts answered, refused, silent: with a disk "
+           "%u, %u, "
            "%u, without %u, %u, %u\n",
            read_count, calm_count, failed_count,
            (unsigned long long)(slowest_us / US_PER_MS), totals[1][ANSWERED],
--- a/soak/processes.c
+++ b/soak/processes.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 enum {
     SEED_NODES = 3,
     RESTART_DELAY_US = 400 * 1000,
+    QUOTA_PERIOD_US = 100 * 1000,
 };
 
 static const char *const ROLE_NAMES[] = {"control", "entry", "agent"};
@@ -114,6 +116,7 @@
 {
     int output = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     execl(soak->program, soak->program, settings, (char *)NULL);
@@ -139,6 +142,7 @@
         exec_program(soak, settings, path);
     }
     node->is_paused = false;
+    node->is_throttled = false;
     node->is_stopping = false;
     node->restart_us = 0;
     node->last_fault_us = now_us;
@@ -200,6 +204,27 @@
     }
 }
 
+void
+soak_throttle_nodes(struct soak *soak, uint64_t now_us)
+{
+    uint64_t quota_us = soak->control_quota * QUOTA_PERIOD_US / 100;
+
+    for (uint32_t i = 0; soak->control_quota > 0 && i < soak->node_count;
+         i++) {
+        struct soak_node *node = &soak->nodes[i];
+        uint64_t phase_us =
+            (now_us + i * QUOTA_PERIOD_US / 7) % QUOTA_PERIOD_US;
+        bool is_throttled = phase_us >= quota_us;
+
+        if (!node->has_disk || node->pid == 0 || node->is_paused ||
+            node->is_throttled == is_throttled) {
+            continue;
+        }
+        node->is_throttled = is_throttled;
+        kill(node->pid, is_throttled ? SIGSTOP : SIGCONT);
+    }
+}
+
 void
 soak_delete_node_data(struct soak *soak, const struct soak_node *node)
 {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,8 @@
     bool is_stopping;
     /// It is replaced by another process and does not start again.
     bool is_removed;
+    /// Its share of the current tenth of a second is used up.
+    bool is_throttled;
     /// It replaces another one.
     bool is_successor;
 
@@ -104,6 +106,9 @@
     bool restarts_only;
     /// One-way delay of connections to control instances.
     uint64_t control_delay_us;
+    /// Share of each tenth of a second in which control instances run, in
+    /// percent; 0 for all of it.
+    uint32_t control_quota;
     /// Control instances that are still to be replaced by new ones at other
     /// addresses.
     uint32_t replacements;
@@ -195,6 +200,9 @@
 /// delay has passed.
 void
 soak_update_nodes(struct soak *soak, uint64_t now_us);
+/// Stops and continues control instances as soak->control_quota demands.
+void
+soak_throttle_nodes(struct soak *soak, uint64_t now_us);
 /// Deletes the files in the data folder of a control instance that has been
 /// killed.
 void
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -382,6 +382,7 @@
 
     notice_host_pause(now_us);
     soak_update_nodes(&soak, now_us);
+    soak_throttle_nodes(&soak, now_us);
     end_due_faults(now_us);
     if (now_us > soak.start_us + WARM_UP_US && now_us < soak.faults_end_us) {
         end_control_disturbance(now_us);
@@ -588,6 +589,9 @@
     struct arg_int *delay =
         arg_int0(NULL, "control-delay", "MS",
                  "one-way delay of connections to control instances");
+    struct arg_int *quota =
+        arg_int0(NULL, "control-quota", "PERCENT",
+                 "share of each tenth of a second for control instances");
     struct arg_lit *restarts =
         arg_lit0("r", "restarts-only", "no faults but kills and stops");
     struct arg_file *program =
@@ -595,9 +599,10 @@
     struct arg_file *folder =
         arg_file1(NULL, NULL, "FOLDER", "for settings, data and logs");
     struct arg_end *end = arg_end(4);
-    void *table[] = {seed,     seconds,  net,     size,   entries,
-                     controls, diskless, callers, losses, replacements,
-                     delay,    restarts, program, folder, end};
+    void *table[] = {seed,     seconds,      net,      size,
+                     entries,  controls,     diskless, callers,
+                     losses,   replacements, delay,    quota,
+                     restarts, program,      folder,   end};
     uint32_t agents;
     bool is_valid;
 
@@ -605,7 +610,7 @@
     *entries->ival = 0;
     *controls->ival = 4;
     *diskless->ival = *callers->ival = *losses->ival = *replacements->ival =
-        *delay->ival = 0;
+        *delay->ival = *quota->ival = 0;
     is_valid = arg_parse(argc, argv, table) == 0;
     agents = (uint32_t)*size->ival;
     if (*entries->ival == 0) {
@@ -628,6 +633,7 @@
     soak.losses = (uint32_t)*losses->ival;
     soak.replacements = (uint32_t)*replacements->ival;
     soak.control_delay_us = (uint64_t)*delay->ival * US_PER_MS;
+    soak.control_quota = (uint32_t)*quota->ival;
     soak.restarts_only = restarts->count > 0;
     soak.program = program->filename[0];
     snprintf(soak.folder, sizeof(soak.folder), "%s", folder->filename[0]);
