--- a/soak/callers.c
+++ b/soak/callers.c
@@ -177,7 +177,8 @@
     }
     site->reset++;
     if (caller->state != OPENING && holder != 0 &&
-        now_us >= site->recovered_us) {
+        (site->all_lost_us == 0 ||
+         now_us - site->all_lost_us > SOAK_RECOVERY_US)) {
         soak_report_violation(site, "a flow that upstream %u holds was reset",
                               holder);
     }
--- a/soak/losses.c
+++ b/soak/losses.c
@@ -109,26 +109,34 @@
     }
 }
 
-static void
-lose_all(struct soak *soak, uint64_t now_us)
+void
+losses_kill_all(struct soak *soak, uint64_t now_us)
 {
-    bool lose_disks = (lost + soak->seed) % 2 == 0;
-
-    soak_log_fault(soak, "kill all, after version %llu was accepted",
-                   (unsigned long long)awaited_version);
+    soak_log_fault(soak, "kill all processes");
     for (uint32_t i = 0; i < soak->node_count; i++) {
-        soak_signal_node(soak, &soak->nodes[i], SIGKILL);
+        if (!soak->nodes[i].is_paused) {
+            soak_signal_node(soak, &soak->nodes[i], SIGKILL);
+        }
     }
-    if (lose_disks) {
+    soak->agents_lost_us = now_us;
+    soak->all_lost_us = now_us;
+    /* The loss of most control instances takes twice as long. */
+    soak->disturbed_until_us = now_us + RESTART_US + 2ull * SOAK_CONTACT_US;
+}
+
+/// Kills all processes right after a change was accepted. In every second
+/// round disks are lost as well.
+static void
+lose_all(struct soak *soak, uint64_t now_us)
+{
+    losses_kill_all(soak, now_us);
+    if ((lost + soak->seed) % 2 == 0) {
         delete_disks(soak);
     }
     lost++;
-    soak->agents_lost_us = now_us;
     awaited_version = 0;
     soak->recovered_us = now_us + RESTART_US + SOAK_RECOVERY_US;
     next_us = soak->recovered_us + READ_BACK_US;
-    /* The loss of most control instances takes twice as long. */
-    soak->disturbed_until_us = now_us + RESTART_US + 2ull * SOAK_CONTACT_US;
 }
 
 bool
--- a/soak/patient_reads.c
+++ b/soak/patient_reads.c
@@ -1,7 +1,9 @@
 /// Reads of the configuration as an operator makes them who knows all control
 /// processes, but not which of them have a disk: each attempt goes to one of
 /// them at random, and after a failure there is a pause, longer each time. A
-/// read that begins while nothing is disturbed must succeed in time.
+/// read that begins while nothing is disturbed must succeed in time, also one
+/// that happens to ask processes without a disk only, as every fourth one
+/// does.
 
 #include <stdio.h>
 
@@ -23,6 +25,8 @@
 struct patient_read {
     bool used;
     bool is_in_flight;
+    /// It happens to ask processes without a disk only.
+    bool avoids_disks;
     uint32_t attempts;
     uint64_t start_us;
     uint64_t next_us;
@@ -38,10 +42,11 @@
 static uint64_t random_state;
 static uint64_t next_read_us;
 /// Number of reads, of those that began in a calm time, of those of them that
-/// failed, and of their attempts by the kind of process asked.
+/// failed without and with avoids_disks, and of their attempts by the kind of
+/// process asked.
 static uint32_t read_count;
 static uint32_t calm_count;
-static uint32_t failed_count;
+static uint32_t failed_count[2];
 static uint32_t totals[2][OUTCOMES];
 static uint64_t slowest_us;
 
@@ -91,7 +96,9 @@
                              .context = read,
                              .done = on_read_answered};
 
-    read->asked = soak_draw_control(site, &random_state);
+    do {
+        read->asked = soak_draw_control(site, &random_state);
+    } while (read->avoids_disks && read->asked->has_disk);
     read->min_version =
         operator_version_accepted(now_us - SOAK_APPLY_US, NULL);
     read->attempts++;
@@ -108,12 +115,14 @@
     if (!was_calm(read)) {
         return;
     }
-    failed_count++;
+    failed_count[read->avoids_disks]++;
     soak_report_violation(
         site,
         "the configuration could not be read for 6 s although nothing was "
-        "disturbed (%u attempts: %u refused, %u without an answer)",
-        read->attempts, read->outcomes[REFUSED], read->outcomes[SILENT]);
+        "disturbed (%u attempts%s: %u refused, %u without an answer)",
+        read->attempts,
+        read->avoids_disks ? " at processes without a disk" : "",
+        read->outcomes[REFUSED], read->outcomes[SILENT]);
 }
 
 static void
@@ -121,8 +130,11 @@
 {
     for (uint32_t i = 0; i < READS_MAX; i++) {
         if (!reads[i].used && !reads[i].is_in_flight) {
-            reads[i] = (struct patient_read){
-                .used = true, .start_us = now_us, .next_us = now_us};
+            reads[i] =
+                (struct patient_read){.used = true,
+                                      .avoids_disks = read_count % 4 == 3,
+                                      .start_us = now_us,
+                                      .next_us = now_us};
             read_count++;
             calm_count += was_calm(&reads[i]);
             return;
@@ -156,11 +168,12 @@
 void
 patient_reads_print(void)
 {
-    printf("patient reads: %u, %u of them in calm times, %u failed, slowest "
+    printf("patient reads: %u, %u of them in calm times, %u and %u failed, "
+           "slowest "
            "%llu ms; their attempts answered, refused, silent: with a disk "
            "%u, %u, "
            "%u, without %u, %u, %u\n",
-           read_count, calm_count, failed_count,
+           read_count, calm_count, failed_count[0], failed_count[1],
            (unsigned long long)(slowest_us / US_PER_MS), totals[1][ANSWERED],
            totals[1][REFUSED], totals[1][SILENT], totals[0][ANSWERED],
            totals[0][REFUSED], totals[0][SILENT]);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -119,8 +119,9 @@
     /// Time until which control processes, or the host, were disturbed apart
     /// from the faults of processes.
     uint64_t disturbed_until_us;
-    /// Time at which all agents were killed last.
+    /// Time at which all agents, and all processes, were killed last.
     uint64_t agents_lost_us;
+    uint64_t all_lost_us;
     /// Time after which the operator makes no changes of its own, and after
     /// which callers open no new flows.
     uint64_t end_us;
@@ -352,6 +353,9 @@
 void
 losses_replace_control(struct soak *soak, uint64_t now_us,
                        bool (*may_disturb)(const struct soak_node *node));
+/// Kills all processes.
+void
+losses_kill_all(struct soak *soak, uint64_t now_us);
 /// Begins a loss if one is due. Returns true once all losses are over.
 bool
 losses_tick(struct soak *soak, uint64_t now_us);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -22,9 +22,10 @@
     RECOVERY_US = 14 * 1000 * 1000,
     FAULT_INTERVAL_MAX_US = 900 * 1000,
     FAULT_DURATION_RANGE_US = 4 * 1000 * 1000,
-    /// Length of the alternating spans without and with faults of control
+    /// Lengths of the alternating spans without and with faults of control
     /// processes, where some of them have no disk.
-    CALM_INTERVAL_US = 20 * 1000 * 1000,
+    CALM_SPAN_US = 25 * 1000 * 1000,
+    DISTURBED_SPAN_US = 15 * 1000 * 1000,
     HOST_PAUSE_US = 300 * 1000,
     MIN_ANSWERED_PERCENT = 95,
     MIN_RECOVERED_PERCENT = 50,
@@ -201,7 +202,8 @@
 may_disturb_control(uint64_t now_us)
 {
     return soak.diskless == 0 ||
-           (now_us - soak.start_us) / CALM_INTERVAL_US % 2 == 1;
+           (now_us - soak.start_us) % (CALM_SPAN_US + DISTURBED_SPAN_US) >=
+               CALM_SPAN_US;
 }
 
 /// True if the process may get a fault now. At most one control instance may
@@ -317,9 +319,9 @@
     }
 }
 
-/// Kills all control processes at the end of a span in which they may be
-/// disturbed, so that the others have to find new ones at the beginning of the
-/// span in which bounds are checked.
+/// Kills all processes at the end of a span in which control processes may be
+/// disturbed, so that all have new seeds in the span in which bounds are
+/// checked.
 static void
 end_control_disturbance(uint64_t now_us)
 {
@@ -327,7 +329,7 @@
     bool is_disturbed = may_disturb_control(now_us);
 
     if (was_disturbed && !is_disturbed) {
-        kill_role(SOAK_CONTROL);
+        losses_kill_all(&soak, now_us);
     }
     was_disturbed = is_disturbed;
 }
