--- a/soak/processes.c
+++ b/soak/processes.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -17,19 +18,22 @@
 enum {
     SEED_NODES = 3,
     RESTART_DELAY_US = 400 * 1000,
+    QUOTA_PERIOD_US = 100 * 1000,
 };
 
 static const char *const ROLE_NAMES[] = {"control", "entry", "agent"};
 
 void
-soak_add_node(struct soak *soak, enum soak_role role, uint32_t zone)
+soak_add_node(struct soak *soak, enum soak_role role, bool has_disk,
+              uint32_t zone)
 {
     struct soak_node *node = &soak->nodes[soak->node_count++];
 
     node->role = role;
+    node->has_disk = has_disk;
     node->number = soak->node_count;
     node->zone = zone;
-    node->is_first_start = role == SOAK_CONTROL;
+    node->is_first_start = has_disk;
 }
 
 static void
@@ -47,8 +51,27 @@
             ROLE_NAMES[node->role], soak->net, node->number, SOAK_LINK_PORT,
             soak->net, node->number, SOAK_LINK_PORT, soak->net, node->number,
             SOAK_LINK_PORT);
-    fprintf(file, "seeds = 127.%u.1.1,127.%u.1.2,127.%u.1.3\n", soak->net,
-            soak->net, soak->net);
+}
+
+/// At the first start all processes have the same seeds, with a disk each.
+/// Later ones are drawn from all control processes if some have no disk.
+static void
+write_seeds(const struct soak *soak, const struct soak_node *node, FILE *file)
+{
+    static uint64_t random_state;
+    uint32_t seeds[SEED_NODES] = {1, 2, 3};
+
+    while (soak->diskless > 0 && node->was_started) {
+        for (uint32_t i = 0; i < SEED_NODES; i++) {
+            seeds[i] = soak_draw_control(soak, &random_state)->number;
+        }
+        if (seeds[0] != seeds[1] && seeds[0] != seeds[2] &&
+            seeds[1] != seeds[2]) {
+            break;
+        }
+    }
+    fprintf(file, "seeds = 127.%u.1.%u,127.%u.1.%u,127.%u.1.%u\n", soak->net,
+            seeds[0], soak->net, seeds[1], soak->net, seeds[2]);
 }
 
 static void
@@ -61,7 +84,8 @@
         return;
     }
     write_common_settings(soak, node, file);
-    if (node->role == SOAK_CONTROL) {
+    write_seeds(soak, node, file);
+    if (node->has_disk) {
         fprintf(file, "bootstrap = %s\ndata_folder = %s/data-%u\n",
                 node->is_first_start && node->number <= SEED_NODES ? "yes"
                                                                    : "no",
@@ -92,6 +116,7 @@
 {
     int output = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     execl(soak->program, soak->program, settings, (char *)NULL);
@@ -111,11 +136,13 @@
     mkdir(path, 0755);
     write_settings(soak, node, settings);
     snprintf(path, sizeof(path), "%s/node-%u.log", soak->folder, node->number);
+    node->was_started = true;
     node->pid = fork();
     if (node->pid == 0) {
         exec_program(soak, settings, path);
     }
     node->is_paused = false;
+    node->is_throttled = false;
     node->is_stopping = false;
     node->restart_us = 0;
     node->last_fault_us = now_us;
@@ -153,7 +180,7 @@
     node->pid = 0;
     node->is_paused = false;
     node->last_fault_us = now_us;
-    node->restart_us = now_us + RESTART_DELAY_US;
+    node->restart_us = node->is_removed ? 0 : now_us + RESTART_DELAY_US;
 }
 
 void
@@ -177,6 +204,27 @@
     }
 }
 
+void
+soak_throttle_nodes(struct soak *soak, uint64_t now_us)
+{
+    uint64_t quota_us = soak->control_quota * QUOTA_PERIOD_US / 100;
+
+    for (uint32_t i = 0; soak->control_quota > 0 && i < soak->node_count;
+         i++) {
+        struct soak_node *node = &soak->nodes[i];
+        uint64_t phase_us =
+            (now_us + i * QUOTA_PERIOD_US / 7) % QUOTA_PERIOD_US;
+        bool is_throttled = phase_us >= quota_us;
+
+        if (!node->has_disk || node->pid == 0 || node->is_paused ||
+            node->is_throttled == is_throttled) {
+            continue;
+        }
+        node->is_throttled = is_throttled;
+        kill(node->pid, is_throttled ? SIGSTOP : SIGCONT);
+    }
+}
+
 void
 soak_delete_node_data(struct soak *soak, const struct soak_node *node)
 {
