--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -89,8 +89,9 @@
 /// instance other than the one that it dialled last.
 uint64_t
 SlReplica_InvitationsTaken(const struct SlReplica *replica);
-/// Finds the control instance in use, if its link is up and it confirmed within
-/// the lease that the configuration is current. link: its address for links.
+/// Finds the control instance in use, if its link is up and it confirmed
+/// within the lease that the configuration is current. link: its address for
+/// links.
 bool
 SlReplica_FindCurrentControl(const struct SlReplica *replica, uint64_t now_us,
                              uint64_t *node_id, struct SlAddress *link);
