Pass committed changes on without a lease in self-forming sites

An entry followed an old version though control had committed a newer one. A control instance that was not current sent nothing but heartbeats that said so. With round trips above some 170 ms the leases of followers end before the next round while the leader stays, so the processes linked to them heard of no change for as long.

What an instance has applied is committed and is never taken back, and a process refuses what is not newer than its own. So an instance of a self-forming site now sends what it has applied without a lease too, marked as not fresh. A process follows it, and does not count itself as current by it. A restarted instance gives what its log marks as committed to processes with an older version, and no longer only to those with none. Other sites keep to instances that are current.

Evidence: control_publish_test.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -183,6 +183,10 @@
      "limit_us", "A control instance holds no fresh lease."},
     {SL_EVENT_DISK, SL_LEVEL_ERROR, "disk", NULL, NULL,
      "A process could not write or sync its durable state to disk."},
+    {SL_EVENT_PUBLISHED_WITHOUT_LEASE, SL_LEVEL_INFO,
+     "published_without_lease", "processes", "lease_us",
+     "A control instance that is not current sent processes changes that are "
+     "committed; node is the last leader."},
     {SL_EVENT_FLOW_RECORDS_READ, SL_LEVEL_NOTICE, "flow_records_read",
      "records", "unread_bytes",
      "A control instance has read its records of kept flows."},
--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -105,6 +105,10 @@
 /// Returns how often the instance ceased to be current.
 uint64_t
 SlControl_LeaseLossCount(const struct SlControl *control);
+/// Returns how often a subscriber was sent changes while this instance was not
+/// current.
+uint64_t
+SlControl_OutdatedPublicationCount(const struct SlControl *control);
 /// Returns the name of the last known leader; empty when there is none. Valid
 /// until the next call of SlControl_HandleInput.
 const char *
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -133,6 +133,10 @@
     uint64_t current_until_us;
     bool is_current;
     uint64_t lease_losses;
+    /// Number of times that a subscriber was sent changes without a lease, and
+    /// when the next of them may be logged.
+    uint64_t outdated_publications;
+    uint64_t outdated_publication_log_due_us;
     uint32_t early_event_count;
     struct SlEvent early_events[SL_CONTROL_EARLY_EVENTS_MAX];
 
@@ -250,7 +254,9 @@
 SlControl_OnHeartbeat(struct SlControl *control, uint64_t link,
                       const struct SlHeartbeat *heartbeat);
 /// Sends each subscriber the changes since the version that was last sent to
-/// it, if this instance holds a fresh lease.
+/// it. In self-forming sites this does not need a lease: what this instance has
+/// applied is committed, and versions only grow. It is then marked as not
+/// fresh, so that no process takes itself for current by it.
 void
 SlControl_PublishChanges(struct SlControl *control);
 void
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -8,6 +8,11 @@
 #include "config_parts.h"
 #include "control_core.h"
 
+enum {
+    /// Minimum time between two log lines about changes sent without a lease.
+    PUBLICATION_LOG_INTERVAL_US = 1000 * 1000,
+};
+
 enum SlStatus
 SlControl_CreatePublisher(struct SlControl *control)
 {
@@ -139,12 +144,13 @@
 }
 
 static void
-send_delta(struct SlControl *control, const struct SlControlLink *link)
+send_delta(struct SlControl *control, const struct SlControlLink *link,
+           bool fresh)
 {
     struct SlConfigPart part = {.from = link->sent_version,
                                 .to = SlConfig_Version(control->config),
                                 .first = true,
-                                .fresh = true,
+                                .fresh = fresh,
                                 .objects = control->part_objects,
                                 .removed = control->part_removed};
 
@@ -171,52 +177,69 @@
            SlVersion_Compare(version, control->modifications_since) >= 0;
 }
 
-/// Sends the recovered configuration, marked as not fresh, to subscribers that
-/// hold no configuration. This lets them serve before a leader is elected.
-static void
-publish_recovered_config(struct SlControl *control, struct SlVersion version)
+/// Sends a subscriber what it lacks. Returns false if it lacks nothing.
+static bool
+publish_to_link(struct SlControl *control, struct SlControlLink *link,
+                bool fresh)
 {
-    for (uint32_t i = 0; i < control->link_count; i++) {
-        struct SlControlLink *link = &control->links[i];
+    struct SlVersion version = SlConfig_Version(control->config);
 
-        if (link->subscribed && link->sent_version.index == 0 &&
-            version.index != 0) {
-            SlConfigParts_SendWhole(control->config, false, control->sink,
-                                    link->link);
-            link->sent_version = version;
-        }
+    if (!link->subscribed ||
+        SlVersion_Compare(link->sent_version, version) >= 0) {
+        return false;
     }
+    if (can_send_delta(control, link->sent_version)) {
+        send_delta(control, link, fresh);
+    }
+    else {
+        SlConfigParts_SendWhole(control->config, fresh, control->sink,
+                                link->link);
+    }
+    link->sent_version = version;
+    return true;
+}
+
+/// Counts and logs, at a limited rate, that changes were sent without a lease.
+static void
+report_outdated_publication(struct SlControl *control, uint32_t links)
+{
+    control->outdated_publications += links;
+    if (control->now_us < control->outdated_publication_log_due_us) {
+        return;
+    }
+    control->outdated_publication_log_due_us =
+        control->now_us + PUBLICATION_LOG_INTERVAL_US;
+    SlControl_EmitEvent(
+        control, &(struct SlEvent){
+                     .number = SL_EVENT_PUBLISHED_WITHOUT_LEASE,
+                     .node = SlControl_LeaderName(control),
+                     .value = links,
+                     .limit = SlControl_LeaseUs(control, control->now_us)});
 }
 
 void
 SlControl_PublishChanges(struct SlControl *control)
 {
-    struct SlVersion version = SlConfig_Version(control->config);
+    bool fresh = SlRaft_IsFresh(&control->raft, control->now_us);
+    uint32_t published = 0;
 
-    if (!SlRaft_IsFresh(&control->raft, control->now_us)) {
-        if (control->options.self_forming) {
-            publish_recovered_config(control, version);
-        }
+    if (!fresh && !control->options.self_forming) {
         return;
     }
     for (uint32_t i = 0; i < control->link_count; i++) {
-        struct SlControlLink *link = &control->links[i];
-
-        if (!link->subscribed ||
-            SlVersion_Compare(link->sent_version, version) >= 0) {
-            continue;
-        }
-        if (can_send_delta(control, link->sent_version)) {
-            send_delta(control, link);
-        }
-        else {
-            SlConfigParts_SendWhole(control->config, true, control->sink,
-                                    link->link);
-        }
-        link->sent_version = version;
+        published += publish_to_link(control, &control->links[i], fresh);
+    }
+    if (!fresh && published > 0) {
+        report_outdated_publication(control, published);
     }
 }
 
+uint64_t
+SlControl_OutdatedPublicationCount(const struct SlControl *control)
+{
+    return control->outdated_publications;
+}
+
 void
 SlControl_OnSubscribe(struct SlControl *control, uint64_t number,
                       const struct SlSubscribe *subscribe)
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -474,6 +474,9 @@
                      SlControl_InvitationCount(SlNode_Control(shell->node)));
         append_count(out, "control_lease_losses",
                      SlControl_LeaseLossCount(SlNode_Control(shell->node)));
+        append_count(
+            out, "control_outdated_publications",
+            SlControl_OutdatedPublicationCount(SlNode_Control(shell->node)));
     }
     append_replica_counters(SlNode_Replica(shell->node), out);
     if (shell->front != NULL) {
