Refuse a recording whose node has options that no settings give

A recording whose node has a flow table of 3 shards ended the process that replays it by an assertion; with 2^31 shards or 2^32 - 1 flows it requested more memory than any machine has.

Cause: the options of a recorded node were passed on as they were read.

Evidence: recording_test, code of before, ends with "SlFlowTable_Create: Assertion `(shards & (shards - 1)) == 0' failed".

Change: shards must be a power of two up to 1,024, and the numbers of flows within the ranges of the settings.

Measured: five such recordings are malformed, in both builds.

--- a/packages/coordination/src/recording_read.c
+++ b/packages/coordination/src/recording_read.c
@@ -9,6 +9,13 @@
 #include "recording_format.h"
 #include "savoryledge/protocol/encoding.h"
 
+enum {
+    /// Largest options that settings give.
+    CACHE_MAX_FLOWS = 16 * 1024 * 1024,
+    CAPACITY_MAX_FLOWS = 1000 * 1000,
+    SHARDS_MAX = 1024,
+};
+
 struct SlRecordReader {
     const uint8_t *bytes;
     size_t length_bytes;
@@ -185,6 +192,12 @@
     options->agent.capacity_flows = (uint32_t)read_number(fields);
     options->agent.shards = (uint32_t)read_number(fields);
     options->agent.probe_window_us = read_number(fields);
+    if (options->entry.cache_flows > CACHE_MAX_FLOWS ||
+        options->agent.capacity_flows > CAPACITY_MAX_FLOWS ||
+        options->agent.shards > SHARDS_MAX ||
+        (options->agent.shards & (options->agent.shards - 1)) != 0) {
+        fields->is_malformed = true;
+    }
     read_control(fields, &options->control);
     read_replica(fields, &options->replica);
 }
--- a/test/recording_test.c
+++ b/test/recording_test.c
@@ -322,6 +322,40 @@
     free(large);
 }
 
+/// A node whose options no settings give is malformed instead of being
+/// created.
+static void
+test_odd_options(void)
+{
+    static const struct {
+        uint32_t shards;
+        uint32_t capacity_flows;
+        uint32_t cache_flows;
+    } ODD_OPTIONS[] = {
+        {3, 100, 100},        {UINT32_MAX, 100, 100}, {1U << 31, 100, 100},
+        {0, UINT32_MAX, 100}, {0, 100, UINT32_MAX},
+    };
+    struct SlNodeOptions options;
+    struct SlReplayReport report;
+    struct SlError error;
+
+    for (size_t i = 0; i < sizeof(ODD_OPTIONS) / sizeof(ODD_OPTIONS[0]); i++) {
+        struct SlBuffer bytes = {.bytes = NULL};
+        struct SlInput input = {.kind = SL_INPUT_TICK, .now_us = START_US};
+
+        fill_options(&options);
+        options.agent.shards = ODD_OPTIONS[i].shards;
+        options.agent.capacity_flows = ODD_OPTIONS[i].capacity_flows;
+        options.entry.cache_flows = ODD_OPTIONS[i].cache_flows;
+        SlRecord_PutNode(&options, START_US, &bytes);
+        SlRecord_PutInput(&input, true, &bytes);
+        CU_ASSERT_EQUAL(SlReplay_Run(bytes.bytes, bytes.length_bytes, NULL,
+                                     NULL, &report, &error),
+                        SL_MALFORMED);
+        SlBuffer_Release(&bytes);
+    }
+}
+
 int
 main(void)
 {
@@ -333,6 +367,7 @@
         {"a damaged record is detected", test_damage},
         {"a recording without its start is refused", test_missing_start},
         {"a record with an odd body is malformed", test_odd_bodies},
+        {"a node with odd options is malformed", test_odd_options},
     };
     int failed;
 
