Play full disks and I/O errors without restarts at random

The schedules of raft_test restarted every node when the faults ended, because storage that had failed needed that. Now half of them start only the nodes that are down. Full disks also refuse to cut synced records, and in half of the schedules disks fail with I/O errors for a while, after which storage refuses writes until it has recovered. All checks and bounds are unchanged.

--- a/test/fault_storage.h
+++ b/test/fault_storage.h
@@ -33,6 +33,10 @@
     enum fault_loss loss;
     /// True while the storage reports that the disk is full.
     bool disk_full;
+    /// True while every write fails with SL_IO.
+    bool io_fails;
+    /// A write failed with SL_IO: writes are refused until recover succeeds.
+    bool refuses_writes;
     /// Number of writes until the simulated crash; 0 for no crash.
     uint32_t writes_until_crash;
     /// True after the simulated crash, when every operation that writes fails.
@@ -56,6 +60,15 @@
     return !fault->has_crashed;
 }
 
+/// True when a write must fail with SL_IO although the instance has not
+/// crashed.
+static inline bool
+fault_is_refused(struct fault_storage *fault)
+{
+    fault->refuses_writes = fault->refuses_writes || fault->io_fails;
+    return fault->refuses_writes;
+}
+
 static inline enum SlStatus
 fault_set_error(struct fault_storage *fault, enum SlStatus status)
 {
@@ -81,7 +94,8 @@
     bool alive = fault_count_write(fault);
     enum SlStatus status;
 
-    if (!alive && fault->crash_write_seed % 2 == 0) {
+    if ((!alive && fault->crash_write_seed % 2 == 0) ||
+        fault_is_refused(fault)) {
         return fault_set_error(fault, SL_IO);
     }
     if (fault->disk_full) {
@@ -120,9 +134,10 @@
     if (last_index <= fault->synced_index) {
         return SL_OK;
     }
-    if (fault->disk_full) {
+    if (fault->disk_full || fault_is_refused(fault)) {
         fault->memory->type->truncate(fault->memory, fault->synced_index + 1);
-        return fault_set_error(fault, SL_DISK_FULL);
+        return fault_set_error(fault,
+                               fault->refuses_writes ? SL_IO : SL_DISK_FULL);
     }
     if (!fault_count_write(fault)) {
         fault->synced_index +=
@@ -143,9 +158,13 @@
     bool alive = fault_count_write(fault);
     enum SlStatus status;
 
-    if (!alive && fault->crash_write_seed % 2 == 0) {
+    if ((!alive && fault->crash_write_seed % 2 == 0) ||
+        fault_is_refused(fault)) {
         return fault_set_error(fault, SL_IO);
     }
+    if (fault->disk_full && index <= fault->synced_index) {
+        return fault_set_error(fault, SL_DISK_FULL);
+    }
     status = fault->memory->type->truncate(fault->memory, index);
     if (status == SL_OK && fault->synced_index >= index) {
         fault->synced_index = index - 1;
@@ -163,7 +182,8 @@
     bool alive = fault_count_write(fault);
     enum SlStatus status;
 
-    if (!alive && fault->crash_write_seed % 2 == 0) {
+    if ((!alive && fault->crash_write_seed % 2 == 0) ||
+        fault_is_refused(fault)) {
         return fault_set_error(fault, SL_IO);
     }
     if (fault->disk_full) {
@@ -183,10 +203,22 @@
 {
     struct fault_storage *fault = (struct fault_storage *)storage;
 
-    if (fault->has_crashed) {
+    enum SlStatus status;
+
+    if (!fault_count_write(fault) || fault->io_fails) {
         return fault_set_error(fault, SL_IO);
     }
-    return fault->memory->type->recover(fault->memory);
+    if (fault->disk_full) {
+        return fault_set_error(fault, SL_DISK_FULL);
+    }
+    status = fault->memory->type->recover(fault->memory);
+    if (status == SL_OK) {
+        fault->refuses_writes = false;
+        if (fault->loss == FAULT_LOSS_NONE) {
+            fault->synced_index = fault_last_index(fault);
+        }
+    }
+    return status;
 }
 
 static void
@@ -275,6 +307,7 @@
     fault->memory->type->truncate(fault->memory, fault->synced_index + 1);
     fault->memory->type->save_hard_state(fault->memory, &fault->durable_state);
     fault->has_crashed = false;
+    fault->refuses_writes = false;
     fault->writes_until_crash = 0;
 }
 
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -54,6 +54,11 @@
     uint64_t wipes;
     /// The schedule changes the membership instead of wiping data folders.
     bool changes_members;
+    /// Disks also fail with I/O errors for a while.
+    bool fails_io;
+    /// All nodes are restarted when the faults end. Otherwise only those that
+    /// are down are started.
+    bool restarts_all;
     uint64_t member_requests;
     const char *violation;
 };
@@ -367,6 +372,19 @@
     case 5:
         node->storage->disk_full = !node->storage->disk_full;
         break;
+    case 13:
+        node->storage->io_fails = schedule->fails_io;
+        break;
+    case 14:
+    case 15:
+    case 16:
+    case 17:
+    case 18:
+    case 19:
+    case 20:
+    case 21:
+        node->storage->io_fails = false;
+        break;
     case 6:
         simulation_unlink(simulation, index, (index + 1) % simulation->count);
         break;
@@ -431,14 +449,17 @@
     for (uint32_t i = 0; i < simulation->count; i++) {
         struct simulated_node *node = &simulation->nodes[i];
 
-        /* A full disk may have made storage fail permanently; only a restart
-           recovers from that. */
-        simulation_crash_node(simulation, i);
+        if (schedule->restarts_all) {
+            simulation_crash_node(simulation, i);
+        }
         node->is_partitioned = false;
         node->storage->disk_full = false;
+        node->storage->io_fails = false;
         node->storage->writes_until_crash = 0;
         node->storage->loss = FAULT_LOSS_NONE;
-        start_schedule_node(schedule, i);
+        if (node->control == NULL) {
+            start_schedule_node(schedule, i);
+        }
     }
     for (uint32_t i = 0; i < HEAL_STEPS && !is_settled(schedule); i++) {
         simulation_step(simulation);
@@ -482,6 +503,8 @@
     simulation->on_outside_message = handle_outside_message;
     simulation->context = schedule;
     schedule->changes_members = seed / 4 % 2 == 1;
+    schedule->fails_io = seed / 16 % 2 == 1;
+    schedule->restarts_all = seed / 8 % 2 == 1 || lie != FAULT_LOSS_NONE;
     for (uint32_t i = 0; i < simulation->count; i++) {
         simulation->nodes[i].storage->loss = lie;
         start_schedule_node(schedule, i);
