--- a/test/storage_test.c
+++ b/test/storage_test.c
@@ -538,6 +538,192 @@
     SlStorage_Destroy(storage);
 }
 
+/// Writes three batches, opens the folder with these file calls, and makes the
+/// disk full from the given call on.
+static struct SlStorage *
+open_full(struct fault_files *files, uint32_t call)
+{
+    struct SlStorage *storage = NULL;
+
+    write_three_batches();
+    fault_files_init(files, call, ENOSPC);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files->files, &storage, NULL),
+                          SL_OK);
+    return storage;
+}
+
+/// Opens a copy of the folder as a restart would find it, and returns the last
+/// index of its log.
+static uint64_t
+last_index_after_crash(void)
+{
+    static const char *const NAMES[] = {"state", "log", "snapshot", "log.new"};
+    static uint8_t contents[FILE_MAX_BYTES];
+    struct SlStorage *storage = NULL;
+    uint64_t last_index = UINT64_MAX;
+    char copy_path[64];
+
+    folder_create_temporary(copy_path);
+    for (size_t i = 0; i < sizeof(NAMES) / sizeof(NAMES[0]); i++) {
+        long length_bytes = folder_read_file(folder_path, NAMES[i], contents,
+                                             sizeof(contents));
+
+        if (length_bytes >= 0) {
+            folder_write_file(copy_path, NAMES[i], contents,
+                              (size_t)length_bytes);
+        }
+    }
+    CU_ASSERT_EQUAL(
+        SlStorage_OpenFolder(copy_path, NODE_ID, INCARNATION, &storage, NULL),
+        SL_OK);
+    if (storage != NULL) {
+        last_index = last_index_of(storage);
+    }
+    CU_ASSERT_EQUAL(
+        folder_read_file(copy_path, "log.new", contents, sizeof(contents)),
+        -1);
+    SlStorage_Destroy(storage);
+    folder_remove(copy_path);
+    return last_index;
+}
+
+/// A truncation of synced records that a full disk refuses changes nothing,
+/// neither in memory nor after a crash, and succeeds once there is room.
+static void
+test_truncation_on_full_disk(void)
+{
+    struct fault_files files;
+    struct SlStorage *storage = open_full(&files, 1);
+
+    CU_ASSERT_EQUAL(storage->type->truncate(storage, 3), SL_DISK_FULL);
+    CU_ASSERT_EQUAL(last_index_of(storage), 6);
+    check_record(storage, 6);
+    CU_ASSERT_EQUAL(last_index_after_crash(), 6);
+    files.error = 0;
+    append_record(storage, 7);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+    CU_ASSERT_EQUAL(last_index_after_crash(), 7);
+    CU_ASSERT_EQUAL(storage->type->truncate(storage, 3), SL_OK);
+    CU_ASSERT_EQUAL(last_index_of(storage), 2);
+    CU_ASSERT_EQUAL(last_index_after_crash(), 2);
+    append_record(storage, 3);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+    CU_ASSERT_EQUAL(last_index_after_crash(), 3);
+    SlStorage_Destroy(storage);
+}
+
+/// The disk becomes full at any call of a snapshot that replaces the whole log
+/// (as one from the leader does) or its first records. Once there is room the
+/// log goes on, and a crash at any moment recovers what was acknowledged.
+static void
+check_snapshot_on_full_disk(struct SlVersion version, uint64_t keep_from,
+                            uint32_t call)
+{
+    struct fault_files files;
+    struct SlStorage *storage = open_full(&files, call);
+    bool saved = storage->type->save_snapshot(storage, version,
+                                              (const uint8_t *)"state", 5,
+                                              keep_from) == SL_OK;
+    uint64_t last_index = last_index_of(storage);
+
+    CU_ASSERT_EQUAL(last_index,
+                    saved && version.index > 6 ? version.index : 6);
+    CU_ASSERT_EQUAL(last_index_after_crash(), last_index);
+    append_record(storage, last_index + 1);
+    if (storage->type->sync(storage) == SL_OK) {
+        last_index++;
+    }
+    CU_ASSERT_EQUAL(last_index_of(storage), last_index);
+    CU_ASSERT_EQUAL(last_index_after_crash(), last_index);
+    files.failing = false;
+    files.error = 0;
+    append_record(storage, last_index + 1);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+    CU_ASSERT_EQUAL(last_index_after_crash(), last_index + 1);
+    SlStorage_Destroy(storage);
+    storage = open_storage();
+    check_record(storage, last_index + 1);
+    SlStorage_Destroy(storage);
+}
+
+static void
+test_snapshot_on_full_disk(void)
+{
+    for (uint32_t call = 1; call <= 10; call++) {
+        check_snapshot_on_full_disk((struct SlVersion){2, 20}, 21, call);
+        check_snapshot_on_full_disk((struct SlVersion){1, 4}, 3, call);
+    }
+}
+
+/// A start on a full disk succeeds, although the log file has to be replaced:
+/// that waits for the first write that finds room.
+static void
+test_start_on_full_disk(void)
+{
+    struct fault_files files;
+    struct SlStorage *storage = open_full(&files, 5);
+
+    CU_ASSERT_EQUAL(
+        storage->type->save_snapshot(storage, (struct SlVersion){2, 20},
+                                     (const uint8_t *)"state", 5, 21),
+        SL_OK);
+    CU_ASSERT(files.failing);
+    SlStorage_Destroy(storage);
+    fault_files_init(&files, 1, ENOSPC);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
+                          SL_OK);
+    CU_ASSERT_EQUAL(last_index_of(storage), 20);
+    append_record(storage, 21);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_DISK_FULL);
+    files.error = 0;
+    append_record(storage, 21);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+    CU_ASSERT_EQUAL(last_index_after_crash(), 21);
+    SlStorage_Destroy(storage);
+}
+
+/// A failure that is not for want of space, at any file call: storage that
+/// refuses writes after it recovers without a restart, and then holds what was
+/// acknowledged, in memory and after a crash.
+static void
+test_recovery_after_io_error(void)
+{
+    struct acknowledged_writes acknowledged;
+    uint32_t failing_call = 1;
+    bool failed = true;
+
+    while (failed) {
+        struct fault_files files;
+        struct SlStorage *storage = NULL;
+        uint64_t last_index;
+
+        folder_remove_files(folder_path);
+        SlStorage_Destroy(open_storage());
+        fault_files_init(&files, failing_call++, EIO);
+        CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
+                              SL_OK);
+        acknowledged =
+            (struct acknowledged_writes){.truncated_from_index = UINT64_MAX};
+        run_all_writes(storage, &acknowledged);
+        failed = files.failing;
+        if (failed) {
+            CU_ASSERT_NOT_EQUAL(storage->type->recover(storage), SL_OK);
+        }
+        files.error = 0;
+        CU_ASSERT_EQUAL(storage->type->recover(storage), SL_OK);
+        last_index = last_index_of(storage);
+        CU_ASSERT_EQUAL(last_index_after_crash(), last_index);
+        append_record(storage, last_index + 1);
+        CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+        CU_ASSERT_EQUAL(last_index_after_crash(), last_index + 1);
+        save_term_and_record_outcome(storage, 4, &acknowledged);
+        CU_ASSERT_EQUAL(acknowledged.saved_term, 4);
+        SlStorage_Destroy(storage);
+        check_acknowledged_state(&acknowledged);
+    }
+    CU_ASSERT(failing_call > 20);
+}
+
 /// A write that writes nothing is a failure, and is not repeated for ever.
 static void
 test_empty_write_is_a_failure(void)
@@ -577,6 +763,10 @@
          test_crash_at_first_start},
         {"writes work again after the disk was full", test_full_disk},
         {"a failed sync disables writes", test_failed_sync_disables_writes},
+        {"a truncation waits for room", test_truncation_on_full_disk},
+        {"a snapshot waits for room", test_snapshot_on_full_disk},
+        {"a start on a full disk succeeds", test_start_on_full_disk},
+        {"storage recovers after an I/O error", test_recovery_after_io_error},
         {"an empty write is a failure", test_empty_write_is_a_failure},
     };
     int failed;
