Order the runs of an upstream by what was seen, and acknowledge only that

Cause: a status with a lower start time than the known run's counted as late for ever, and a status that was ignored was acknowledged all the same. The other way round, a late status of a former run with a higher start time took the place of the present run and its flows.

Evidence (relay_runs.h): a run that was not seen before, with a start time that is not lower, is the next one at once, as before. Any other run is once it has sent two statuses with rising numbers 0.5 s apart while the present one was silent for 1.5 s or had announced its end. So a former run never comes back by late statuses. Until a run is taken, its statuses are answered with 400, and the agent slows down when the run says that it is cold. Flows that an upstream opened while statuses of its run were missed or not taken are kept as "unknown", as they may be the new run's.

Tests: relay_runs_test; with the code of before: "the time of day is put back between two runs": relay_runs_test.c:63 - relay_report_status(sim, 0), and line 73, new flows while draining; "the first status of a run is missed": line 131 - CU_ASSERT_EQUAL(sim->callers[flow].answers,2); "late statuses of a former run": line 157 - CU_ASSERT_FALSE(SlRelayAgent_UpdateStatus(...)).

--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -123,8 +123,9 @@
                        uint64_t now_us, const struct SlConfig *config,
                        struct SlPlan *plan);
 
-/// Handles a status reported by the upstream. Returns false, and changes
-/// nothing, when the status is older than the current one.
+/// Handles a status reported by the upstream. Returns false when the status is
+/// not taken, so that it must not be acknowledged: it is older than the
+/// current one, or it is not known yet whether its run is the present one.
 bool
 SlRelayAgent_UpdateStatus(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                           uint64_t now_us,
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -202,25 +202,6 @@
     return SL_OK;
 }
 
-/// True when the status is from an earlier run of the upstream, or older than
-/// the last status of the current run.
-static bool
-is_outdated_status(const struct SlRelayAgent *agent,
-                   const struct SlUpstreamStatus *status)
-{
-    const struct SlUpstreamStatus *current = &agent->upstream;
-
-    if (!agent->upstream_known) {
-        return agent->last_status_us != 0 && status->started_ms != 0 &&
-               status->started_ms <= current->started_ms &&
-               status->seq <= current->seq;
-    }
-    if (status->started_ms != current->started_ms) {
-        return status->started_ms < current->started_ms;
-    }
-    return strcmp(status->id, current->id) == 0 && status->seq <= current->seq;
-}
-
 static bool
 is_same_start(const struct SlUpstreamStatus *a,
               const struct SlUpstreamStatus *b)
@@ -240,6 +221,15 @@
                 agent->options.start_wall_ms);
 }
 
+/// Returns the time before which a flow that began was the previous run's.
+static uint64_t
+run_end_us(const struct SlRelayAgent *agent)
+{
+    return agent->last_status_us > SL_LOST_FLOWS_STATUS_AGE_US
+               ? agent->last_status_us - SL_LOST_FLOWS_STATUS_AGE_US
+               : 0;
+}
+
 /// Resets the callers of flows that the previous run of the upstream held. The
 /// order of two runs is known by their start times only. A flow that began
 /// before the previous run sent its last status was that run's.
@@ -249,27 +239,32 @@
 {
     if (agent->upstream.started_ms != 0 &&
         status->started_ms > agent->upstream.started_ms &&
-        agent->last_status_us > SL_LOST_FLOWS_STATUS_AGE_US) {
-        SlLostFlows_Collect(agent, sink, now_us,
-                            agent->last_status_us -
-                                SL_LOST_FLOWS_STATUS_AGE_US,
+        run_end_us(agent) != 0) {
+        SlLostFlows_Collect(agent, sink, now_us, run_end_us(agent),
                             "upstream_started_anew");
     }
 }
 
 /// Resets the state for a new run of the upstream, which holds no flow of the
-/// previous run. The first status after the start of this process does not
-/// mean that the upstream restarted, so flows learned until then are kept.
+/// previous run. When earlier statuses of the new run were missed or not
+/// taken, flows that the upstream has opened since may be the new run's. The
+/// first status after the start of this process does not mean that the
+/// upstream restarted, so flows learned until then are kept.
 static void
 reset_for_new_upstream(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-                       uint64_t now_us, const struct SlUpstreamStatus *status)
+                       uint64_t now_us, const struct SlUpstreamStatus *status,
+                       enum SlRunVerdict verdict)
 {
+    bool is_first_status =
+        verdict == SL_RUN_NEXT && status->seq <= FIRST_STATUS_SEQ_MAX;
+
     SlFlowRecorder_BeginRun(agent, now_us, status,
                             agent->last_status_us == 0 &&
                                 is_first_process(agent, status));
     if (agent->last_status_us != 0) {
         collect_lost_flows(agent, sink, now_us, status);
-        SlAgentFlow_RemoveHeld(agent, now_us);
+        SlAgentFlow_RemoveHeld(
+            agent, now_us, is_first_status ? UINT64_MAX : run_end_us(agent));
     }
     agent->admission.full_until_us = 0;
     agent->admission.answer_us = 0;
@@ -294,6 +289,19 @@
                          .limit = status->cold_remaining_ms});
 }
 
+/// Slows down for a run that may be the present one, and says that it is cold.
+static void
+assume_cold(struct SlRelayAgent *agent, uint64_t now_us,
+            const struct SlUpstreamStatus *status)
+{
+    uint64_t until_us = now_us + SL_EVIDENCE_STATUS_US;
+
+    if (status->cold_remaining_ms > 0 &&
+        agent->admission.cold_until_us < until_us) {
+        agent->admission.cold_until_us = until_us;
+    }
+}
+
 bool
 SlRelayAgent_UpdateStatus(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                           uint64_t now_us,
@@ -305,16 +313,27 @@
     uint64_t cold_us = now_us +
                        (uint64_t)status->cold_remaining_ms * US_PER_MS +
                        COLD_MARGIN_US;
+    enum SlRunVerdict verdict =
+        SlUpstreamRuns_Judge(&agent->runs, now_us, status);
 
-    if (is_outdated_status(agent, status)) {
+    switch (verdict) {
+    case SL_RUN_LATE:
         log_upstream_status(agent, sink, now_us, status, "late");
         return false;
+    case SL_RUN_UNDECIDED:
+        log_upstream_status(agent, sink, now_us, status, "undecided");
+        assume_cold(agent, now_us, status);
+        return false;
+    case SL_RUN_PRESENT:
+    case SL_RUN_NEXT:
+    case SL_RUN_REPLACES:
+        break;
     }
     if (agent->last_status_us != 0 && !is_same_start(&previous, status)) {
         SlAgentWork_Forget(agent, sink, now_us);
     }
     if (agent->last_status_us == 0 || !is_same_start(&previous, status)) {
-        reset_for_new_upstream(agent, sink, now_us, status);
+        reset_for_new_upstream(agent, sink, now_us, status, verdict);
     }
     agent->upstream = *status;
     agent->upstream_known = true;
@@ -348,6 +367,7 @@
     }
     agent->upstream_known = false;
     agent->upstream_gone = true;
+    SlUpstreamRuns_End(&agent->runs);
     log_upstream_status(agent, sink, now_us, &agent->upstream, "gone");
     return true;
 }
@@ -426,7 +446,8 @@
     agent->refuses_since_us = 0;
     agent->upstream_known = false;
     agent->upstream_gone = true;
-    SlAgentFlow_RemoveHeld(agent, now_us);
+    SlUpstreamRuns_End(&agent->runs);
+    SlAgentFlow_RemoveHeld(agent, now_us, UINT64_MAX);
     log_upstream_status(agent, sink, now_us, &agent->upstream, "ended");
 }
 
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -19,6 +19,7 @@
 #include "relay_flow_records.h"
 #include "relay_index.h"
 #include "relay_lost_flows.h"
+#include "relay_runs.h"
 #include "relay_transfer.h"
 #include "relay_work.h"
 
@@ -139,6 +140,7 @@
     uint32_t announced_slots;
     uint64_t announced_until_us;
     struct SlUpstreamStatus upstream;
+    struct SlUpstreamRuns runs;
     uint64_t last_status_us;
     /// When the last segment or status arrived from the upstream.
     uint64_t upstream_last_seen_us;
@@ -203,9 +205,11 @@
 void
 SlAgentFlow_RemoveAll(struct SlRelayAgent *agent, uint64_t now_us);
 /// Removes all flows except those that wait for a slot, which the upstream has
-/// never seen.
+/// never seen. Of flows that the upstream opened since from_us it is no longer
+/// known whether the upstream holds them.
 void
-SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent, uint64_t now_us);
+SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent, uint64_t now_us,
+                       uint64_t from_us);
 /// Passes a caller's segment of a known flow to the upstream.
 void
 SlAgentFlow_DeliverSegment(struct SlRelayAgent *agent,
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -126,18 +126,37 @@
     }
 }
 
+/// Keeps a flow of which it is no longer known whether the upstream holds it.
+static void
+make_tentative(struct SlRelayAgent *agent, uint64_t now_us,
+               struct SlAgentFlow *flow)
+{
+    remove_from_counts(agent, now_us, flow);
+    SlDeferredRequest_Discard(agent, flow);
+    SlRelayIndex_RemovePending(&agent->flows, &flow->item);
+    flow->state = SL_AGENT_TENTATIVE;
+}
+
 void
-SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent, uint64_t now_us)
+SlAgentFlow_RemoveHeld(struct SlRelayAgent *agent, uint64_t now_us,
+                       uint64_t from_us)
 {
     struct SlRelayItem *item = SlRelayIndex_OldestItem(&agent->flows);
 
     while (item != NULL) {
-        struct SlRelayItem *newer = item->newer;
+        struct SlAgentFlow *flow = flow_from_item(item);
 
-        if (flow_from_item(item)->state != SL_AGENT_WAITING) {
-            SlAgentFlow_Remove(agent, now_us, flow_from_item(item));
+        item = item->newer;
+        if (flow->state == SL_AGENT_WAITING) {
+            continue;
+        }
+        if (flow->state != SL_AGENT_ENDED && flow->opening_answered &&
+            flow->began_us >= from_us) {
+            make_tentative(agent, now_us, flow);
+        }
+        else {
+            SlAgentFlow_Remove(agent, now_us, flow);
         }
-        item = newer;
     }
 }
 
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -560,16 +560,18 @@
 shell_relay_report_status(struct shell_relay *relay, uint64_t now_us,
                           const struct SlUpstreamStatus *upstream_status)
 {
+    bool accepted;
+
     if (relay->agent == NULL ||
         strcmp(upstream_status->service,
                relay->shell->settings.relay.service) != 0) {
         return false;
     }
-    (void)SlRelayAgent_UpdateStatus(relay->agent, &relay->sink, now_us,
-                                    upstream_status);
+    accepted = SlRelayAgent_UpdateStatus(relay->agent, &relay->sink, now_us,
+                                         upstream_status);
     announce_upstream(relay, now_us);
     relay->shell->has_inputs = true;
-    return true;
+    return accepted;
 }
 
 bool
--- a/packages/daemon/src/shell_relay.h
+++ b/packages/daemon/src/shell_relay.h
@@ -40,8 +40,9 @@
 bool
 shell_relay_is_ready(const struct shell_relay *relay);
 /// Handles a status report of the upstream and announces changes to control.
-/// Returns false if the process is not an agent or the status names another
-/// service.
+/// Returns false if the process is not an agent, the status names another
+/// service, or it is not taken: it is late, or it is not known yet whether its
+/// run is the present one. It must not be acknowledged then.
 bool
 shell_relay_report_status(struct shell_relay *relay, uint64_t now_us,
                           const struct SlUpstreamStatus *upstream_status);
--- /dev/null
+++ b/test/relay_runs_test.c
@@ -0,0 +1,190 @@
+/* Which run of an upstream is the present one, although the time of day jumps
+   and statuses arrive late. */
+
+#include "relay_simulation.h"
+
+enum {
+    ENTRIES = 2,
+    AGENTS = 2,
+    AHEAD_MS = 2000,
+};
+
+/// Starts a new run of the upstream, which holds no flows.
+static void
+start_run(struct relay_simulation *sim, uint32_t agent, const char *id,
+          uint64_t started_ms)
+{
+    struct relay_upstream *upstream = &sim->upstreams[agent];
+
+    upstream->held_count = 0;
+    snprintf(upstream->status.id, SL_NAME_BYTES, "%s", id);
+    upstream->status.started_ms = started_ms;
+    upstream->status.seq = 0;
+}
+
+/// Reports the status of the present run each second, from now on.
+static void
+run_with_statuses(struct relay_simulation *sim, uint32_t agent,
+                  uint32_t seconds)
+{
+    for (uint32_t i = 0; i < seconds; i++) {
+        (void)relay_report_status(sim, agent);
+        relay_simulation_run(sim, 1000);
+    }
+}
+
+/// A simulation whose first upstream started while the time of day was ahead
+/// and has crashed; its next run has a lower start time.
+static struct relay_simulation *
+create_with_lower_start(uint64_t seed)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, seed);
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "ahead", 5000 + AHEAD_MS);
+    run_with_statuses(sim, 0, 1);
+    relay_simulation_run(sim, 500);
+    start_run(sim, 0, "right", 6500);
+    return sim;
+}
+
+/// The next run is taken for the present one within 2 s, and gets no new flows
+/// once its state "draining" is acknowledged.
+static void
+test_time_of_day_put_back(void)
+{
+    struct relay_simulation *sim = create_with_lower_start(80);
+    struct relay_upstream *upstream = &sim->upstreams[0];
+    struct SlUpstreamStatus current;
+    uint32_t opened;
+
+    run_with_statuses(sim, 0, 2);
+    CU_ASSERT(relay_report_status(sim, 0));
+    CU_ASSERT(
+        SlRelayAgent_GetUpstreamStatus(sim->nodes[ENTRIES].agent, &current));
+    CU_ASSERT_STRING_EQUAL(current.id, "right");
+    upstream->status.draining = true;
+    CU_ASSERT(relay_report_status(sim, 0));
+    opened = upstream->opened_flow_count;
+    for (uint32_t i = 0; i < 20; i++) {
+        (void)relay_open_flow_and_request(sim, 0);
+    }
+    CU_ASSERT_EQUAL(upstream->opened_flow_count, opened);
+    relay_simulation_destroy(sim);
+}
+
+/// A status that was not taken is not acknowledged.
+static void
+test_undecided_status(void)
+{
+    struct relay_simulation *sim = create_with_lower_start(81);
+
+    sim->upstreams[0].status.draining = true;
+    CU_ASSERT_FALSE(relay_report_status(sim, 0));
+    relay_simulation_destroy(sim);
+}
+
+/// Flows that the next run opened before it was taken for the present one are
+/// kept, those of the run before are not.
+static void
+test_flows_of_undecided_run(void)
+{
+    struct relay_simulation *sim = create_with_lower_start(82);
+    struct relay_upstream *upstream = &sim->upstreams[0];
+    uint32_t flow;
+
+    sim->nodes[ENTRIES + 1].isolated = true;
+    (void)relay_report_status(sim, 0);
+    flow = relay_open_flow_and_request(sim, 0);
+    CU_ASSERT_EQUAL(sim->callers[flow].state, CALLER_ANSWERED);
+    CU_ASSERT_EQUAL(upstream->held_count, 1);
+    sim->nodes[ENTRIES + 1].isolated = false;
+    run_with_statuses(sim, 0, 4);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
+/// The first status of a new run does not arrive. Flows that the run opened
+/// before its second one are kept.
+static void
+test_first_status_missed(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 84);
+    uint32_t flow;
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "next", 5000);
+    sim->upstreams[0].status.seq = 1;
+    sim->nodes[ENTRIES + 1].isolated = true;
+    flow = relay_open_flow_and_request(sim, 0);
+    CU_ASSERT_EQUAL(sim->callers[flow].state, CALLER_ANSWERED);
+    sim->nodes[ENTRIES + 1].isolated = false;
+    relay_simulation_run(sim, 500);
+    run_with_statuses(sim, 0, 2);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
+/// Late statuses of a former run change nothing while the present run reports
+/// its own, whatever the start times, and are not acknowledged.
+static void
+check_late_statuses(uint64_t former_started_ms, uint32_t count)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 83);
+    struct relay_node *node = &sim->nodes[ENTRIES];
+    struct SlUpstreamStatus late;
+    struct SlUpstreamStatus current;
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "former", former_started_ms);
+    run_with_statuses(sim, 0, 1);
+    late = sim->upstreams[0].status;
+    relay_simulation_run(sim, 500);
+    start_run(sim, 0, "present", 6500);
+    run_with_statuses(sim, 0, 4);
+    late.draining = true;
+    for (uint32_t i = 0; i < count; i++) {
+        late.seq++;
+        CU_ASSERT_FALSE(SlRelayAgent_UpdateStatus(node->agent, &node->sink,
+                                                  sim->now_us, &late));
+        relay_simulation_run(sim, 700);
+        CU_ASSERT(relay_report_status(sim, 0));
+    }
+    CU_ASSERT(SlRelayAgent_GetUpstreamStatus(node->agent, &current));
+    CU_ASSERT_STRING_EQUAL(current.id, "present");
+    CU_ASSERT_FALSE(current.draining);
+    relay_simulation_destroy(sim);
+}
+
+static void
+test_late_statuses(void)
+{
+    check_late_statuses(5000, 1);
+    check_late_statuses(5000, 5);
+    check_late_statuses(5000 + AHEAD_MS, 1);
+    check_late_statuses(5000 + AHEAD_MS, 5);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"the time of day is put back between two runs",
+         test_time_of_day_put_back},
+        {"a status that is not taken", test_undecided_status},
+        {"flows of a run before it is taken", test_flows_of_undecided_run},
+        {"the first status of a run is missed", test_first_status_missed},
+        {"late statuses of a former run", test_late_statuses},
+    };
+
+    return RUN_SUITE("relay runs", CASES);
+}
