--- a/soak/losses.c
+++ b/soak/losses.c
@@ -120,8 +120,7 @@
     }
     soak->agents_lost_us = now_us;
     soak->all_lost_us = now_us;
-    /* The loss of most control instances takes twice as long. */
-    soak->disturbed_until_us = now_us + RESTART_US + 2ull * SOAK_CONTACT_US;
+    soak->disturbed_until_us = now_us + RESTART_US + SOAK_CONTACT_US;
 }
 
 /// Kills all processes right after a change was accepted. In every second
@@ -137,6 +136,8 @@
     awaited_version = 0;
     soak->recovered_us = now_us + RESTART_US + SOAK_RECOVERY_US;
     next_us = soak->recovered_us + READ_BACK_US;
+    /* After a loss at the end bounds hold later. */
+    soak->disturbed_until_us += SOAK_CONTACT_US;
 }
 
 bool
