--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -1,5 +1,6 @@
 #include "savoryledge/common/event.h"
 
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -58,6 +59,11 @@
      "claims", "unheard",
      "An agent sent an entry the combined answers of all agents to a "
      "broadcast query."},
+    {SL_EVENT_RELAY_OUT_OF_TOUCH, SL_LEVEL_INFO, "out_of_touch", "agents",
+     "life_us",
+     "Agents that have been unreachable for as long as an unused flow may "
+     "live "
+     "left a query unanswered; for a while their answers are not awaited."},
     {SL_EVENT_TRANSFER_HELD, SL_LEVEL_INFO, "transfer_held", "ahead",
      "expected_us",
      "The opening segment of an upload waits in an entry, because as many "
@@ -130,6 +136,13 @@
     {SL_EVENT_RELAY_DEFERRED_REQUEST, SL_LEVEL_INFO, "request_turn",
      "waited_us", "in_progress",
      "A request on an open flow was deferred, delivered or dropped."},
+    {SL_EVENT_RELAY_TABLE, SL_LEVEL_INFO, "table", "since_us", "life_us",
+     "An agent that has restarted again knows all flows of its upstream, or a "
+     "longer idle timeout has made that uncertain."},
+    {SL_EVENT_UPSTREAM_REFUSES, SL_LEVEL_NOTICE, "upstream_refuses",
+     "silent_us", "limit_us",
+     "An upstream refused a connection while its agent stops; the reason says "
+     "whether it has ended, may be draining, or was heard since."},
     {SL_EVENT_RELAY_TRANSFER, SL_LEVEL_INFO, "transfer", "took_us",
      "transfers", "The body of an upload ended, stalled or went on."},
     {SL_EVENT_RELAY_WORK, SL_LEVEL_INFO, "work", "work_us",
@@ -183,6 +196,9 @@
      "limit_us", "A control instance holds no fresh lease."},
     {SL_EVENT_DISK, SL_LEVEL_ERROR, "disk", NULL, NULL,
      "A process could not write or sync its durable state to disk."},
+    {SL_EVENT_DISK_WORKS, SL_LEVEL_NOTICE, "disk_works", "failing_us",
+     "failures",
+     "A process wrote its durable state to disk again after failures."},
     {SL_EVENT_FLOW_RECORDS_READ, SL_LEVEL_NOTICE, "flow_records_read",
      "records", "unread_bytes",
      "A control instance has read its records of kept flows."},
@@ -212,6 +228,10 @@
      NULL,
      "A process without a configuration uses a control instance other than "
      "the one that it dialled last."},
+    {SL_EVENT_CONTROL_LEFT, SL_LEVEL_NOTICE, "control_left", "waited_us",
+     "limit_us",
+     "A process left a control instance that it did not reach, or that did "
+     "not confirm in time that the configuration is current."},
     {SL_EVENT_LINK_UP, SL_LEVEL_INFO, "link_up", NULL, NULL,
      "A link to another process was established."},
     {SL_EVENT_LINK_DOWN, SL_LEVEL_NOTICE, "link_down", NULL, NULL,
@@ -238,6 +258,14 @@
      "failure."},
     {SL_EVENT_CALL_REFUSED, SL_LEVEL_WARNING, "call_refused", NULL, NULL,
      "A request to an HTTP interface was refused for the stated reason."},
+    {SL_EVENT_READ_REFUSED, SL_LEVEL_WARNING, "read_refused", "lease_us",
+     "leader_silent_us",
+     "A read of the configuration was refused; lease_us is negative by the "
+     "time for which the lease has been over, and node is the last leader."},
+    {SL_EVENT_CALL_REDIRECTED, SL_LEVEL_INFO, "call_redirected", "lease_us",
+     "leader_silent_us",
+     "An operator's call was redirected to a control instance that is the "
+     "leader, is linked to this process, or is listed in the configuration."},
 };
 
 const struct SlEventRow *
@@ -298,11 +326,21 @@
     }
 }
 
+/// Appends a text, which may be from outside: its control characters are
+/// replaced, so that a line of the log stays one line.
 static void
 append_text_field(struct log_line *line, const char *key, const char *value)
 {
-    if (value != NULL && *value != '\0') {
-        append_formatted(line, " %s=%s", key, value);
+    size_t start = line->used_bytes;
+
+    if (value == NULL || *value == '\0') {
+        return;
+    }
+    append_formatted(line, " %s=%s", key, value);
+    for (size_t i = start; i < line->used_bytes; i++) {
+        if (iscntrl((unsigned char)line->text[i])) {
+            line->text[i] = '?';
+        }
     }
 }
 
--- /dev/null
+++ b/packages/coordination/src/relay_evidence.c
@@ -0,0 +1,70 @@
+#include "relay_evidence.h"
+
+enum {
+    /// Used until a plan provides the idle timeout of flows.
+    DEFAULT_IDLE_US = 60 * 1000 * 1000,
+};
+
+void
+SlFlowLife_SetIdle(struct SlFlowLife *life, uint64_t idle_us)
+{
+    life->idle_us = idle_us;
+    if (idle_us > life->longest_idle_us) {
+        life->longest_idle_us = idle_us;
+    }
+}
+
+uint64_t
+SlFlowLife_KeepUs(const struct SlFlowLife *life)
+{
+    return (life->idle_us != 0 ? life->idle_us : DEFAULT_IDLE_US) +
+           SL_EVIDENCE_CONFIG_US;
+}
+
+uint64_t
+SlFlowLife_UnseenUs(const struct SlFlowLife *life)
+{
+    return (life->longest_idle_us != 0 ? life->longest_idle_us
+                                       : DEFAULT_IDLE_US) +
+           SL_EVIDENCE_CONFIG_US;
+}
+
+bool
+SlTableEvidence_IsComplete(const struct SlTableEvidence *table,
+                           const struct SlFlowLife *life, uint64_t now_us)
+{
+    return table->saw_start ||
+           now_us >= table->since_us + SlFlowLife_UnseenUs(life);
+}
+
+bool
+SlPeerEvidence_IsOutOfTouch(const struct SlPeerEvidence *peer,
+                            const struct SlFlowLife *life, uint64_t now_us)
+{
+    return peer->unreachable_since_us != 0 &&
+           now_us - peer->unreachable_since_us >= SlFlowLife_UnseenUs(life);
+}
+
+bool
+SlPeerEvidence_IsSilent(const struct SlPeerEvidence *peer,
+                        const struct SlFlowLife *life, uint64_t now_us)
+{
+    return SlPeerEvidence_IsOutOfTouch(peer, life, now_us) &&
+           peer->unanswered_us != 0 &&
+           now_us - peer->unanswered_us < SL_EVIDENCE_SILENCE_US;
+}
+
+enum SlRefusal
+SlRefusalEvidence_Judge(const struct SlRefusalEvidence *refusal,
+                        uint64_t now_us)
+{
+    if (!refusal->may_drain) {
+        return SL_REFUSAL_ENDED;
+    }
+    if (refusal->heard_us > refusal->refused_us) {
+        return SL_REFUSAL_RUNS;
+    }
+    return now_us - refusal->heard_us < SL_EVIDENCE_STATUS_US
+               ? SL_REFUSAL_UNKNOWN
+               : SL_REFUSAL_ENDED;
+}
--- a/packages/coordination/src/relay_flow.c
+++ b/packages/coordination/src/relay_flow.c
@@ -301,21 +301,6 @@
     SlAgentFlow_DeliverSegment(agent, sink, now_us, flow, segment);
 }
 
-/// True when the upstream may hold flows to that address. Without a plan the
-/// upstream may hold any flow.
-static bool
-may_serve_route(const struct SlRelayAgent *agent, const struct SlFlowKey *key)
-{
-    const struct SlPlanRoute *route;
-
-    if (agent->plan == NULL) {
-        return true;
-    }
-    route = SlPlan_FindRoute(agent->plan, &key->service);
-    return route != NULL && agent->service != SL_PLAN_NO_SERVICE &&
-           SlPlan_RouteAllowsService(route, agent->service);
-}
-
 void
 SlAgentFlow_HandleCarriedSegment(struct SlRelayAgent *agent,
                                  struct SlRelaySink *sink, uint64_t now_us,
@@ -331,8 +316,7 @@
                retransmits it. */
             agent->counters.segments_dropped++;
         }
-        else if (SlRelayAgent_MayHoldUnknown(agent, now_us) &&
-                 may_serve_route(agent, &key)) {
+        else if (SlRelayAgent_MayHoldUnknown(agent, now_us)) {
             probe_unknown_flow(agent, sink, now_us, from, &key, segment);
         }
         else {
@@ -477,8 +461,7 @@
 
     *certain = false;
     if (flow == NULL) {
-        return SlRelayAgent_MayHoldUnknown(agent, now_us) &&
-               may_serve_route(agent, key);
+        return SlRelayAgent_MayHoldUnknown(agent, now_us);
     }
     if (flow->state == SL_AGENT_TENTATIVE) {
         return true;
@@ -574,14 +557,13 @@
 static void
 expire_flows(struct SlRelayAgent *agent, uint64_t now_us)
 {
-    uint64_t idle_us = agent->plan != NULL
-                           ? (uint64_t)SlPlan_IdleMs(agent->plan) * US_PER_MS
-                           : 0;
+    uint64_t keep_us = SlFlowLife_KeepUs(&agent->flow_life);
 
-    for (uint32_t i = 0; idle_us > 0 && i < EXPIRY_CHECKS_PER_TICK; i++) {
+    for (uint32_t i = 0; agent->plan != NULL && i < EXPIRY_CHECKS_PER_TICK;
+         i++) {
         struct SlRelayItem *item = SlRelayIndex_OldestItem(&agent->flows);
 
-        if (item == NULL || now_us - item->used_us <= idle_us) {
+        if (item == NULL || now_us - item->used_us <= keep_us) {
             return;
         }
         SlAgentFlow_Remove(agent, now_us, flow_from_item(item));
--- a/packages/daemon/src/front.c
+++ b/packages/daemon/src/front.c
@@ -13,10 +13,9 @@
     /// Interval between checks for idle HTTP connections.
     HTTP_TICK_INTERVAL_US = 1000 * 1000,
     UNANSWERED_CALLS_MAX = SL_ORDERS_MAX + 1,
-    /// Length of a window in which at most REFUSALS_PER_WINDOW refused calls
-    /// are logged.
-    REFUSALS_WINDOW_US = 1000 * 1000,
-    REFUSALS_PER_WINDOW = 8,
+    /// Length of a window in which at most LINES_PER_WINDOW calls are logged.
+    LOG_WINDOW_US = 1000 * 1000,
+    LINES_PER_WINDOW = 8,
 };
 
 /// One HTTP interface; http is NULL if the interface is not open.
@@ -33,6 +32,12 @@
     char path[SL_HTTP_PATH_BYTES];
 };
 
+/// Limits the log lines about one kind of call.
+struct log_window {
+    uint64_t start_us;
+    uint32_t count;
+};
+
 struct SlFront {
     struct SlShell *shell;
     const struct SlAdapter *adapter;
@@ -42,10 +47,12 @@
     uint64_t next_http_tick_us;
     uint32_t unanswered_call_count;
     struct unanswered_call unanswered_calls[UNANSWERED_CALLS_MAX];
-    /// When the current window of refused calls began, and the number of calls
-    /// refused in it.
-    uint64_t refused_calls_window_start_us;
-    uint32_t refused_call_count;
+    struct log_window refused_calls;
+    struct log_window refused_reads;
+    struct log_window redirected_calls;
+    /// Number of reads and orders that other processes were to handle.
+    uint64_t calls_sent_on;
+    struct SlFrontCounters counters;
 };
 
 static void
@@ -100,11 +107,14 @@
         return;
     }
     if (leader != NULL) {
-        /* Every control instance has its HTTP interface for operators at the
-           same port number. */
         address = *leader;
-        address.port = front->shell->settings.relay.control.port;
     }
+    front->counters.orders_done += outcome == SL_ORDER_DONE;
+    front->counters.orders_redirected += outcome == SL_ORDER_NOT_LEADER;
+    front->counters.orders_refused_no_leader += outcome == SL_ORDER_NO_LEADER;
+    front->counters.orders_refused_invalid += outcome == SL_ORDER_INVALID;
+    front->counters.orders_unknown_outcome +=
+        outcome == SL_ORDER_UNKNOWN_OUTCOME;
     front->adapter->handle_order_end(front, exchange, call.path, outcome,
                                      &address);
 }
@@ -209,16 +219,22 @@
     }
 }
 
+static bool
+may_log(struct log_window *window, uint64_t now_us)
+{
+    if (now_us - window->start_us > LOG_WINDOW_US) {
+        window->start_us = now_us;
+        window->count = 0;
+    }
+    return ++window->count <= LINES_PER_WINDOW;
+}
+
 void
 SlFront_LogRefusedCall(struct SlFront *front, const char *reason)
 {
     uint64_t now_us = SlClock_Monotonic();
 
-    if (now_us - front->refused_calls_window_start_us > REFUSALS_WINDOW_US) {
-        front->refused_calls_window_start_us = now_us;
-        front->refused_call_count = 0;
-    }
-    if (++front->refused_call_count <= REFUSALS_PER_WINDOW) {
+    if (may_log(&front->refused_calls, now_us)) {
         log_event(front->shell,
                   (struct SlEvent){.number = SL_EVENT_CALL_REFUSED,
                                    .now_us = now_us,
@@ -240,64 +256,182 @@
     return SlNode_Control(front->shell->node) != NULL;
 }
 
-enum SlStatus
-SlFront_FindDocument(const struct SlFront *front,
-                     const struct SlDocument **document)
+/// Describes what this process knows about control instances.
+static struct SlCallView
+make_call_view(const struct SlFront *front, uint64_t now_us)
 {
     const struct SlControl *control = SlNode_Control(front->shell->node);
+    const struct SlReplica *replica = SlNode_Replica(front->shell->node);
+    struct SlCallView view = {.node_id =
+                                  SlNode_Id(front->shell->settings.node.name),
+                              .has_control = control != NULL,
+                              .config = SlReplica_Config(replica),
+                              .turn = front->calls_sent_on};
+    struct SlControlMember other;
 
-    if (control == NULL || !SlControl_IsFresh(control, SlClock_Monotonic())) {
-        return SL_STALE;
+    if (control == NULL) {
+        (void)SlReplica_FindCurrentControl(
+            replica, now_us, &view.linked.node_id, &view.linked.link);
+        return view;
     }
-    *document = SlConfig_Document(SlControl_Config(control));
-    return *document != NULL ? SL_OK : SL_NOT_FOUND;
+    view.is_current = SlControl_IsFresh(control, now_us);
+    view.is_leader = SlControl_State(control) == SL_CONTROL_LEADER;
+    view.is_member = SlControl_IsMember(control);
+    if (SlControl_FindLeader(control, now_us, &other)) {
+        view.leader.node_id = other.node_id;
+        view.leader.link = other.link_address;
+    }
+    if (SlControl_FindLinkedInstance(control, view.turn, &other)) {
+        view.linked.node_id = other.node_id;
+        view.linked.link = other.link_address;
+    }
+    return view;
 }
 
-/// Finds the link address of a control instance in the configuration that is
-/// reachable and not leaving.
-static bool
-find_control_address(const struct SlFront *front, struct SlAddress *address)
+/// Logs a call that this process cannot handle. peer: to whom it is sent on,
+/// or NULL.
+static void
+log_call(struct SlFront *front, struct log_window *window, uint64_t now_us,
+         enum SlEventNumber number, const char *peer, const char *reason)
 {
-    const struct SlConfig *config =
-        SlReplica_Config(SlNode_Replica(front->shell->node));
+    const struct SlControl *control = SlNode_Control(front->shell->node);
+    const struct SlReplica *replica = SlNode_Replica(front->shell->node);
+    struct SlEvent event = {.number = number,
+                            .now_us = now_us,
+                            .version =
+                                SlConfig_Version(SlReplica_Config(replica)),
+                            .peer = peer,
+                            .reason = reason};
+
+    if (!may_log(window, now_us)) {
+        return;
+    }
+    if (control != NULL) {
+        event.version = SlControl_AppliedVersion(control);
+        event.node = SlControl_LeaderName(control);
+        event.value = SlControl_LeaseUs(control, now_us);
+        event.limit = (int64_t)SlControl_LeaderSilentUs(control, now_us);
+    }
+    log_event(front->shell, event);
+}
 
-    for (uint32_t i = 0; i < SlConfig_ObjectCount(config, SL_KIND_NODE); i++) {
-        const struct SlNodeSpec *node =
-            &SlConfig_ObjectAt(config, SL_KIND_NODE, i)->node;
+/// Counts and logs a read of the configuration that is refused.
+static void
+report_refused_read(struct SlFront *front, uint64_t now_us, uint64_t *counter,
+                    const char *reason)
+{
+    ++*counter;
+    log_call(front, &front->refused_reads, now_us, SL_EVENT_READ_REFUSED, NULL,
+             reason);
+}
 
-        if ((node->roles & SL_ROLE_CONTROL) && !node->unreachable &&
-            !node->leaving) {
-            *address = node->link;
-            return true;
-        }
+/// Returns the address of the interface for operators at the control instance
+/// with this address for links, and logs that a call is sent there.
+static struct SlAddress
+send_call_on(struct SlFront *front, uint64_t now_us,
+             const struct SlCallTarget *target, const char *reason)
+{
+    struct SlAddress address = target->link;
+    char text[SL_ADDRESS_TEXT_BYTES];
+
+    front->calls_sent_on++;
+    log_call(front, &front->redirected_calls, now_us, SL_EVENT_CALL_REDIRECTED,
+             SlAddress_Format(&target->link, text), reason);
+    /* Every control instance has its HTTP interface for operators at the
+       same port number. */
+    address.port = front->shell->settings.relay.control.port;
+    return address;
+}
+
+static enum SlStatus
+refuse_read(struct SlFront *front, uint64_t now_us)
+{
+    if (SlNode_Control(front->shell->node) == NULL) {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_log, "no_log");
     }
-    return false;
+    else {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_lease,
+                            "no_lease");
+    }
+    return SL_STALE;
+}
+
+enum SlStatus
+SlFront_FindDocument(struct SlFront *front, const struct SlDocument **document,
+                     struct SlAddress *other)
+{
+    static const char *const REASONS[SL_CALL_ROUTE_COUNT] = {
+        [SL_CALL_TO_LEADER] = "read_to_leader",
+        [SL_CALL_TO_LINKED] = "read_to_linked",
+        [SL_CALL_TO_LISTED] = "read_to_listed",
+    };
+    uint64_t now_us = SlClock_Monotonic();
+    struct SlCallView view = make_call_view(front, now_us);
+    struct SlCallTarget target;
+    enum SlCallRoute route = SlCallRoute_ForRead(&view, &target);
+
+    if (route == SL_CALL_REFUSED) {
+        return refuse_read(front, now_us);
+    }
+    if (route != SL_CALL_HERE) {
+        front->counters.reads_redirected++;
+        *other = send_call_on(front, now_us, &target, REASONS[route]);
+        return SL_NOT_LEADER;
+    }
+    *document = SlConfig_Document(
+        SlControl_Config(SlNode_Control(front->shell->node)));
+    if (*document == NULL) {
+        report_refused_read(front, now_us,
+                            &front->counters.reads_refused_no_document,
+                            "no_document");
+        return SL_NOT_FOUND;
+    }
+    front->counters.reads_answered++;
+    return SL_OK;
+}
+
+void
+SlFront_ReportUnreadableDocument(struct SlFront *front)
+{
+    front->counters.reads_answered--;
+    report_refused_read(front, SlClock_Monotonic(),
+                        &front->counters.reads_refused_unreadable,
+                        "unreadable");
+}
+
+void
+SlFront_Counters(const struct SlFront *front, struct SlFrontCounters *counters)
+{
+    *counters = front->counters;
 }
 
-/// Describes the state of the control instance for the order handler. leader:
-/// storage for the leader's address, to which the result may point.
+/// Describes the state of the control instance for the order handler. address:
+/// storage for the address of the instance that may accept the order instead,
+/// to which the result may point.
 static struct SlControlView
-make_control_view(const struct SlFront *front, struct SlAddress *leader)
+make_control_view(struct SlFront *front, uint64_t now_us,
+                  struct SlAddress *address)
 {
+    static const char *const REASONS[SL_CALL_ROUTE_COUNT] = {
+        [SL_CALL_TO_LEADER] = "order_to_leader",
+        [SL_CALL_TO_LINKED] = "order_to_linked",
+        [SL_CALL_TO_LISTED] = "order_to_listed",
+    };
     const struct SlControl *control = SlNode_Control(front->shell->node);
-    struct SlControlMember members[SL_MEMBERS_CONTROL_MAX];
-    struct SlControlView view = {.is_leader = false};
-    uint32_t count;
-
-    if (control == NULL) {
-        view.leader = find_control_address(front, leader) ? leader : NULL;
-        return view;
+    struct SlCallView call_view = make_call_view(front, now_us);
+    struct SlControlView view = {.is_leader = call_view.is_leader};
+    struct SlCallTarget target;
+    enum SlCallRoute route = SlCallRoute_ForOrder(&call_view, &target);
+
+    if (control != NULL) {
+        view.applied_version = SlControl_AppliedVersion(control);
+        view.config = SlControl_Config(control);
     }
-    view.is_leader = SlControl_State(control) == SL_CONTROL_LEADER;
-    view.applied_version = SlControl_AppliedVersion(control);
-    view.config = SlControl_Config(control);
-    count = SlControl_Members(control, members, SL_MEMBERS_CONTROL_MAX);
-    for (uint32_t i = 0; i < count; i++) {
-        if (members[i].node_id == SlControl_LeaderId(control) &&
-            SlControl_IsFresh(control, SlClock_Monotonic())) {
-            *leader = members[i].link_address;
-            view.leader = leader;
-        }
+    if (route != SL_CALL_HERE && route != SL_CALL_REFUSED) {
+        *address = send_call_on(front, now_us, &target, REASONS[route]);
+        view.leader = address;
     }
     return view;
 }
@@ -322,24 +456,26 @@
 SlFront_PutDocument(struct SlFront *front, uint64_t exchange, const char *path,
                     const struct SlDocumentText *document)
 {
+    uint64_t now_us = SlClock_Monotonic();
     struct SlAddress leader;
-    struct SlControlView view = make_control_view(front, &leader);
+    struct SlControlView view = make_control_view(front, now_us, &leader);
 
     add_unanswered_call(front, exchange, path);
-    SlOrderHandler_PutDocument(&front->order_handler, SlClock_Monotonic(),
-                               &view, exchange, document);
+    SlOrderHandler_PutDocument(&front->order_handler, now_us, &view, exchange,
+                               document);
 }
 
 void
 SlFront_SetZoneHold(struct SlFront *front, uint64_t exchange, const char *path,
                     const char *zone, bool out)
 {
+    uint64_t now_us = SlClock_Monotonic();
     struct SlAddress leader;
-    struct SlControlView view = make_control_view(front, &leader);
+    struct SlControlView view = make_control_view(front, now_us, &leader);
 
     add_unanswered_call(front, exchange, path);
-    SlOrderHandler_HoldZone(&front->order_handler, SlClock_Monotonic(), &view,
-                            exchange, zone, out);
+    SlOrderHandler_HoldZone(&front->order_handler, now_us, &view, exchange,
+                            zone, out);
 }
 
 bool
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -434,6 +434,79 @@
     destroy_control_fixture(fixture);
 }
 
+/// Each instance tells what is left of its lease, and for how long it has
+/// been over.
+static void
+test_lease_is_told(void)
+{
+    struct control_fixture *fixture = create_control_fixture(3, 12);
+    struct control_simulation *simulation = &fixture->simulation;
+    uint32_t leader = find_leader(fixture);
+    const struct SlControl *follower =
+        simulation->nodes[(leader + 1) % 3].control;
+    uint64_t losses;
+    uint64_t cut_us;
+    int64_t lease_us;
+
+    for (uint32_t i = 0;
+         i < 100 && !SlControl_IsFresh(follower, simulation->now_us); i++) {
+        fixture_step(fixture);
+    }
+    losses = SlControl_LeaseLossCount(follower);
+    cut_us = simulation->now_us;
+    CU_ASSERT(SlControl_LeaseUs(follower, cut_us) > 0);
+    CU_ASSERT_STRING_EQUAL(SlControl_LeaderName(follower),
+                           simulation->nodes[leader].name);
+    simulation_crash_node(simulation, leader);
+    simulation_crash_node(simulation, (leader + 2) % 3);
+    fixture_run(fixture, 3 * SIMULATION_ELECTION_US / SIMULATION_STEP_US);
+    lease_us = SlControl_LeaseUs(follower, simulation->now_us);
+    CU_ASSERT(lease_us < 0);
+    CU_ASSERT_EQUAL(SlControl_LeaseLossCount(follower), losses + 1);
+    CU_ASSERT(SlControl_LeaderSilentUs(follower, simulation->now_us) >=
+              simulation->now_us - cut_us);
+    lease_us += (int64_t)(simulation->now_us - cut_us);
+    CU_ASSERT(lease_us >= 0 && lease_us < SIMULATION_ELECTION_US);
+    destroy_control_fixture(fixture);
+}
+
+/// A follower whose lease is over still names the leader that it hears, and no
+/// instance names a leader that has long been silent, or itself.
+static void
+test_leader_is_named_without_lease(void)
+{
+    struct control_fixture *fixture = create_control_fixture(3, 12);
+    struct control_simulation *simulation = &fixture->simulation;
+    uint32_t leader = find_leader(fixture);
+    const struct SlControl *follower =
+        simulation->nodes[(leader + 1) % 3].control;
+    struct SlControlMember named;
+    uint32_t steps_without_lease = 0;
+
+    for (uint32_t i = 0; i < 300; i++) {
+        fixture_step(fixture);
+        steps_without_lease +=
+            !SlControl_IsFresh(follower, simulation->now_us);
+        CU_ASSERT_FATAL(
+            SlControl_FindLeader(follower, simulation->now_us, &named));
+        CU_ASSERT_EQUAL(named.node_id, simulation->nodes[leader].node_id);
+    }
+    CU_ASSERT(steps_without_lease > 0);
+    CU_ASSERT_FALSE(SlControl_FindLeader(simulation->nodes[leader].control,
+                                         simulation->now_us, &named));
+    CU_ASSERT(SlControl_IsMember(follower));
+    CU_ASSERT(SlControl_FindLinkedInstance(follower, 0, &named));
+    CU_ASSERT_NOT_EQUAL(named.node_id,
+                        simulation->nodes[(leader + 1) % 3].node_id);
+    simulation_crash_node(simulation, leader);
+    simulation_crash_node(simulation, (leader + 2) % 3);
+    fixture_run(fixture, 3 * SIMULATION_ELECTION_US / SIMULATION_STEP_US);
+    CU_ASSERT_FALSE(
+        SlControl_FindLeader(follower, simulation->now_us, &named));
+    CU_ASSERT_FALSE(SlControl_FindLinkedInstance(follower, 0, &named));
+    destroy_control_fixture(fixture);
+}
+
 /// With a full disk at the leader a change is refused and stored at no
 /// instance, while queries still work. Once there is space, the same request
 /// is accepted.
@@ -461,6 +534,47 @@
     destroy_control_fixture(fixture);
 }
 
+/// Runs until a leader is elected, and then for ms.
+static void
+run_with_new_leader(struct control_fixture *fixture, uint32_t ms)
+{
+    CU_ASSERT_NOT_EQUAL_FATAL(
+        simulation_await_leader(&fixture->simulation, 2000),
+        fixture->simulation.count);
+    fixture_run(fixture, ms * 1000 / SIMULATION_STEP_US);
+}
+
+/// The leader is lost while a process is declared unreachable. The next leader
+/// takes that back at once when it hears the process, whichever instance it is
+/// linked to, and leaves the mark while the process is silent.
+static void
+test_new_leader_hears_process(void)
+{
+    for (uint32_t i = 0; i < 2; i++) {
+        struct control_fixture *fixture = create_control_fixture(3, 23 + i);
+        uint32_t leader = find_leader(fixture);
+
+        fixture->agent_count = 12;
+        for (uint32_t agent = 0; agent < 12; agent++) {
+            snprintf(fixture->agents[agent].name, SL_NAME_BYTES, "workroom-%u",
+                     agent);
+            fixture->agents[agent].control_index =
+                (leader + 1 + (agent + i) % 2) % 3;
+            connect_agent(fixture, agent);
+        }
+        fixture_run(fixture, REACHABILITY_STEPS);
+        fixture->agents[0].is_silent = true;
+        fixture->agents[1].is_silent = true;
+        fixture_run(fixture, REACHABILITY_STEPS);
+        CU_ASSERT_EQUAL(count_reachable(fixture), 10);
+        simulation_crash_node(&fixture->simulation, leader);
+        fixture->agents[0].is_silent = false;
+        run_with_new_leader(fixture, 1000);
+        CU_ASSERT_EQUAL(count_reachable(fixture), 11);
+        destroy_control_fixture(fixture);
+    }
+}
+
 int
 main(void)
 {
@@ -483,8 +597,13 @@
         {"subscribers receive deltas", test_deltas},
         {"an isolated leader serves nothing",
          test_isolated_leader_serves_nothing},
+        {"the lease of each instance is told", test_lease_is_told},
+        {"a leader is named without a lease",
+         test_leader_is_named_without_lease},
         {"a full disk at the leader refuses changes",
          test_full_disk_at_leader},
+        {"a new leader hears a process that was unreachable",
+         test_new_leader_hears_process},
     };
 
     return RUN_SUITE("control", CASES);
--- /dev/null
+++ b/test/relay_evidence_test.c
@@ -0,0 +1,253 @@
+/* Answers that a flow is not held, given by agents that cannot know it: no
+   open flow may be reset because of them. */
+
+#include "relay_simulation.h"
+
+enum {
+    ENTRIES = 2,
+    AGENTS = 4,
+    /// An upstream that has run for a while.
+    LATER_SEQ = 30,
+};
+
+/// Puts a plan in force in which the route leads to the service "orders", or
+/// to the service "moved".
+static void
+put_plan(struct relay_simulation *sim, const char *service, uint32_t idle_ms)
+{
+    struct SlPlan *plan = SlPlan_Create(SlPlan_Version(sim->plan) + 1);
+    struct SlPlanService orders = *SlPlan_ServiceAt(sim->plan, 0);
+    struct SlPlanService moved = orders;
+    struct SlPlanRoute route = *SlPlan_RouteAt(sim->plan, 0);
+    struct SlError error;
+
+    snprintf(moved.name, sizeof(moved.name), "moved");
+    SlPlan_SetIdleMs(plan, idle_ms);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddService(plan, &orders, &error), SL_OK);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddService(plan, &moved, &error), SL_OK);
+    route.shares[0].service_index = SlPlan_FindService(plan, service);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_AddRoute(plan, &route, &error), SL_OK);
+    CU_ASSERT_EQUAL_FATAL(SlPlan_Finish(plan, &error), SL_OK);
+    SlPlan_Unref(sim->plan);
+    sim->plan = plan;
+    relay_configure_all(sim);
+}
+
+/// Restarts the agent of an upstream that has run for a while and keeps its
+/// flows.
+static void
+restart_agent(struct relay_simulation *sim, uint32_t agent)
+{
+    sim->upstreams[agent].status.seq = LATER_SEQ;
+    relay_restart_node(sim, ENTRIES + agent);
+    CU_ASSERT(relay_report_status(sim, agent));
+}
+
+static void
+check_answered(struct relay_simulation *sim, uint32_t entry, uint32_t flow)
+{
+    uint32_t answers = sim->callers[flow].answers;
+
+    relay_send_request(sim, entry, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, answers + 1);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+}
+
+/// A route moves to another service, and then the agent of an open flow of the
+/// route restarts. The flow stays, for the entry that knows its holder and for
+/// one that has to search.
+static void
+test_route_moved(void)
+{
+    for (uint32_t entry = 0; entry < ENTRIES; entry++) {
+        struct relay_simulation *sim =
+            relay_simulation_create(ENTRIES, AGENTS, 2, 70);
+        uint32_t flow = relay_open_flow_and_request(sim, 0);
+
+        put_plan(sim, "moved", 15000);
+        relay_simulation_run(sim, 1000);
+        restart_agent(sim, relay_find_holder(sim, flow));
+        relay_simulation_run(sim, 1000);
+        check_answered(sim, entry, flow);
+        relay_simulation_destroy(sim);
+    }
+}
+
+/// The idle timeout changes after the agent of an open flow has restarted,
+/// changes_ms after the restart in turn; the flow is used again use_ms after
+/// the restart.
+static void
+check_idle_changes(const uint32_t changes_ms[2], const uint32_t idle_ms[3],
+                   uint32_t use_ms)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 71);
+    uint32_t flow;
+
+    put_plan(sim, "orders", idle_ms[0]);
+    flow = relay_open_flow_and_request(sim, 0);
+    restart_agent(sim, relay_find_holder(sim, flow));
+    for (uint32_t ms = 0; ms < use_ms; ms += 100) {
+        for (uint32_t i = 0; i < 2; i++) {
+            if (ms == changes_ms[i]) {
+                put_plan(sim, "orders", idle_ms[i + 1]);
+            }
+        }
+        relay_simulation_run(sim, 100);
+    }
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// A flow that was never idle for longer than the idle timeout in force stays
+/// when the timeout grows, and when it shrinks for a while. A change takes up
+/// to 3 s to reach an agent.
+static void
+test_idle_timeout_changes(void)
+{
+    check_idle_changes((const uint32_t[]){1000, 1000},
+                       (const uint32_t[]){5000, 15000, 15000}, 8000);
+    check_idle_changes((const uint32_t[]){1000, 3000},
+                       (const uint32_t[]){15000, 5000, 15000}, 10000);
+    check_idle_changes((const uint32_t[]){7000, 7000},
+                       (const uint32_t[]){5000, 15000, 15000}, 7000);
+    check_idle_changes((const uint32_t[]){7500, 7500},
+                       (const uint32_t[]){5000, 15000, 15000}, 10000);
+}
+
+/// The same for an agent that knows the flow: it does not forget it as long as
+/// a longer timeout may be on its way.
+static void
+test_idle_timeout_grows_late(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 72);
+    uint32_t flow;
+
+    put_plan(sim, "orders", 5000);
+    flow = relay_open_flow_and_request(sim, 0);
+    relay_simulation_run(sim, 7500);
+    put_plan(sim, "orders", 15000);
+    relay_simulation_run(sim, 500);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// Control marks an agent as unreachable, or takes the mark back.
+static void
+mark_unreachable(struct relay_simulation *sim, uint32_t agent,
+                 bool is_unreachable)
+{
+    struct SlObject object = *SlConfig_FindObject(
+        sim->config, SL_KIND_NODE, sim->nodes[ENTRIES + agent].name);
+
+    object.node.unreachable = is_unreachable;
+    CU_ASSERT_EQUAL(SlConfig_PutObject(sim->config, &object), SL_OK);
+    relay_configure_all(sim);
+}
+
+/// An agent stands still and goes on, and control calls it unreachable for
+/// longer than that. It is asked, and its flow stays.
+static void
+test_unreachable_agent_lives(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 73);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+
+    sim->nodes[ENTRIES + holder].isolated = true;
+    mark_unreachable(sim, holder, true);
+    relay_simulation_run(sim, 5000);
+    sim->nodes[ENTRIES + holder].isolated = false;
+    relay_simulation_run(sim, 6000);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// The upstream of an agent starts anew, and holds no flows.
+static void
+restart_upstream(struct relay_simulation *sim, uint32_t agent)
+{
+    sim->upstreams[agent].held_count = 0;
+    sim->upstreams[agent].status.started_ms += 5000;
+    sim->upstreams[agent].status.seq = 0;
+    CU_ASSERT(relay_report_status(sim, agent));
+}
+
+/// The mark stays for long, as when control has no leader, while the flow is
+/// in use through the entry that knows its holder. The agent stands still for
+/// a while in between, and others find that it does not answer.
+static void
+test_mark_stays(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 74);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+
+    for (uint32_t i = 0; i < 8; i++) {
+        (void)relay_open_flow_and_request(sim, 0);
+    }
+    mark_unreachable(sim, holder, true);
+    for (uint32_t i = 0; i < 4; i++) {
+        relay_simulation_run(sim, 5000);
+        check_answered(sim, 0, flow);
+    }
+    sim->nodes[ENTRIES + holder].isolated = true;
+    restart_upstream(sim, (holder + 1) % AGENTS);
+    restart_upstream(sim, (holder + 2) % AGENTS);
+    restart_upstream(sim, (holder + 3) % AGENTS);
+    for (uint32_t i = 1; i <= 8; i++) {
+        relay_send_request(sim, 1, i);
+        relay_simulation_run(sim, 300);
+    }
+    relay_simulation_run(sim, 1000);
+    sim->nodes[ENTRIES + holder].isolated = false;
+    relay_simulation_run(sim, 5000);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// Agents that are gone for good delay the answers about flows that nobody
+/// holds only once: the first by one short answer timeout.
+static void
+test_agents_gone_for_good(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 75);
+    uint32_t gone = 1;
+
+    for (uint32_t i = 0; i < 8; i++) {
+        (void)relay_open_flow_and_request(sim, 0);
+    }
+    sim->nodes[ENTRIES + gone].isolated = true;
+    mark_unreachable(sim, gone, true);
+    relay_simulation_run(sim, 18000);
+    for (uint32_t i = 0; i < AGENTS; i++) {
+        restart_upstream(sim, i);
+    }
+    for (uint32_t i = 0; i < 8; i++) {
+        relay_send_request(sim, 1, i);
+        relay_simulation_run(sim, i < 4 ? 100 : 30);
+        CU_ASSERT_EQUAL(sim->callers[i].resets, 1);
+    }
+    relay_simulation_destroy(sim);
+}
+
+int
+main(void)
+{
+    static const struct test_case CASES[] = {
+        {"a route has moved to another service", test_route_moved},
+        {"the idle timeout changes after a restart",
+         test_idle_timeout_changes},
+        {"a longer idle timeout arrives late", test_idle_timeout_grows_late},
+        {"an unreachable agent lives", test_unreachable_agent_lives},
+        {"an agent stays marked as unreachable", test_mark_stays},
+        {"agents are gone for good", test_agents_gone_for_good},
+    };
+
+    return RUN_SUITE("relay evidence", CASES);
+}
