--- a/test/full_disk_test.c
+++ b/test/full_disk_test.c
@@ -85,18 +85,18 @@
     }
 }
 
-/// Lets a disk become full at the given call that changes a file, counted
-/// from now.
+/// Lets a disk become full (ENOSPC) or fail (EIO) at the given call that
+/// changes a file, counted from now.
 static void
-fill_disk(struct full_disks *disks, uint32_t index, uint32_t call)
+break_disk(struct full_disks *disks, uint32_t index, uint32_t call, int error)
 {
     disks->files[index].failing = false;
-    disks->files[index].error = ENOSPC;
+    disks->files[index].error = error;
     disks->files[index].calls_until_failure = call;
 }
 
 static void
-empty_disk(struct full_disks *disks, uint32_t index)
+mend_disk(struct full_disks *disks, uint32_t index)
 {
     disks->files[index].failing = false;
     disks->files[index].error = 0;
@@ -188,10 +188,10 @@
     return leader;
 }
 
-/// Cuts off one leader after the other; each finds its disk full at the given
-/// file call after it is back.
+/// Cuts off one leader after the other; the disk of each is full, or fails,
+/// from the given file call on after it is back.
 static void
-check_full_in_turn(uint32_t count, uint64_t seed, uint32_t call)
+check_in_turn(uint32_t count, uint64_t seed, uint32_t call, int error)
 {
     struct full_disks disks;
     uint32_t round = 0;
@@ -202,18 +202,18 @@
     while (accepts && round <= count) {
         uint32_t old_leader = cut_off_leader(&disks);
 
-        fill_disk(&disks, old_leader, call);
+        break_disk(&disks, old_leader, call, error);
         disks.fixture->simulation.nodes[old_leader].is_partitioned = false;
         fixture_run(disks.fixture, FULL_STEPS);
-        empty_disk(&disks, old_leader);
+        mend_disk(&disks, old_leader);
         accepts = accept_change(&disks) < ACK_STEPS;
         missing += !await_same_version(&disks);
         round++;
     }
     if (!accepts || missing > 0) {
-        printf("%u instances, full from file call %u on: an instance takes no "
+        printf("%u instances, %s from file call %u on: an instance takes no "
                "part after %u of %u disks%s\n",
-               count, call, missing, round,
+               count, error == EIO ? "failing" : "full", call, missing, round,
                accepts ? "" : ", and no change is accepted");
     }
     CU_ASSERT(accepts);
@@ -225,9 +225,19 @@
 test_instances_full_in_turn(void)
 {
     for (uint32_t call = 1; call <= CALLS_MAX; call++) {
-        check_full_in_turn(3, call, call);
+        check_in_turn(3, call, call, ENOSPC);
+    }
+    check_in_turn(5, 50, 5, ENOSPC);
+}
+
+/// The disks fail for a while in turn, which also leaves storage that refuses
+/// writes after a failed sync.
+static void
+test_instances_failing_in_turn(void)
+{
+    for (uint32_t call = 1; call <= CALLS_MAX; call++) {
+        check_in_turn(3, call, call, EIO);
     }
-    check_full_in_turn(5, 50, 5);
 }
 
 /// The disk of an instance is full from the moment when its vote for itself,
@@ -246,12 +256,12 @@
         create_disks(&disks, 3, seed);
         leader = find_leader(disks.fixture);
         other = (leader + 1 + (uint32_t)seed % 2) % 3;
-        fill_disk(&disks, other, VOTE_CALLS + 1);
+        break_disk(&disks, other, VOTE_CALLS + 1, ENOSPC);
         disks.fixture->simulation.nodes[leader].is_partitioned = true;
         fixture_run(disks.fixture, ELECTION_STEPS);
         disks.fixture->simulation.nodes[leader].is_partitioned = false;
         fixture_run(disks.fixture, FULL_STEPS);
-        empty_disk(&disks, other);
+        mend_disk(&disks, other);
         refused += accept_change(&disks) == ACK_STEPS;
         destroy_disks(&disks);
     }
@@ -286,10 +296,10 @@
             }
         }
         CU_ASSERT(accept_change(&disks) < ACK_STEPS);
-        fill_disk(&disks, other, call);
+        break_disk(&disks, other, call, ENOSPC);
         disks.fixture->simulation.nodes[other].is_partitioned = false;
         fixture_run(disks.fixture, FULL_STEPS);
-        empty_disk(&disks, other);
+        mend_disk(&disks, other);
         missing += !await_same_version(&disks);
         destroy_disks(&disks);
     }
@@ -307,6 +317,7 @@
     static const struct test_case CASES[] = {
         {"instances whose disks are full in turn",
          test_instances_full_in_turn},
+        {"instances whose disks fail in turn", test_instances_failing_in_turn},
         {"a disk that is full after an election",
          test_disk_full_after_election},
         {"a disk that is full at a snapshot", test_disk_full_at_snapshot},
