--- a/packages/state/src/flow_journal_file.c
+++ b/packages/state/src/flow_journal_file.c
@@ -65,15 +65,26 @@
     size_t appended_bytes;
 };
 
+/// Opens the folder unless it is open. Returns false when it cannot be opened
+/// now.
+static bool
+open_folder(struct SlFlowJournalFile *file)
+{
+    struct SlFiles *files = file->folder.files;
+
+    if (file->folder.folder_fd < 0) {
+        file->folder.folder_fd = files->type->open(files, AT_FDCWD, file->path,
+                                                   O_RDONLY | O_DIRECTORY);
+    }
+    return file->folder.folder_fd >= 0;
+}
+
 static void
 load_contents(struct SlFlowJournalFile *file)
 {
-    struct SlFiles *files = file->folder.files;
     struct SlFileBytes contents = {.bytes = NULL};
 
-    file->folder.folder_fd =
-        files->type->open(files, AT_FDCWD, file->path, O_RDONLY | O_DIRECTORY);
-    if (file->folder.folder_fd >= 0) {
+    if (open_folder(file)) {
         (void)SlFolder_ReadFile(&file->folder, FILE_NAME, &contents);
     }
     pthread_mutex_lock(&file->lock);
@@ -120,7 +131,7 @@
 {
     enum SlStatus status = SL_OK;
 
-    if (file->folder.folder_fd < 0) {
+    if (!open_folder(file)) {
         return SL_IO;
     }
     if (job->replaces) {
--- a/test/flow_journal_thread_test.c
+++ b/test/flow_journal_thread_test.c
@@ -296,6 +296,28 @@
     folder_remove(fixture.path);
 }
 
+/// The folder cannot be opened when the journal is, for want of descriptors or
+/// of a disk that answers. It is opened before the next write.
+static void
+test_folder_opens_later(void)
+{
+    struct journal_fixture fixture = {.now_us = 1};
+    struct SlFlowJournalFileCounters counters;
+
+    folder_create_temporary(fixture.path);
+    CU_ASSERT_EQUAL_FATAL(rmdir(fixture.path), 0);
+    fixture_open(&fixture, SlFiles_System());
+    record_and_drain(&fixture, 0, 3);
+    SlFlowJournalFile_Counters(fixture.file, &counters);
+    CU_ASSERT_EQUAL(counters.failures, 1);
+    CU_ASSERT_EQUAL_FATAL(mkdir(fixture.path, 0700), 0);
+    fixture.now_us += RETRY_US;
+    record_and_drain(&fixture, 3, 6);
+    fixture_close(&fixture);
+    CU_ASSERT_EQUAL(count_after_restart(&fixture), 6);
+    folder_remove(fixture.path);
+}
+
 int
 main(void)
 {
@@ -305,6 +327,7 @@
         {"a wiped disk", test_wiped},
         {"a failure at each call", test_failure_at_each_call},
         {"a full disk", test_full},
+        {"a folder that cannot be opened at first", test_folder_opens_later},
         {"a stalled disk", test_stalled},
         {"compaction", test_compaction},
     };
