--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -130,8 +130,8 @@
 
 /// An agent that control cannot reach may still hold a flow, so the flow is
 /// not reset. It is reset after the agent has been unreachable for as long as
-/// an unused flow may live: the idle timeout, and 3 s for a change of it. An agent whose upstream has announced that it is gone never prevents
-/// a reset.
+/// an unused flow may live: the idle timeout, and 3 s for a change of it. An
+/// agent whose upstream has announced that it is gone never prevents a reset.
 static void
 test_flows_of_unreachable_agents(void)
 {
