Tell the first process of a run by its cold phase, or by two signs together

Cause: a first status with the number 1 or less, or a start time that is not lower than that of the agent, was enough alone to conclude that no earlier process of the agent had admitted a flow. The time of day may jump between the two starts, and where numbers begin is not said.

Evidence (SlRunStartEvidence): a run that is cold tells its age by the length of the cold phase, and that alone decides. For others the number must be at most 1 and the start time must not contradict it. The same holds for the use of records after a loss of power. It is decided again with the first plan, which has the length of the cold phase.

--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -19,9 +19,6 @@
     /// Initial limit of queries per tick. The link of an agent is sized for
     /// the downloads that its upstream serves, so it can carry this many.
     INITIAL_QUERIES_PER_TICK = 256,
-    /// Minimum time from the first upstream status that an agent process
-    /// receives to the start of the next agent process.
-    PROCESS_RESTART_MIN_MS = 100,
     /// How long an upstream that no longer listens may take for the requests
     /// that it has: most of the time that a planned stop of its agent lasts.
     UNANSWERED_TIMEOUT_US = 3000 * 1000,
@@ -157,6 +154,31 @@
     return self != NULL && self->holds.count > 0;
 }
 
+bool
+SlRelayAgent_IsFirstProcess(const struct SlRelayAgent *agent)
+{
+    uint32_t cold_ms = 0;
+
+    if (agent->plan != NULL && agent->service != SL_PLAN_NO_SERVICE) {
+        cold_ms = SlPlan_ServiceAt(agent->plan, agent->service)->cold_ms;
+    }
+    return SlRunStartEvidence_IsFirstProcess(&agent->run_start, cold_ms);
+}
+
+/// Decides whether this process is the first one of the present run, by its
+/// first status. Done again with the first plan, which has the length of the
+/// cold phase.
+static void
+check_first_process(struct SlRelayAgent *agent)
+{
+    if (agent->run_start.received_us == 0 || agent->runs.former_count > 0) {
+        return;
+    }
+    agent->table.saw_start = SlRelayAgent_IsFirstProcess(agent);
+    agent->flow_recorder.asking =
+        agent->flow_recorder.asking && agent->table.saw_start;
+}
+
 /// Reads the idle timeout of a plan. Segments of callers are passed to the
 /// upstream from the first plan on.
 static void
@@ -179,6 +201,7 @@
                        struct SlPlan *plan)
 {
     enum SlStatus status = SlRelayAgent_ReadNodes(agent, now_us, config);
+    bool is_first_plan = agent->plan == NULL && plan != NULL;
 
     if (status != SL_OK) {
         return status;
@@ -192,6 +215,9 @@
     agent->held_by_operator = is_held_by_operator(agent, config);
     read_announced_state(agent, config);
     read_service(agent);
+    if (is_first_plan) {
+        check_first_process(agent);
+    }
     SlRelayAgent_LogEvent(
         agent, sink, now_us,
         (struct SlEvent){.number = SL_EVENT_RELAY_CONFIG,
@@ -209,16 +235,18 @@
     return a->started_ms == b->started_ms && strcmp(a->id, b->id) == 0;
 }
 
-/// True when no earlier process of this agent can have admitted a flow to this
-/// run of the upstream.
-static bool
-is_first_process(const struct SlRelayAgent *agent,
+/// Records the first status that this process receives.
+static void
+record_run_start(struct SlRelayAgent *agent, uint64_t now_us,
                  const struct SlUpstreamStatus *status)
 {
-    return status->seq <= FIRST_STATUS_SEQ_MAX ||
-           (status->started_ms != 0 && agent->options.start_wall_ms != 0 &&
-            status->started_ms + PROCESS_RESTART_MIN_MS >=
-                agent->options.start_wall_ms);
+    agent->run_start = (struct SlRunStartEvidence){
+        .process_started_us = agent->created_us,
+        .process_started_wall_ms = agent->options.start_wall_ms,
+        .received_us = now_us,
+        .seq = status->seq,
+        .started_wall_ms = status->started_ms,
+        .cold_remaining_ms = status->cold_remaining_ms};
 }
 
 /// Returns the time before which a flow that began was the previous run's.
@@ -258,10 +286,13 @@
     bool is_first_status =
         verdict == SL_RUN_NEXT && status->seq <= FIRST_STATUS_SEQ_MAX;
 
-    SlFlowRecorder_BeginRun(agent, now_us, status,
-                            agent->last_status_us == 0 &&
-                                is_first_process(agent, status));
-    if (agent->last_status_us != 0) {
+    SlFlowRecorder_BeginRun(agent, agent->last_status_us == 0);
+    if (agent->last_status_us == 0) {
+        record_run_start(agent, now_us, status);
+        check_first_process(agent);
+    }
+    else {
+        agent->table.saw_start = true;
         collect_lost_flows(agent, sink, now_us, status);
         SlAgentFlow_RemoveHeld(
             agent, now_us, is_first_status ? UINT64_MAX : run_end_us(agent));
@@ -269,9 +300,6 @@
     agent->admission.full_until_us = 0;
     agent->admission.answer_us = 0;
     agent->upstream_silent_until_us = 0;
-    if (agent->last_status_us != 0 || is_first_process(agent, status)) {
-        agent->table.saw_start = true;
-    }
 }
 
 static void
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -141,6 +141,9 @@
     uint64_t announced_until_us;
     struct SlUpstreamStatus upstream;
     struct SlUpstreamRuns runs;
+    /// The first status that this process received; valid if received_us is
+    /// not 0.
+    struct SlRunStartEvidence run_start;
     uint64_t last_status_us;
     /// When the last segment or status arrived from the upstream.
     uint64_t upstream_last_seen_us;
@@ -185,6 +188,10 @@
 void
 SlRelayAgent_LogEvent(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                       uint64_t now_us, struct SlEvent event);
+/// True when no earlier process of this agent can have admitted a flow to the
+/// run of the upstream whose status this process received first.
+bool
+SlRelayAgent_IsFirstProcess(const struct SlRelayAgent *agent);
 /// True when the upstream may hold a flow that is not in the table.
 bool
 SlRelayAgent_MayHoldUnknown(const struct SlRelayAgent *agent, uint64_t now_us);
--- a/packages/coordination/src/relay_evidence.c
+++ b/packages/coordination/src/relay_evidence.c
@@ -3,6 +3,12 @@
 enum {
     /// Used until a plan provides the idle timeout of flows.
     DEFAULT_IDLE_US = 60 * 1000 * 1000,
+    /// Largest number of a status that may be a run's first.
+    FIRST_STATUS_SEQ_MAX = 1,
+    /// Minimum time from the first upstream status that an agent process
+    /// receives to the start of the next agent process.
+    PROCESS_RESTART_MIN_MS = 100,
+    US_PER_MS = 1000,
 };
 
 void
@@ -68,3 +74,20 @@
                ? SL_REFUSAL_UNKNOWN
                : SL_REFUSAL_ENDED;
 }
+
+bool
+SlRunStartEvidence_IsFirstProcess(const struct SlRunStartEvidence *run,
+                                  uint32_t cold_ms)
+{
+    uint64_t process_ms =
+        (run->received_us - run->process_started_us) / US_PER_MS;
+
+    if (run->cold_remaining_ms > 0 && run->cold_remaining_ms <= cold_ms) {
+        return cold_ms - run->cold_remaining_ms <=
+               process_ms + PROCESS_RESTART_MIN_MS;
+    }
+    return run->seq <= FIRST_STATUS_SEQ_MAX &&
+           (run->started_wall_ms == 0 || run->process_started_wall_ms == 0 ||
+            run->started_wall_ms + PROCESS_RESTART_MIN_MS >=
+                run->process_started_wall_ms);
+}
--- a/packages/coordination/src/relay_evidence.h
+++ b/packages/coordination/src/relay_evidence.h
@@ -108,4 +108,28 @@
 SlRefusalEvidence_Judge(const struct SlRefusalEvidence *refusal,
                         uint64_t now_us);
 
+/// The first status that an agent process receives, and when the process
+/// started.
+struct SlRunStartEvidence {
+    uint64_t process_started_us;
+    /// The same by the wall clock, milliseconds since 1970; 0 when unknown.
+    uint64_t process_started_wall_ms;
+    uint64_t received_us;
+    uint64_t seq;
+    /// When the run started, by the wall clock; 0 when unknown.
+    uint64_t started_wall_ms;
+    uint32_t cold_remaining_ms;
+};
+
+/// True when no earlier process of the agent can have admitted a flow to the
+/// run. The length of the cold phase tells the age of a run that is cold,
+/// whatever the wall clock does. For others the status has to be among the
+/// first two, since the first number may be 0 or 1, and the start time must
+/// not contradict it: neither is enough alone.
+///
+/// cold_ms: the length of the cold phase; 0 when there is none.
+bool
+SlRunStartEvidence_IsFirstProcess(const struct SlRunStartEvidence *run,
+                                  uint32_t cold_ms);
+
 #endif
--- a/packages/coordination/src/relay_flow_records.c
+++ b/packages/coordination/src/relay_flow_records.c
@@ -17,14 +17,10 @@
 };
 
 void
-SlFlowRecorder_BeginRun(struct SlRelayAgent *agent, uint64_t now_us,
-                        const struct SlUpstreamStatus *status, bool ask)
+SlFlowRecorder_BeginRun(struct SlRelayAgent *agent, bool ask)
 {
     struct SlFlowRecorder *recorder = &agent->flow_recorder;
 
-    recorder->first_status_us = now_us;
-    recorder->is_first_status = status->seq <= 1;
-    recorder->cold_remaining_ms = status->cold_remaining_ms;
     recorder->generation++;
     recorder->end_count = 0;
     recorder->asking = ask;
@@ -122,31 +118,6 @@
     return count;
 }
 
-/// True when this process is older than the present run of the upstream, by
-/// evidence that does not depend on the wall clock, which may step: the status
-/// was the first one of the run, or the run was still cold and began, by the
-/// length of the cold phase, after this process.
-static bool
-is_older_than_run(const struct SlRelayAgent *agent)
-{
-    const struct SlFlowRecorder *recorder = &agent->flow_recorder;
-    uint32_t cold_ms;
-
-    if (recorder->is_first_status) {
-        return true;
-    }
-    if (agent->plan == NULL || agent->service == SL_PLAN_NO_SERVICE) {
-        return false;
-    }
-    cold_ms = SlPlan_ServiceAt(agent->plan, agent->service)->cold_ms;
-    return recorder->cold_remaining_ms > 0 &&
-           recorder->cold_remaining_ms <= cold_ms &&
-           agent->created_us +
-                   (uint64_t)(cold_ms - recorder->cold_remaining_ms) *
-                       US_PER_MS <=
-               recorder->first_status_us;
-}
-
 /// Asks for the records of the previous run. Returns whether to send.
 static bool
 ask(struct SlRelayAgent *agent, uint64_t now_us, struct SlFlowRecords *records)
@@ -212,7 +183,7 @@
         return;
     }
     if (!recorder->asking || !agent->upstream_known ||
-        !is_older_than_run(agent) || records->started_ms == 0 ||
+        !SlRelayAgent_IsFirstProcess(agent) || records->started_ms == 0 ||
         records->started_ms >= agent->upstream.started_ms) {
         /* The upstream may hold the flows. */
         agent->counters.flow_records_unused += records->count;
--- a/packages/coordination/src/relay_flow_records.h
+++ b/packages/coordination/src/relay_flow_records.h
@@ -33,11 +33,6 @@
     /// Control is asked for the records of the previous run until ask_until_us
     /// (0 before the first query).
     bool asking;
-    /// When the first status of the present run arrived, whether it was the
-    /// first one of the run, and how much longer the run was cold then.
-    uint64_t first_status_us;
-    bool is_first_status;
-    uint32_t cold_remaining_ms;
     uint64_t ask_due_us;
     uint64_t ask_until_us;
     /// Control has records of an earlier run.
@@ -47,17 +42,14 @@
 
 struct SlAgentFlow;
 struct SlRelayAgent;
-struct SlUpstreamStatus;
 
 /// Begins anew after the upstream did.
 ///
-/// status: the first status of the present run.
 /// ask: asks control for the records of earlier runs. Only if no earlier
 /// process of this agent can have admitted a flow to the present run is it
 /// certain that the upstream does not hold these flows.
 void
-SlFlowRecorder_BeginRun(struct SlRelayAgent *agent, uint64_t now_us,
-                        const struct SlUpstreamStatus *status, bool ask);
+SlFlowRecorder_BeginRun(struct SlRelayAgent *agent, bool ask);
 /// Records that a flow has ended.
 void
 SlFlowRecorder_FlowEnded(struct SlRelayAgent *agent,
--- a/test/relay_evidence_test.c
+++ b/test/relay_evidence_test.c
@@ -236,6 +236,53 @@
     relay_simulation_destroy(sim);
 }
 
+/// An upstream starts at wall_ms by the wall clock, its first status has the
+/// number first_seq, and its agent restarts before the second one, when the
+/// wall clock says restart_ms. cold_ms: for how long the upstream is cold
+/// then; it started 800 ms before. Its flow stays.
+static void
+check_early_restart(uint64_t wall_ms, uint64_t first_seq, uint64_t restart_ms,
+                    uint32_t cold_ms)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 76);
+    struct SlUpstreamStatus *status = &sim->upstreams[0].status;
+    uint32_t flow;
+
+    sim->upstreams[0].status_paused = true;
+    status->started_ms = wall_ms;
+    status->seq = first_seq - 1;
+    CU_ASSERT(relay_report_status(sim, 0));
+    for (uint32_t i = 1; i < AGENTS; i++) {
+        sim->nodes[ENTRIES + i].isolated = true;
+    }
+    flow = relay_open_flow_and_request(sim, 0);
+    CU_ASSERT_EQUAL(relay_find_holder(sim, flow), 0);
+    for (uint32_t i = 1; i < AGENTS; i++) {
+        sim->nodes[ENTRIES + i].isolated = false;
+    }
+    sim->start_wall_ms = restart_ms;
+    relay_restart_node(sim, ENTRIES);
+    relay_simulation_run(sim, 200);
+    status->cold_remaining_ms = cold_ms;
+    CU_ASSERT(relay_report_status(sim, 0));
+    relay_simulation_run(sim, 1000);
+    check_answered(sim, 1, flow);
+    relay_simulation_destroy(sim);
+}
+
+/// The agent of an upstream restarts soon after the upstream started, so the
+/// upstream's second status may look like the first one of its run: the time
+/// of day was ahead when the upstream started, or its numbers begin at 0. The
+/// cold phase tells when both do.
+static void
+test_early_restart(void)
+{
+    check_early_restart(9000, 1, 7600, 0);
+    check_early_restart(7000, 0, 7600, 0);
+    check_early_restart(9000, 0, 7600, 1200);
+}
+
 int
 main(void)
 {
@@ -247,6 +294,8 @@
         {"an unreachable agent lives", test_unreachable_agent_lives},
         {"an agent stays marked as unreachable", test_mark_stays},
         {"agents are gone for good", test_agents_gone_for_good},
+        {"an agent restarts soon after its upstream's start",
+         test_early_restart},
     };
 
     return RUN_SUITE("relay evidence", CASES);
--- a/test/relay_simulation.h
+++ b/test/relay_simulation.h
@@ -141,6 +141,9 @@
     struct relay_message **queue_tail;
     struct SlConfig *config;
     struct SlPlan *plan;
+    /// The wall clock at the start of processes that start now, milliseconds;
+    /// 0 when they do not know it.
+    uint64_t start_wall_ms;
     /// Share of frames that are lost, in units of 1/1000.
     uint32_t loss_permille;
     /// Number of frames sent, by kind.
@@ -453,7 +456,8 @@
 {
     struct relay_node *node = &sim->nodes[node_index];
     struct SlRelayOptions options = {.format = &STUB_FORMAT,
-                                     .seed = relay_random(sim)};
+                                     .seed = relay_random(sim),
+                                     .start_wall_ms = sim->start_wall_ms};
 
     memcpy(options.name, node->name, sizeof(options.name));
     snprintf(options.zone, sizeof(options.zone), "%s", zone);
