Keep a long connect timeout until an instance confirms that it is current

A link took longer than the first three connect timeouts of 80, 160 and 320 ms. The fourth instance was given 640 ms and reached, was not current, and was left; its link had set the timeout back to 80 ms. So only every fourth instance of the list was ever reached, and with a list of eight the same two.

The timeout is set back by a confirmation that the configuration is current; by a link as before while there is no configuration, when any instance will do.

--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -254,8 +254,8 @@
 SlControl_OnHeartbeat(struct SlControl *control, uint64_t link,
                       const struct SlHeartbeat *heartbeat);
 /// Sends each subscriber the changes since the version that was last sent to
-/// it. In self-forming sites this does not need a lease: what this instance has
-/// applied is committed, and versions only grow. It is then marked as not
+/// it. In self-forming sites this does not need a lease: what this instance
+/// has applied is committed, and versions only grow. It is then marked as not
 /// fresh, so that no process takes itself for current by it.
 void
 SlControl_PublishChanges(struct SlControl *control);
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -92,8 +92,10 @@
     /// Number of consecutive control instances that were left because they
     /// were not current.
     uint32_t outdated_control_streak;
-    /// Number of consecutive control instances that were not connected in
-    /// time.
+    /// Number of control instances that were not connected in time since one
+    /// confirmed that the configuration is current. Over a slow network, a
+    /// link to an instance that does not confirm it must not make the time for
+    /// the next ones short again.
     uint32_t unreached_control_streak;
     uint64_t answer_timeout_us;
     uint32_t answer_timeout_doublings;
@@ -572,7 +574,9 @@
     replica->control.lacks_log = linked->lacks_log;
     memcpy(replica->control.name, linked->name, SL_NAME_BYTES);
     replica->control.since_us = now_us;
-    replica->unreached_control_streak = 0;
+    if (needs_any_control(replica)) {
+        replica->unreached_control_streak = 0;
+    }
     SlDialAttempts_EndOthers(&replica->attempts, sink,
                              replica->control.node_id);
     send_announce(replica, sink, now_us);
@@ -772,6 +776,7 @@
     }
     replica->empty_control_streak = 0;
     replica->outdated_control_streak = 0;
+    replica->unreached_control_streak = 0;
     if (replica->options.discover_controls &&
         now_us - fresh_us <= PROMPT_CONFIRMATION_US) {
         replica->answer_timeout_doublings = 0;
--- a/test/replica_sources_test.c
+++ b/test/replica_sources_test.c
@@ -43,6 +43,9 @@
     uint64_t beat_due_us;
     uint64_t echo_us;
     uint64_t dialled;
+    /* Time to establish a link, and when that to the dialled source is. */
+    uint64_t connect_us;
+    uint64_t connect_due_us;
     uint32_t dial_count;
     uint64_t dial_us[DIALS_MAX];
     uint32_t left_count;
@@ -73,6 +76,7 @@
 
     (void)to;
     site->dialled = node_id;
+    site->connect_due_us = site->now_us + site->connect_us;
     if (site->dial_count < DIALS_MAX) {
         site->dial_us[site->dial_count++] = site->now_us;
     }
@@ -203,13 +207,14 @@
 {
     site->now_us += STEP_US;
     handle_input(site, (struct SlInput){.kind = SL_INPUT_TICK});
-    for (uint32_t i = 0; site->dialled != 0 && i < site->count; i++) {
+    for (uint32_t i = 0; site->dialled != 0 && i < site->count &&
+                         site->now_us >= site->connect_due_us;
+         i++) {
         if (source_object(i).node.node_id == site->dialled) {
             site->dialled = 0;
             link_source(site, i);
         }
     }
-    site->dialled = 0;
     run_source(site);
 }
 
@@ -271,6 +276,32 @@
     SlReplica_Destroy(site.replica);
 }
 
+/* Links take longer than the connect timeouts at first, and only one instance
+   of eight is current, so that the replica must link to each of them in turn.
+   It finds that one although the others are reached as well. */
+static void
+test_current_instance_is_found_over_slow_links(void)
+{
+    for (uint32_t current = 0; current < SOURCES_MAX; current++) {
+        enum source_kind kinds[SOURCES_MAX] = {CURRENT};
+        struct fake_site site;
+
+        for (uint32_t i = 1; i < SOURCES_MAX; i++) {
+            kinds[i] = NOT_CURRENT;
+        }
+        create_site(&site, SOURCES_MAX, kinds, current + 1);
+        (void)await_current(&site);
+        site.kinds[site.linked] = NOT_CURRENT;
+        site.kinds[current] = CURRENT;
+        site.connect_us = 340 * MS;
+        handle_input(&site, (struct SlInput){.kind = SL_INPUT_LINK_DOWN});
+        site.link = 0;
+        site.now_us += 2000 * MS;
+        CU_ASSERT(await_current(&site) < 20000 * MS);
+        SlReplica_Destroy(site.replica);
+    }
+}
+
 /* While no source has a log, the replica does not dial in a tight loop. */
 static void
 test_sources_without_log_are_dialled_with_pauses(void)
@@ -402,6 +433,8 @@
         {"seeds without a log are passed", test_seeds_without_log_are_passed},
         {"seeds without a log are passed again",
          test_seeds_without_log_are_passed_again},
+        {"the current instance is found over slow links",
+         test_current_instance_is_found_over_slow_links},
         {"sources without a log are dialled with pauses",
          test_sources_without_log_are_dialled_with_pauses},
         {"instances that are not current are passed",
