Let a control instance join through seeds that hold no log

A control instance that replaces another one, with an empty disk at a new address, may find only processes without a disk among its seeds. It then never joined: it sent its request over links to control instances alone, and a process without one ignored it. Two lost disks later there is no majority.

The instance now asks its seeds too, whatever their role. A process without a log passes the request on to the control instance that it uses, which passes it on to the leader as before. Where a process has control, its control instance alone handles the request.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -220,6 +220,9 @@
      "limit_us",
      "A process left a control instance that it did not reach, or that did "
      "not confirm in time that the configuration is current."},
+    {SL_EVENT_JOIN_PASSED, SL_LEVEL_INFO, "join_passed", NULL, NULL,
+     "A process without a log passed the request of a new control instance on "
+     "to the control instance that it uses."},
     {SL_EVENT_LINK_UP, SL_LEVEL_INFO, "link_up", NULL, NULL,
      "A link to another process was established."},
     {SL_EVENT_LINK_DOWN, SL_LEVEL_NOTICE, "link_down", NULL, NULL,
--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -30,7 +30,8 @@
     uint64_t lease_us;
 };
 
-/// Numbers of control instances that the replica left, by the reason.
+/// Numbers of control instances that the replica left, by the reason, and of
+/// messages that it passed on.
 struct SlReplicaCounters {
     /// No link was established in time.
     uint64_t controls_not_reached;
@@ -45,6 +46,9 @@
     uint64_t controls_empty;
     /// The process in the settings has no control instance.
     uint64_t controls_no_log;
+    /// Requests of new control instances to be taken in, passed on to the
+    /// instance in use.
+    uint64_t joins_passed;
 };
 
 /// Creates a replica. Returns NULL when out of memory.
@@ -89,8 +93,9 @@
 /// instance other than the one that it dialled last.
 uint64_t
 SlReplica_InvitationsTaken(const struct SlReplica *replica);
-/// Finds the control instance in use, if its link is up and it confirmed within
-/// the lease that the configuration is current. link: its address for links.
+/// Finds the control instance in use, if its link is up and it confirmed
+/// within the lease that the configuration is current. link: its address for
+/// links.
 bool
 SlReplica_FindCurrentControl(const struct SlReplica *replica, uint64_t now_us,
                              uint64_t *node_id, struct SlAddress *link);
--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -193,7 +193,7 @@
 void
 SlControl_DialMembers(struct SlControl *control);
 /// Self-forming sites: while no leader is known, sends join requests to all
-/// linked control instances.
+/// linked control instances and seeds.
 void
 SlControl_RequestJoin(struct SlControl *control);
 void
@@ -254,8 +254,8 @@
 SlControl_OnHeartbeat(struct SlControl *control, uint64_t link,
                       const struct SlHeartbeat *heartbeat);
 /// Sends each subscriber the changes since the version that was last sent to
-/// it. In self-forming sites this does not need a lease: what this instance has
-/// applied is committed, and versions only grow. It is then marked as not
+/// it. In self-forming sites this does not need a lease: what this instance
+/// has applied is committed, and versions only grow. It is then marked as not
 /// fresh, so that no process takes itself for current by it.
 void
 SlControl_PublishChanges(struct SlControl *control);
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -261,6 +261,16 @@
     drop_former_members(control, &targets);
 }
 
+/// True for another control instance, and for a process in the settings that
+/// is none: it passes the request on to the instance that it uses.
+static bool
+may_pass_join(const struct SlControl *control, const struct SlPeer *peer)
+{
+    return peer->node_id != control->node_id &&
+           ((peer->roles & SL_ROLE_CONTROL) ||
+            find_known_instance(control, peer->node_id) != NULL);
+}
+
 void
 SlControl_RequestJoin(struct SlControl *control)
 {
@@ -277,8 +287,7 @@
     for (uint32_t i = 0; i < control->link_count; i++) {
         const struct SlControlLink *link = &control->links[i];
 
-        if ((link->peer.roles & SL_ROLE_CONTROL) &&
-            link->peer.node_id != control->node_id) {
+        if (may_pass_join(control, &link->peer)) {
             control->sink->type->send_message(control->sink, link->link,
                                               &message);
         }
--- a/packages/coordination/src/control_list.c
+++ b/packages/coordination/src/control_list.c
@@ -1,5 +1,21 @@
 #include "control_list.h"
 
+void
+SlControlList_RemoveSelf(struct SlReplicaOptions *options)
+{
+    uint64_t own_id = SlNode_Id(options->core.name);
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->discover_controls && options->control_ids[i] == own_id) {
+            continue;
+        }
+        options->control_ids[count] = options->control_ids[i];
+        options->control[count++] = options->control[i];
+    }
+    options->control_count = count;
+}
+
 static bool
 is_unlisted_control(const struct SlReplicaOptions *options,
                     const struct SlObject *node)
@@ -43,3 +59,23 @@
     }
     return false;
 }
+
+bool
+SlControlList_FindAddress(const struct SlReplicaOptions *options,
+                          const struct SlConfig *config, uint64_t node_id,
+                          struct SlAddress *link)
+{
+    const struct SlObject *node = SlConfig_FindNode(config, node_id);
+
+    if (node != NULL) {
+        *link = node->node.link;
+        return true;
+    }
+    for (uint32_t i = 0; i < options->control_count; i++) {
+        if (options->control_ids[i] == node_id) {
+            *link = options->control[i];
+            return true;
+        }
+    }
+    return false;
+}
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -339,13 +339,15 @@
     }
 }
 
-/// Returns true for a message that requests a configuration. Where the process
-/// has control, only control answers it; elsewhere the replica does.
+/// Returns true for a message that requests a configuration or to be taken in
+/// as a control instance. Where the process has control, only control handles
+/// it; elsewhere the replica does.
 static bool
 is_for_control_only(const struct SlNode *node, const struct SlInput *input)
 {
     return node->control != NULL && input->kind == SL_INPUT_MESSAGE &&
-           input->message->kind == SL_MESSAGE_SUBSCRIBE;
+           (input->message->kind == SL_MESSAGE_SUBSCRIBE ||
+            input->message->kind == SL_MESSAGE_JOIN);
 }
 
 static void
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -49,6 +49,8 @@
     /// it is fetched from the peer.
     PULL_DELAY_US = 200 * 1000,
     PULL_TIMEOUT_US = 3000 * 1000,
+    /// Minimum time between two log lines about requests passed on.
+    JOIN_LOG_INTERVAL_US = 1000 * 1000,
 };
 
 /// A process that this replica receives the configuration from.
@@ -113,6 +115,7 @@
     bool leaving;
     /// Number of control instances used that were not dialled last.
     uint64_t invitations_taken;
+    uint64_t join_log_due_us;
     struct SlReplicaCounters counters;
 };
 
@@ -125,24 +128,6 @@
     return *state >> 33;
 }
 
-/// Removes this process from the control instances to dial, among which the
-/// settings may name it although it has no control instance.
-static void
-remove_own_address(struct SlReplicaOptions *options)
-{
-    uint64_t own_id = SlNode_Id(options->core.name);
-    uint32_t count = 0;
-
-    for (uint32_t i = 0; i < options->control_count; i++) {
-        if (options->discover_controls && options->control_ids[i] == own_id) {
-            continue;
-        }
-        options->control_ids[count] = options->control_ids[i];
-        options->control[count++] = options->control[i];
-    }
-    options->control_count = count;
-}
-
 struct SlReplica *
 SlReplica_Create(const struct SlReplicaOptions *options, uint64_t now_us)
 {
@@ -152,7 +137,7 @@
         return NULL;
     }
     replica->options = *options;
-    remove_own_address(&replica->options);
+    SlControlList_RemoveSelf(&replica->options);
     if (replica->options.lease_us == 0) {
         replica->options.lease_us = DEFAULT_LEASE_US;
     }
@@ -216,27 +201,16 @@
 SlReplica_FindCurrentControl(const struct SlReplica *replica, uint64_t now_us,
                              uint64_t *node_id, struct SlAddress *link)
 {
-    const struct SlReplicaOptions *options = &replica->options;
     const struct config_source *control = &replica->control;
-    const struct SlObject *node =
-        SlConfig_FindNode(replica->config, control->node_id);
 
     if (control->link == 0 || replica->last_fresh_us < control->since_us ||
-        SlReplica_IsCutOff(replica, now_us)) {
+        SlReplica_IsCutOff(replica, now_us) ||
+        !SlControlList_FindAddress(&replica->options, replica->config,
+                                   control->node_id, link)) {
         return false;
     }
     *node_id = control->node_id;
-    if (node != NULL) {
-        *link = node->node.link;
-        return true;
-    }
-    for (uint32_t i = 0; i < options->control_count; i++) {
-        if (options->control_ids[i] == control->node_id) {
-            *link = options->control[i];
-            return true;
-        }
-    }
-    return false;
+    return true;
 }
 
 static void
@@ -692,7 +666,6 @@
     if (replica->spare.link == input->link) {
         replica->spare = (struct config_source){.node_id = 0};
     }
-
     for (size_t i = 0; i < sizeof(sources) / sizeof(sources[0]); i++) {
         if (sources[i]->link == input->link) {
             sources[i]->link = 0;
@@ -817,6 +790,30 @@
     }
 }
 
+/// Passes on the request of a new control instance that knows no other one, to
+/// the control instance in use.
+static void
+pass_join(struct SlReplica *replica, struct SlSink *sink,
+          const struct SlInput *input)
+{
+    const struct config_source *control = &replica->control;
+
+    if (control->link == 0 || control->lacks_log ||
+        control->link == input->link) {
+        return;
+    }
+    replica->counters.joins_passed++;
+    sink->type->send_message(sink, control->link, input->message);
+    if (input->now_us >= replica->join_log_due_us) {
+        replica->join_log_due_us = input->now_us + JOIN_LOG_INTERVAL_US;
+        emit_event(replica, sink,
+                   (struct SlEvent){.number = SL_EVENT_JOIN_PASSED,
+                                    .now_us = input->now_us,
+                                    .node = input->message->join.name,
+                                    .peer = control->name});
+    }
+}
+
 static void
 handle_message(struct SlReplica *replica, struct SlSink *sink,
                const struct SlInput *input)
@@ -832,6 +829,9 @@
     if (input->message->kind == SL_MESSAGE_SUBSCRIBE) {
         handle_subscribe(replica, sink, input);
     }
+    else if (input->message->kind == SL_MESSAGE_JOIN) {
+        pass_join(replica, sink, input);
+    }
     else if (input->message->kind == SL_MESSAGE_CONFIG && source != NULL) {
         handle_config(replica, sink, input, source);
     }
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -431,6 +431,7 @@
                  counters.controls_not_current);
     append_count(out, "replica_controls_empty", counters.controls_empty);
     append_count(out, "replica_controls_no_log", counters.controls_no_log);
+    append_count(out, "replica_joins_passed", counters.joins_passed);
 }
 
 static void
