Keep the list of control instances in one place

The list wraps in control_list.c, and the timeouts that double with a streak share one function. No change of behaviour.

--- a/packages/coordination/src/control_list.c
+++ b/packages/coordination/src/control_list.c
@@ -32,10 +32,11 @@
     return true;
 }
 
-bool
-SlControlList_Find(const struct SlReplicaOptions *options,
-                   const struct SlConfig *config, uint32_t index,
-                   uint64_t *node_id, struct SlAddress *link)
+/// Finds the control instance at an index of the list. Returns false past the
+/// end.
+static bool
+find_at(const struct SlReplicaOptions *options, const struct SlConfig *config,
+        uint32_t index, uint64_t *node_id, struct SlAddress *link)
 {
     uint32_t nodes = options->discover_controls
                          ? SlConfig_ObjectCount(config, SL_KIND_NODE)
@@ -60,6 +61,18 @@
     return false;
 }
 
+bool
+SlControlList_FindNext(const struct SlReplicaOptions *options,
+                       const struct SlConfig *config, uint32_t *index,
+                       uint64_t *node_id, struct SlAddress *link)
+{
+    if (find_at(options, config, *index, node_id, link)) {
+        return true;
+    }
+    *index = 0;
+    return find_at(options, config, 0, node_id, link);
+}
+
 bool
 SlControlList_FindAddress(const struct SlReplicaOptions *options,
                           const struct SlConfig *config, uint64_t node_id,
--- a/packages/coordination/src/control_list.h
+++ b/packages/coordination/src/control_list.h
@@ -10,12 +10,12 @@
 /// name it although it has no control instance.
 void
 SlControlList_RemoveSelf(struct SlReplicaOptions *options);
-/// Finds the control instance at an index of the list. Returns false past the
-/// end.
+/// Finds the control instance at an index of the list, or past its end the
+/// first one, and sets the index to 0. Returns false when the list is empty.
 bool
-SlControlList_Find(const struct SlReplicaOptions *options,
-                   const struct SlConfig *config, uint32_t index,
-                   uint64_t *node_id, struct SlAddress *link);
+SlControlList_FindNext(const struct SlReplicaOptions *options,
+                       const struct SlConfig *config, uint32_t *index,
+                       uint64_t *node_id, struct SlAddress *link);
 /// Finds the address for links of a process, in the configuration or else in
 /// the settings. Returns false if neither contains it.
 bool
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -72,7 +72,7 @@
     struct SlConfig *config;
     uint64_t generation;
     /// The control instance in use, and its index in the list that
-    /// SlControlList_Find goes through.
+    /// SlControlList_FindNext goes through.
     struct config_source control;
     uint32_t control_index;
     /// The control instances being dialled; the last one is control.node_id
@@ -373,13 +373,9 @@
         replica->control_index++;
         replica->unreached_control_streak += replica->control.link == 0;
     }
-    if (!SlControlList_Find(&replica->options, replica->config,
-                            replica->control_index, &node_id, &link)) {
-        replica->control_index = 0;
-        if (!SlControlList_Find(&replica->options, replica->config, 0,
-                                &node_id, &link)) {
-            return;
-        }
+    if (!SlControlList_FindNext(&replica->options, replica->config,
+                                &replica->control_index, &node_id, &link)) {
+        return;
     }
     set_answer_timeout(replica);
     SlConfigAssembly_Release(&replica->control.assembly);
@@ -390,14 +386,21 @@
     SlDialAttempts_Begin(&replica->attempts, sink, node_id, &link);
 }
 
+/// Returns a timeout that doubles with each instance of a streak, up to
+/// doublings_max times.
 static uint64_t
-empty_timeout_us(const struct SlReplica *replica)
+doubled_timeout_us(uint64_t timeout_us, uint32_t streak,
+                   uint32_t doublings_max)
 {
-    uint32_t doublings = replica->empty_control_streak < EMPTY_DOUBLINGS_MAX
-                             ? replica->empty_control_streak
-                             : EMPTY_DOUBLINGS_MAX;
+    return timeout_us << (streak < doublings_max ? streak : doublings_max);
+}
 
-    return (uint64_t)EMPTY_CONTROL_TIMEOUT_US << doublings;
+static uint64_t
+empty_timeout_us(const struct SlReplica *replica)
+{
+    return doubled_timeout_us(EMPTY_CONTROL_TIMEOUT_US,
+                              replica->empty_control_streak,
+                              EMPTY_DOUBLINGS_MAX);
 }
 
 /// Time on the link of a process without a log: for one that it may send, and
@@ -451,17 +454,6 @@
            now_us - control->since_us >= *limit_us;
 }
 
-static uint64_t
-connect_timeout_us(const struct SlReplica *replica)
-{
-    uint32_t doublings =
-        replica->unreached_control_streak < CONNECT_DOUBLINGS_MAX
-            ? replica->unreached_control_streak
-            : CONNECT_DOUBLINGS_MAX;
-
-    return (uint64_t)CONNECT_TIMEOUT_US << doublings;
-}
-
 /// True when the control instance in use timed out: its link was not
 /// established, or it did not confirm in time that the configuration is
 /// current. limit_us: set to the time that it had.
@@ -470,14 +462,17 @@
                       uint64_t *limit_us)
 {
     const struct config_source *control = &replica->control;
+    uint64_t connect_us = doubled_timeout_us(CONNECT_TIMEOUT_US,
+                                             replica->unreached_control_streak,
+                                             CONNECT_DOUBLINGS_MAX);
 
     *limit_us = replica->answer_timeout_us;
     if (control->node_id == 0) {
         return true;
     }
     if (replica->options.discover_controls && control->link == 0 &&
-        now_us - control->since_us > connect_timeout_us(replica)) {
-        *limit_us = connect_timeout_us(replica);
+        now_us - control->since_us > connect_us) {
+        *limit_us = connect_us;
         return true;
     }
     return now_us - control->since_us > replica->answer_timeout_us &&
