Decode a document again for which memory lacked

An entry or agent remembered the version of a document before it decoded it. If memory lacked just then, the document was never tried again: the process followed its former plan until a newer version came, while it reported the new one. Read in the source by a review of what a passing trouble latches; not seen in operation.

A malformed document is still tried once. JSON that cannot be parsed for want of memory is told apart from malformed JSON.

--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "listen_probe.h"
+#include "plan_holder.h"
 #include "shell_internal.h"
 
 enum {
@@ -44,10 +45,7 @@
     struct relay_socket upstream_socket;
     /// Buffers for received datagrams.
     struct SlBatch *receive_batch;
-    /// The plan in use; NULL until the first document has been decoded.
-    struct SlPlan *plan;
-    /// Version of the last document that the relay tried to decode.
-    uint64_t document_version;
+    struct SlPlanHolder plan_holder;
     /// Generation of the replica's configuration that the relay uses.
     uint64_t config_generation;
     /// State of the upstream in the last announcement; valid if
@@ -373,33 +371,28 @@
     SlBatch_Destroy(relay->receive_batch);
     SlRelayEntry_Destroy(relay->entry);
     SlRelayAgent_Destroy(relay->agent);
-    SlPlan_Unref(relay->plan);
+    SlPlanHolder_Release(&relay->plan_holder);
     free(relay);
 }
 
 /// Decodes the configuration document if its version is new. If it cannot be
-/// decoded, logs the error and keeps the present plan.
-static void
+/// decoded, logs the error. Returns false if that is to be tried again.
+static bool
 decode_document(struct shell_relay *relay, uint64_t now_us,
                 const struct SlDocument *document)
 {
-    struct SlPlan *plan;
     struct SlError error;
+    enum SlStatus status =
+        SlPlanHolder_Update(&relay->plan_holder, now_us,
+                            relay->adapter->plan_format, document, &error);
 
-    if (document == NULL || document->version == relay->document_version) {
-        return;
-    }
-    relay->document_version = document->version;
-    if (relay->adapter->plan_format->decode(
-            document->bytes, document->length_bytes, &plan, &error) != SL_OK) {
+    if (status != SL_OK && status != SL_AGAIN) {
         log_event(relay->shell, (struct SlEvent){.number = SL_EVENT_FAILED,
                                                  .now_us = now_us,
                                                  .node = error.message,
                                                  .reason = "document"});
-        return;
     }
-    SlPlan_Unref(relay->plan);
-    relay->plan = plan;
+    return status != SL_AGAIN && status != SL_NO_MEMORY;
 }
 
 /// Applies the configuration of the process's replica if it has changed.
@@ -414,14 +407,16 @@
     if (config_generation == relay->config_generation) {
         return;
     }
-    decode_document(relay, now_us, SlConfig_Document(config));
+    if (!decode_document(relay, now_us, SlConfig_Document(config))) {
+        return;
+    }
     if (relay->entry != NULL) {
         status = SlRelayEntry_SetConfig(relay->entry, &relay->sink, now_us,
-                                        config, relay->plan);
+                                        config, relay->plan_holder.plan);
     }
     else {
         status = SlRelayAgent_SetConfig(relay->agent, &relay->sink, now_us,
-                                        config, relay->plan);
+                                        config, relay->plan_holder.plan);
     }
     if (status == SL_OK) {
         relay->config_generation = config_generation;
