Keep the pauses between sources without a log while copies grow

Two real processes without a log, one of them the only seed of the other, showed it: while a site starts and processes register themselves, each visit to such a seed brought a newer copy, which ended the pauses, so that the replica dialled it every 60 ms until its configuration listed a control instance. Only the first copy ends them now.

A control instance's own replica, which has no other instance to go to, no longer leaves it sooner than before while it is not current: the shorter time holds where a replica discovers control instances.

Evidence: replica_sources_test.

--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -34,19 +34,16 @@
     /// Time on the link of a control instance that reports that it is not
     /// current, before the next one is dialled; up to twice as long with the
     /// random addition. It doubles once, after OUTDATED_STREAK_MAX consecutive
-    /// such instances, because then the site may have no leader. Three such
-    /// instances in a row cost less than the 4 s within which a process has to
-    /// follow changes after a disturbance.
+    /// such instances, because then the site may have no leader. Three of them
+    /// cost less than the 4 s within which a process has to follow changes.
     OUTDATED_TIMEOUT_US = 400 * 1000,
     OUTDATED_JITTER_US = 400 * 1000,
     OUTDATED_STREAK_MAX = 4,
     /// A confirmation that is not older than this came over a fast network.
     PROMPT_CONFIRMATION_US = 500 * 1000,
-    /// Maximum random addition to the answer timeout, so that processes do not
-    /// reconnect simultaneously.
+    /// Maximum random addition, so that processes do not reconnect at once.
     ANSWER_TIMEOUT_JITTER_US = 500 * 1000,
-    /// Time for control to deliver a version that a peer already holds, before
-    /// it is fetched from the peer.
+    /// Time for control to deliver a version that a peer already holds.
     PULL_DELAY_US = 200 * 1000,
     PULL_TIMEOUT_US = 3000 * 1000,
     /// Minimum time between two log lines about requests passed on.
@@ -443,8 +440,8 @@
     *limit_us = ((uint64_t)OUTDATED_TIMEOUT_US << doublings) +
                 replica->answer_jitter_us * OUTDATED_JITTER_US /
                     ANSWER_TIMEOUT_JITTER_US;
-    return control->link != 0 && replica->is_control_outdated &&
-           !replica->is_control_empty &&
+    return replica->options.discover_controls && control->link != 0 &&
+           replica->is_control_outdated && !replica->is_control_empty &&
            replica->last_fresh_us < control->since_us &&
            now_us - control->since_us >= *limit_us;
 }
@@ -554,8 +551,8 @@
     send_heartbeat(replica, sink, now_us);
 }
 
-/// Uses a control instance that is linked although it is not the one dialled
-/// last: the process dialled it earlier, or it dialled the process.
+/// Uses a control instance that the process dialled earlier, or that dialled
+/// it.
 static void
 use_linked_control(struct SlReplica *replica, struct SlSink *sink,
                    uint64_t now_us, const struct config_source *source)
@@ -679,11 +676,13 @@
 install_config(struct SlReplica *replica, struct SlSink *sink,
                const struct SlInput *input, struct config_source *source)
 {
+    if (!source->lacks_log || SlConfig_Version(replica->config).index == 0) {
+        replica->empty_control_streak = 0;
+    }
     SlConfig_Destroy(replica->config);
     replica->config = source->assembly.config;
     source->assembly.config = NULL;
     replica->generation++;
-    replica->empty_control_streak = 0;
     emit_event(replica, sink,
                (struct SlEvent){.number = SL_EVENT_VERSION,
                                 .now_us = input->now_us,
--- a/test/replica_sources_test.c
+++ b/test/replica_sources_test.c
@@ -46,6 +46,8 @@
     uint32_t dial_count;
     uint64_t dial_us[DIALS_MAX];
     uint32_t left_count;
+    /* Changes made since the first configuration. */
+    uint64_t changes;
 };
 
 static void
@@ -58,7 +60,8 @@
         return;
     }
     if (message->kind == SL_MESSAGE_SUBSCRIBE) {
-        site->is_subscribed = message->subscribe.version.index == 0;
+        site->is_subscribed =
+            message->subscribe.version.index < 5 + site->changes;
         site->beat_due_us = site->now_us + STEP_US;
     }
     if (message->kind == SL_MESSAGE_HEARTBEAT) {
@@ -138,13 +141,14 @@
 send_config(struct fake_site *site, bool fresh)
 {
     struct SlObject objects[SOURCES_MAX];
-    struct SlMessage message = {.kind = SL_MESSAGE_CONFIG,
-                                .config = {.to = {.term = 1, .index = 5},
-                                           .full = true,
-                                           .first = true,
-                                           .last = true,
-                                           .fresh = fresh,
-                                           .objects = objects}};
+    struct SlMessage message = {
+        .kind = SL_MESSAGE_CONFIG,
+        .config = {.to = {.term = 1, .index = 5 + site->changes},
+                   .full = true,
+                   .first = true,
+                   .last = true,
+                   .fresh = fresh,
+                   .objects = objects}};
 
     for (uint32_t i = 0; i < site->count; i++) {
         if (site->kinds[i] > WITHOUT_LOG_OR_CONFIG) {
@@ -178,10 +182,11 @@
 run_source(struct fake_site *site)
 {
     enum source_kind kind = site->kinds[site->linked];
-    struct SlMessage beat = {.kind = SL_MESSAGE_HEARTBEAT,
-                             .heartbeat = {.version = {.term = 1, .index = 5},
-                                           .fresh = kind == CURRENT,
-                                           .echo_us = site->echo_us}};
+    struct SlMessage beat = {
+        .kind = SL_MESSAGE_HEARTBEAT,
+        .heartbeat = {.version = {.term = 1, .index = 5 + site->changes},
+                      .fresh = kind == CURRENT,
+                      .echo_us = site->echo_us}};
 
     if (site->link == 0 || site->now_us < site->beat_due_us) {
         return;
@@ -286,6 +291,25 @@
     SlReplica_Destroy(site.replica);
 }
 
+/* The same while other processes register themselves, so that each source has
+   a newer copy than the one before. */
+static void
+test_newer_copies_do_not_end_the_pauses(void)
+{
+    static const enum source_kind KINDS[] = {WITHOUT_LOG, WITHOUT_LOG,
+                                             WITHOUT_LOG};
+    struct fake_site site;
+
+    create_site(&site, 3, KINDS, 1);
+    for (uint32_t i = 0; i < 4000; i++) {
+        site.changes++;
+        run_step(&site);
+    }
+    CU_ASSERT(site.dial_count >= 15);
+    CU_ASSERT(site.dial_count <= 40);
+    SlReplica_Destroy(site.replica);
+}
+
 /* A site has no leader for a while. Then two instances in a row still answer
    that they are not current, as when they are cut off; the others are. The
    replica finds one of these within the bound. */
@@ -404,6 +428,8 @@
          test_seeds_without_log_are_passed_again},
         {"sources without a log are dialled with pauses",
          test_sources_without_log_are_dialled_with_pauses},
+        {"newer copies do not end the pauses",
+         test_newer_copies_do_not_end_the_pauses},
         {"instances that are not current are passed",
          test_instances_that_are_not_current_are_passed},
         {"a site without a leader is dialled with pauses",
