Check that what a full disk left of a batch is cut off durably

storage_test now requires that no write or change of length is unsynced after a refused batch: else a loss of power could bring a refused change back.

--- a/test/fault_files.h
+++ b/test/fault_files.h
@@ -33,6 +33,8 @@
     bool failing;
     /// Writes write nothing and report success.
     bool writes_nothing;
+    /// A write or a change of length came after the last sync.
+    bool is_unsynced;
 };
 
 /// Counts a call that changes a file. Sets errno and returns true when the
@@ -87,6 +89,7 @@
     if (fault->writes_nothing) {
         return 0;
     }
+    fault->is_unsynced = true;
     if (!fault_files_should_fail(fault, true)) {
         return write(fd, bytes, length_bytes);
     }
@@ -100,17 +103,25 @@
 static int
 file_sync_fault(struct SlFiles *files, int fd)
 {
-    return fault_files_should_fail((struct fault_files *)files, false)
-               ? -1
-               : fsync(fd);
+    struct fault_files *fault = (struct fault_files *)files;
+
+    if (fault_files_should_fail(fault, false)) {
+        return -1;
+    }
+    fault->is_unsynced = false;
+    return fsync(fd);
 }
 
 static int
 file_truncate_fault(struct SlFiles *files, int fd, off_t length_bytes)
 {
-    return fault_files_should_fail((struct fault_files *)files, false)
-               ? -1
-               : ftruncate(fd, length_bytes);
+    struct fault_files *fault = (struct fault_files *)files;
+
+    if (fault_files_should_fail(fault, false)) {
+        return -1;
+    }
+    fault->is_unsynced = true;
+    return ftruncate(fd, length_bytes);
 }
 
 static int
--- a/test/storage_test.c
+++ b/test/storage_test.c
@@ -500,6 +500,7 @@
         CU_ASSERT_EQUAL(storage->type->sync(storage), SL_DISK_FULL);
         CU_ASSERT_EQUAL(storage->type->last_error(storage)->status,
                         SL_DISK_FULL);
+        CU_ASSERT_FALSE(files.is_unsynced);
         last_index = last_index_of(storage);
         check_record(storage, last_index);
         files.error = 0;
