Treat an upstream that returns to service as cold until its next status

Cause: the agent began at full rate, by a status from before. The upstreams of a zone that was out may have become cold shortly before it returns.

Change: when a zone or node returns to service, the agent keeps the slow-start rate until the next status, or for 1.5 s at most. The fields of the agent are put in an order without gaps.

Test: relay_runs_test, "a zone is taken back after its upstream became cold"; with the code of before: relay_runs_test.c:211 - upstream->opened_flow_count - opened <= 11. In the same test an upstream that its status calls warm gets all flows at once.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -142,6 +142,11 @@
      "silent_us", "limit_us",
      "An upstream refused a connection while its agent stops; the reason says "
      "whether it has ended, may be draining, or was heard since."},
+    {SL_EVENT_RELAY_RETURNS, SL_LEVEL_NOTICE, "returns", "status_age_us",
+     "limit_flows",
+     "An upstream whose zone or node was out of service returns; it is "
+     "treated "
+     "as cold until its next status."},
     {SL_EVENT_RELAY_TRANSFER, SL_LEVEL_INFO, "transfer", "took_us",
      "transfers", "The body of an upload ended, stalled or went on."},
     {SL_EVENT_RELAY_WORK, SL_LEVEL_INFO, "work", "work_us",
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -179,6 +179,44 @@
         agent->flow_recorder.asking && agent->table.saw_start;
 }
 
+/// Slows down until the next status, which tells whether the upstream is cold.
+static void
+assume_cold(struct SlRelayAgent *agent, uint64_t now_us)
+{
+    uint64_t until_us = now_us + SL_EVIDENCE_STATUS_US;
+
+    if (agent->admission.cold_until_us >= until_us) {
+        return;
+    }
+    if (!agent->cold_assumed) {
+        agent->cold_assumed = true;
+        agent->known_cold_until_us = agent->admission.cold_until_us;
+    }
+    agent->admission.cold_until_us = until_us;
+}
+
+/// Reads whether the upstream is out of service. It may have become cold
+/// shortly before it returns, and since its last status.
+static void
+read_service_state(struct SlRelayAgent *agent, struct SlRelaySink *sink,
+                   uint64_t now_us, const struct SlConfig *config)
+{
+    bool was_out = agent->zone_out || agent->held_by_operator;
+
+    agent->zone_out = SlConfig_IsZoneOutOfService(config, agent->options.zone);
+    agent->held_by_operator = is_held_by_operator(agent, config);
+    if (was_out && !agent->zone_out && !agent->held_by_operator) {
+        assume_cold(agent, now_us);
+        SlRelayAgent_LogEvent(
+            agent, sink, now_us,
+            (struct SlEvent){.number = SL_EVENT_RELAY_RETURNS,
+                             .reason = "cold_until_status",
+                             .value =
+                                 (int64_t)(now_us - agent->last_status_us),
+                             .limit = agent->admission.cold_limit});
+    }
+}
+
 /// Reads the idle timeout of a plan. Segments of callers are passed to the
 /// upstream from the first plan on.
 static void
@@ -211,8 +249,7 @@
     SlPlan_Unref(agent->plan);
     agent->plan = plan;
     agent->version = SlConfig_Version(config);
-    agent->zone_out = SlConfig_IsZoneOutOfService(config, agent->options.zone);
-    agent->held_by_operator = is_held_by_operator(agent, config);
+    read_service_state(agent, sink, now_us, config);
     read_announced_state(agent, config);
     read_service(agent);
     if (is_first_plan) {
@@ -317,19 +354,6 @@
                          .limit = status->cold_remaining_ms});
 }
 
-/// Slows down for a run that may be the present one, and says that it is cold.
-static void
-assume_cold(struct SlRelayAgent *agent, uint64_t now_us,
-            const struct SlUpstreamStatus *status)
-{
-    uint64_t until_us = now_us + SL_EVIDENCE_STATUS_US;
-
-    if (status->cold_remaining_ms > 0 &&
-        agent->admission.cold_until_us < until_us) {
-        agent->admission.cold_until_us = until_us;
-    }
-}
-
 bool
 SlRelayAgent_UpdateStatus(struct SlRelayAgent *agent, struct SlRelaySink *sink,
                           uint64_t now_us,
@@ -350,7 +374,9 @@
         return false;
     case SL_RUN_UNDECIDED:
         log_upstream_status(agent, sink, now_us, status, "undecided");
-        assume_cold(agent, now_us, status);
+        if (status->cold_remaining_ms > 0) {
+            assume_cold(agent, now_us);
+        }
         return false;
     case SL_RUN_PRESENT:
     case SL_RUN_NEXT:
@@ -370,10 +396,14 @@
     agent->last_status_us = now_us;
     agent->upstream_last_seen_us = now_us;
     agent->admission.slots = status->slots;
-    agent->admission.cold_until_us = status->cold_remaining_ms > 0
-                                         ? cold_us
-                                         : agent->admission.cold_until_us;
-    if (previous_us == 0 && status->cold_remaining_ms == 0) {
+    if (agent->cold_assumed) {
+        agent->cold_assumed = false;
+        agent->admission.cold_until_us = agent->known_cold_until_us;
+    }
+    if (status->cold_remaining_ms > 0) {
+        agent->admission.cold_until_us = cold_us;
+    }
+    else if (previous_us == 0) {
         agent->admission.cold_until_us = 0;
     }
     read_service(agent);
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -124,6 +124,9 @@
     /// Index of the upstream's service in the plan; SL_PLAN_NO_SERVICE when
     /// the plan does not contain the service.
     uint32_t service;
+    /// Slots that the previous agent process announced; 0 when it admitted no
+    /// new flows.
+    uint32_t announced_slots;
     bool zone_out;
     bool held_by_operator;
     bool stopping;
@@ -132,12 +135,13 @@
     /// The upstream announced that it is gone or has stopped, and no status
     /// has arrived since.
     bool upstream_gone;
+    /// The upstream is assumed to be cold until its next status.
+    bool cold_assumed;
+    /// Whether the table of flows was complete on the last tick.
+    bool table_was_complete;
     /// Since when the upstream has refused connections, while it may still
     /// work on requests; otherwise 0.
     uint64_t refuses_since_us;
-    /// Slots that the previous agent process announced; 0 when it admitted no
-    /// new flows.
-    uint32_t announced_slots;
     uint64_t announced_until_us;
     struct SlUpstreamStatus upstream;
     struct SlUpstreamRuns runs;
@@ -153,9 +157,9 @@
     /// Whether the table has all flows that the upstream holds.
     struct SlTableEvidence table;
     struct SlFlowLife flow_life;
-    /// Whether it was complete on the last tick.
-    bool table_was_complete;
     struct SlAdmission admission;
+    /// The end of the cold phase as far as it is known, if cold_assumed.
+    uint64_t known_cold_until_us;
     struct SlAdmissionQueue admission_queue;
     struct SlRelayIndex flows;
     /// The bodies that are in transfer or not yet answered, and the largest
--- a/test/relay_runs_test.c
+++ b/test/relay_runs_test.c
@@ -174,6 +174,58 @@
     check_late_statuses(5000 + AHEAD_MS, 5);
 }
 
+/// Takes zone "a" out of service, or takes it back.
+static void
+set_zone_out(struct relay_simulation *sim, bool is_out)
+{
+    struct SlObject zone = {
+        .kind = SL_KIND_ZONE, .name = "a", .holds = {.count = is_out}};
+
+    CU_ASSERT_EQUAL(SlConfig_PutObject(sim->config, &zone), SL_OK);
+    relay_configure_all(sim);
+}
+
+/// A zone is taken back just after its upstream became cold, and before the
+/// next status says so. In any second the upstream gets no more flows than a
+/// cold one bears; all it can take once a status says that it is warm.
+static void
+check_zone_back(uint32_t cold_ms, uint32_t min_flows, uint32_t max_flows)
+{
+    struct relay_simulation *sim = relay_simulation_create(1, 2, 40, 85);
+    struct relay_upstream *upstream = &sim->upstreams[0];
+    uint32_t opened;
+
+    SlPlan_Unref(sim->plan);
+    sim->plan = relay_create_plan(2, 8);
+    upstream->status_paused = true;
+    sim->upstreams[1].status.draining = true;
+    set_zone_out(sim, true);
+    run_with_statuses(sim, 0, 3);
+    start_run(sim, 0, "next", 9000);
+    set_zone_out(sim, false);
+    upstream->status.cold_remaining_ms = cold_ms;
+    opened = upstream->opened_flow_count;
+    for (uint32_t i = 0; i < 80; i++) {
+        if (i == 40) {
+            (void)relay_report_status(sim, 0);
+            CU_ASSERT(upstream->opened_flow_count - opened <= 11);
+            opened = upstream->opened_flow_count;
+        }
+        (void)relay_open_flow(sim, 0);
+        relay_simulation_run(sim, 20);
+    }
+    CU_ASSERT(upstream->opened_flow_count - opened >= min_flows);
+    CU_ASSERT(upstream->opened_flow_count - opened <= max_flows);
+    relay_simulation_destroy(sim);
+}
+
+static void
+test_zone_back(void)
+{
+    check_zone_back(5000, 4, 11);
+    check_zone_back(0, 35, 80);
+}
+
 int
 main(void)
 {
@@ -184,6 +236,8 @@
         {"flows of a run before it is taken", test_flows_of_undecided_run},
         {"the first status of a run is missed", test_first_status_missed},
         {"late statuses of a former run", test_late_statuses},
+        {"a zone is taken back after its upstream became cold",
+         test_zone_back},
     };
 
     return RUN_SUITE("relay runs", CASES);
