--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -193,7 +193,7 @@
 void
 SlControl_DialMembers(struct SlControl *control);
 /// Self-forming sites: while no leader is known, sends join requests to all
-/// linked control instances.
+/// linked control instances and seeds.
 void
 SlControl_RequestJoin(struct SlControl *control);
 void
