Take an upstream again that was ended by a late message of its former run

The end of an upstream names it alone. One of a former run that arrives late, after a run with the same name has started, ended the present run: all its further statuses counted as late and were refused, and the agent said for certain that it held no flow. Found by a review; relay_runs_test, the late end of a former run, failed before.

After an end, a status of the same run with a higher number makes it a candidate, and it is taken again when it goes on for half a second, like any other run: late messages arrive together.

--- a/packages/coordination/src/relay_runs.c
+++ b/packages/coordination/src/relay_runs.c
@@ -95,13 +95,21 @@
 {
     if (runs->heard_us != 0 && is_run(&runs->present, status)) {
         /* Without a start time, a run after the end may have the same name. */
-        if ((runs->ended && status->started_ms != 0) ||
-            (!runs->ended && status->seq <= runs->seq)) {
+        bool is_restart = runs->ended && status->started_ms == 0;
+
+        if (!is_restart && status->seq <= runs->seq) {
             return SL_RUN_LATE;
         }
+        /* The end names the upstream alone: it may be the late one of a former
+           run with the same name. */
+        if (runs->ended && !is_restart &&
+            !has_replaced_present(runs, now_us, status)) {
+            return SL_RUN_UNDECIDED;
+        }
         runs->seq = status->seq;
         runs->heard_us = now_us;
         runs->ended = false;
+        runs->candidate_since_us = 0;
         return SL_RUN_PRESENT;
     }
     if (is_newer_run(runs, status)) {
--- a/test/relay_runs_test.c
+++ b/test/relay_runs_test.c
@@ -226,6 +226,33 @@
     check_zone_back(0, 35, 80);
 }
 
+/// The end of a former run arrives late, after a run with the same id has
+/// started. The present run reports on, and is taken again within a few
+/// statuses.
+static void
+test_late_end_of_a_former_run(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 86);
+    struct relay_node *node = &sim->nodes[ENTRIES];
+    uint32_t accepted = 0;
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "same", 5000);
+    run_with_statuses(sim, 0, 2);
+    start_run(sim, 0, "same", 9000);
+    run_with_statuses(sim, 0, 2);
+    CU_ASSERT(SlRelayAgent_HandleUpstreamGone(node->agent, &node->sink,
+                                              sim->now_us, "same"));
+    for (uint32_t i = 0; i < 10; i++) {
+        accepted += relay_report_status(sim, 0);
+        relay_simulation_run(sim, 1000);
+    }
+    CU_ASSERT(accepted >= 6);
+    CU_ASSERT_FALSE(SlRelayAgent_IsUpstreamGone(node->agent));
+    relay_simulation_destroy(sim);
+}
+
 int
 main(void)
 {
@@ -238,6 +265,7 @@
         {"late statuses of a former run", test_late_statuses},
         {"a zone is taken back after its upstream became cold",
          test_zone_back},
+        {"the late end of a former run", test_late_end_of_a_former_run},
     };
 
     return RUN_SUITE("relay runs", CASES);
