--- a/test/full_disk_test.c
+++ b/test/full_disk_test.c
@@ -311,6 +311,24 @@
     CU_ASSERT_EQUAL(missing, 0);
 }
 
+/// The leader's disk stays full. The others have room, so that changes are
+/// accepted within the bound.
+static void
+test_leader_disk_stays_full(void)
+{
+    struct full_disks disks;
+    uint32_t leader;
+
+    create_disks(&disks, 3, 45);
+    (void)accept_change(&disks);
+    leader = find_leader(disks.fixture);
+    break_disk(&disks, leader, 1, ENOSPC);
+    CU_ASSERT(accept_change(&disks) < ACK_STEPS);
+    mend_disk(&disks, leader);
+    CU_ASSERT(await_same_version(&disks));
+    destroy_disks(&disks);
+}
+
 int
 main(void)
 {
@@ -320,6 +338,7 @@
         {"instances whose disks fail in turn", test_instances_failing_in_turn},
         {"a disk that is full after an election",
          test_disk_full_after_election},
+        {"the leader's disk stays full", test_leader_disk_stays_full},
         {"a disk that is full at a snapshot", test_disk_full_at_snapshot},
     };
 
