Let a leader hand over when its disk stays full

Every change was refused for as long as the leader's disk was full, although the other instances had room: heartbeats need no disk, so nobody else was elected. Found by a review; full_disk_test, the leader's disk stays full, failed before (no change accepted within 5 s).

A leader whose writes have failed for want of space for half a second hands over as at a planned stop, if a majority of the other voters has all its records.

--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -233,28 +233,66 @@
                                           progress->node_id, &message);
 }
 
-void
-SlRaft_Resign(struct SlRaft *raft, uint64_t now_us)
+/// Gives up the lease and the leadership, and notifies the members.
+static void
+hand_over(struct SlRaft *raft, const char *reason)
 {
     struct SlMessage message = {
         .kind = SL_MESSAGE_APPEND,
         .append = {.term = raft->hard_state.term, .resigns = true}};
 
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        uint64_t node_id = raft->members.items[i].node_id;
+
+        if (node_id != raft->options.node_id) {
+            raft->options.host_type->send_message(raft->options.host, node_id,
+                                                  &message);
+        }
+    }
+    SlRaft_BecomeFollower(raft, raft->hard_state.term, 0, reason);
+}
+
+void
+SlRaft_Resign(struct SlRaft *raft, uint64_t now_us)
+{
     raft->now_us = now_us;
     raft->is_stopping = true;
     if (raft->state != SL_CONTROL_LEADER) {
         return;
     }
     SlRaft_Flush(raft, now_us);
+    hand_over(raft, "stopping");
+}
+
+/// True when the other voters can elect a leader by themselves that has all
+/// records of this one.
+static bool
+can_others_lead(const struct SlRaft *raft)
+{
+    uint32_t ready = 0;
+
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        uint64_t node_id = raft->members.items[i].node_id;
+        const struct SlRaftProgress *progress = &raft->progress[i];
 
-        if (node_id != raft->options.node_id) {
-            raft->options.host_type->send_message(raft->options.host, node_id,
-                                                  &message);
-        }
+        ready +=
+            raft->members.items[i].node_id != raft->options.node_id &&
+            is_counted_voter(raft, i) && progress->acked_us != 0 &&
+            raft->now_us - progress->acked_us <= raft->options.election_us &&
+            progress->match_index >= raft->synced_index;
+    }
+    return ready > SlRaft_VoterCount(raft) / 2;
+}
+
+/// Hands over when the disk stays full: the other instances may have room, and
+/// heartbeats, which need none, would keep this one in office.
+static void
+hand_over_if_full(struct SlRaft *raft, enum SlStatus status)
+{
+    if (status == SL_DISK_FULL && raft->state == SL_CONTROL_LEADER &&
+        raft->now_us - raft->failing_since_us >= SL_RAFT_STORAGE_RETRY_US &&
+        can_others_lead(raft)) {
+        hand_over(raft, "disk_full");
     }
-    SlRaft_BecomeFollower(raft, raft->hard_state.term, 0, "stopping");
 }
 
 static void
@@ -344,6 +382,7 @@
     if (status != SL_OK) {
         raft->options.host_type->records_refused(
             raft->options.host, previous_synced_index + 1, status);
+        hand_over_if_full(raft, status);
     }
     if (raft->state != SL_CONTROL_LEADER) {
         return;
