Make log and hard state durable again at a restart

Callers could lose a change that was acknowledged, or an instance could vote twice in a term: a process killed during a sync that stalled, or after one that failed, found the batch or vote in the page cache at its restart, took it for durable and answered for it without a write; a loss of power then took it back.

Cause: opening a folder took whatever it read for synced.

On a full disk it syncs the old files, which needs no space; what cannot be synced stops the start. Damage is still found before anything is written. The removal of a torn tail and of replaced records at the start is part of the rewrite. The first start is as before.

Three schedules of storage_test let their faults begin after the start, as before the start made no writes; a new schedule has a crash, and a disk that becomes full, at every file call of a start with state, and another lets each sync of a start on a full disk fail.

--- a/packages/state/include/savoryledge/state/storage.h
+++ b/packages/state/include/savoryledge/state/storage.h
@@ -124,7 +124,9 @@
 /// Opens the durable state in a folder, or initialises an empty folder. The
 /// folder must exist. It is locked until the storage is destroyed.
 ///
-/// An incomplete batch at the end of the log, left by a crash, is removed.
+/// What was read is made durable before the call returns: log and hard state
+/// are written anew, or synced as they are on a full disk. An incomplete batch
+/// at the end of the log, left by a crash, is removed.
 /// Any other damage fails with SL_DAMAGED and leaves the files unchanged; the
 /// message names the file and the offset.
 ///
--- a/packages/state/src/folder.c
+++ b/packages/state/src/folder.c
@@ -194,6 +194,33 @@
     return SL_OK;
 }
 
+enum SlStatus
+SlFolder_SyncFile(struct SlFolder *folder, enum SlStep step, const char *name)
+{
+    struct SlFiles *files = folder->files;
+    enum SlStatus status = SL_OK;
+    int fd = files->type->open(files, folder->folder_fd, name, O_WRONLY);
+
+    if (fd < 0) {
+        return SlFolder_SetSystemError(folder, step, name);
+    }
+    if (files->type->sync(files, fd) != 0) {
+        status = SlFolder_SetSystemError(folder, step, name);
+    }
+    files->type->close(files, fd);
+    return status;
+}
+
+enum SlStatus
+SlFolder_Sync(struct SlFolder *folder, enum SlStep step)
+{
+    struct SlFiles *files = folder->files;
+
+    return files->type->sync(files, folder->folder_fd) != 0
+               ? SlFolder_SetSystemError(folder, step, "")
+               : SL_OK;
+}
+
 enum SlStatus
 SlFolder_ReplaceCheckedFile(struct SlFolder *folder, enum SlStep step,
                             const char *name, const uint8_t *bytes,
--- a/packages/state/src/folder.h
+++ b/packages/state/src/folder.h
@@ -74,6 +74,14 @@
 void
 SlFolder_RemoveTemporaryFile(struct SlFolder *folder, const char *name);
 
+/// Makes a file's present bytes durable. Errors: SL_DISK_FULL, SL_IO.
+enum SlStatus
+SlFolder_SyncFile(struct SlFolder *folder, enum SlStep step, const char *name);
+
+/// Makes the names of the folder's files durable. Errors: SL_DISK_FULL, SL_IO.
+enum SlStatus
+SlFolder_Sync(struct SlFolder *folder, enum SlStep step);
+
 /// Replaces a file like SlFolder_ReplaceFile, with a magic number and a
 /// checksum before the bytes. Errors: SL_DISK_FULL, SL_IO, SL_NO_MEMORY.
 enum SlStatus
--- a/packages/state/src/storage_folder.c
+++ b/packages/state/src/storage_folder.c
@@ -42,6 +42,8 @@
     /// replaced before a record is written. Until then a restart recovers
     /// from the file as it is.
     bool log_is_outdated;
+    /// The log file ended in an incomplete batch when it was read.
+    bool log_has_torn_tail;
     struct SlHardState hard_state;
     struct SlRecords records;
     struct SlVersion snapshot_version;
@@ -504,38 +506,6 @@
     return SL_OK;
 }
 
-/// Handles a failure to tidy the log file at the start. On a full disk the
-/// file stays as it is until the first write.
-static enum SlStatus
-postpone_rewrite(struct storage_folder *self, enum SlStatus status)
-{
-    if (status != SL_DISK_FULL) {
-        return status;
-    }
-    self->log_is_outdated = true;
-    return SL_OK;
-}
-
-/// Truncates the log file after its last valid record, to remove what a crash
-/// left of an incomplete batch.
-static enum SlStatus
-truncate_torn_tail(struct storage_folder *self, size_t length_bytes)
-{
-    struct SlFiles *files = self->folder.files;
-
-    if (length_bytes == self->log_bytes) {
-        return SL_OK;
-    }
-    if (files->type->truncate(files, self->log_fd, (off_t)self->log_bytes) !=
-            0 ||
-        files->type->sync(files, self->log_fd) != 0) {
-        return postpone_rewrite(
-            self,
-            SlFolder_SetSystemError(&self->folder, SL_STEP_RECOVER, LOG_NAME));
-    }
-    return SL_OK;
-}
-
 /// Drops the records of a log that does not continue the snapshot. A crash
 /// after the snapshot was saved and before the log was rewritten can leave
 /// such a log. Fails with SL_DAMAGED when records between the snapshot and
@@ -556,11 +526,8 @@
     else if (old_count == 0) {
         self->records.first_index = 1;
     }
-    if (self->records.record_count == old_count) {
-        return SL_OK;
-    }
-    return postpone_rewrite(
-        self, rewrite_log(self, SlRecords_LastIndex(&self->records)));
+    self->log_is_outdated = self->records.record_count != old_count;
+    return SL_OK;
 }
 
 static enum SlStatus
@@ -586,14 +553,58 @@
     }
     self->log_bytes = scan.valid_bytes;
     self->last_batch_number = scan.last_batch_number;
+    self->log_has_torn_tail = scan.valid_bytes != file.length_bytes;
     status = reopen_log(self);
+    return status == SL_OK ? drop_obsolete_records(self) : status;
+}
+
+/// Makes the log file durable as it is, which needs no space, without what a
+/// crash left of an incomplete batch. When that cannot be removed, it stays
+/// until the next write replaces the file.
+static enum SlStatus
+sync_old_log(struct storage_folder *self)
+{
+    struct SlFiles *files = self->folder.files;
+
+    if (self->log_has_torn_tail &&
+        files->type->truncate(files, self->log_fd, (off_t)self->log_bytes) !=
+            0) {
+        self->log_is_outdated = true;
+    }
+    if (files->type->sync(files, self->log_fd) != 0) {
+        return SlFolder_SetSystemError(&self->folder, SL_STEP_RECOVER,
+                                       LOG_NAME);
+    }
+    self->synced_index = SlRecords_LastIndex(&self->records);
+    return SL_OK;
+}
+
+/// Makes durable what was read. It may come from the page cache alone: the
+/// process before may have been killed before it synced, or after a sync that
+/// failed, which leaves pages that look clean. So log and hard state are
+/// written anew; on a full disk the old files are synced.
+static enum SlStatus
+make_durable(struct storage_folder *self)
+{
+    enum SlStatus status;
+
+    /* The new log lacks the records that the snapshot replaces, so the
+       snapshot's name must be durable before the log's. Its bytes were synced
+       before it got that name. */
+    status = SlFolder_Sync(&self->folder, SL_STEP_RECOVER);
     if (status == SL_OK) {
-        status = truncate_torn_tail(self, file.length_bytes);
+        status = rewrite_log(self, SlRecords_LastIndex(&self->records));
+    }
+    if (status == SL_DISK_FULL) {
+        status = sync_old_log(self);
     }
     if (status == SL_OK) {
-        status = drop_obsolete_records(self);
+        status =
+            storage_save_hard_state_folder(&self->storage, &self->hard_state);
+    }
+    if (status == SL_DISK_FULL) {
+        status = SlFolder_SyncFile(&self->folder, SL_STEP_RECOVER, STATE_NAME);
     }
-    self->synced_index = SlRecords_LastIndex(&self->records);
     return status;
 }
 
@@ -656,7 +667,10 @@
     if (status == SL_OK) {
         status = read_snapshot(self);
     }
-    return status == SL_OK ? read_log(self) : status;
+    if (status == SL_OK) {
+        status = read_log(self);
+    }
+    return status == SL_OK ? make_durable(self) : status;
 }
 
 enum SlStatus
--- a/test/fault_files.h
+++ b/test/fault_files.h
@@ -33,6 +33,10 @@
     bool failing;
     /// Writes write nothing and report success.
     bool writes_nothing;
+    /// Number of syncs so far, and the number of the one that fails with EIO;
+    /// 0 for none.
+    uint32_t syncs;
+    uint32_t failing_sync;
     /// A write or a change of length came after the last sync.
     bool is_unsynced;
 };
@@ -108,6 +112,10 @@
     if (fault_files_should_fail(fault, false)) {
         return -1;
     }
+    if (++fault->syncs == fault->failing_sync) {
+        errno = EIO;
+        return -1;
+    }
     fault->is_unsynced = false;
     return fsync(fd);
 }
--- a/test/storage_test.c
+++ b/test/storage_test.c
@@ -327,6 +327,18 @@
     SlStorage_Destroy(storage);
 }
 
+/// Opens the folder, and then makes the calls from call number failing_call on
+/// fail, counted from here.
+static void
+open_with_later_fault(struct fault_files *files, uint32_t failing_call,
+                      int error, struct SlStorage **storage)
+{
+    fault_files_init(files, 0, 0);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files->files, storage, NULL),
+                          SL_OK);
+    fault_files_init(files, failing_call, error);
+}
+
 /// The writes to the storage that were acknowledged as durable.
 struct acknowledged_writes {
     /// Index of the last record that was acknowledged as synced.
@@ -434,9 +446,7 @@
 
     folder_remove_files(folder_path);
     SlStorage_Destroy(open_storage());
-    fault_files_init(&files, failing_call, error);
-    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
-                          SL_OK);
+    open_with_later_fault(&files, failing_call, error, &storage);
     *acknowledged =
         (struct acknowledged_writes){.truncated_from_index = UINT64_MAX};
     run_all_writes(storage, acknowledged);
@@ -458,6 +468,38 @@
     CU_ASSERT_EQUAL(acknowledged.synced_index, 4);
 }
 
+/// A crash at any file call of a start that finds a state leaves that state,
+/// and a disk that becomes full at any of them doesn't keep it from starting.
+static void
+test_crash_at_later_start(void)
+{
+    static const int ERRORS[] = {EIO, ENOSPC};
+
+    for (size_t i = 0; i < sizeof(ERRORS) / sizeof(ERRORS[0]); i++) {
+        uint32_t failing_call = 1;
+        bool failed = true;
+
+        while (failed) {
+            struct acknowledged_writes acknowledged;
+            struct fault_files files;
+            struct SlStorage *storage = NULL;
+            enum SlStatus status;
+
+            run_with_fault(0, 0, &acknowledged);
+            CU_ASSERT_EQUAL(acknowledged.synced_index, 4);
+            fault_files_init(&files, failing_call++, ERRORS[i]);
+            status = open_with_files(&files.files, &storage, NULL);
+            failed = files.failing;
+            CU_ASSERT_EQUAL(status,
+                            failed && ERRORS[i] == EIO ? SL_IO : SL_OK);
+            CU_ASSERT(ERRORS[i] == EIO || last_index_of(storage) == 4);
+            SlStorage_Destroy(storage);
+            check_acknowledged_state(&acknowledged);
+        }
+        CU_ASSERT(failing_call > 9);
+    }
+}
+
 /// A crash while an empty folder is initialised must not leave a folder that
 /// is refused: the next start completes the initialisation.
 static void
@@ -524,9 +566,7 @@
     struct SlHardState state = {.term = 4, .node_id = NODE_ID};
 
     write_three_batches();
-    fault_files_init(&files, 2, EIO);
-    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
-                          SL_OK);
+    open_with_later_fault(&files, 2, EIO, &storage);
     append_record(storage, 7);
     CU_ASSERT_EQUAL(storage->type->sync(storage), SL_IO);
     files.error = 0;
@@ -547,9 +587,7 @@
     struct SlStorage *storage = NULL;
 
     write_three_batches();
-    fault_files_init(files, call, ENOSPC);
-    CU_ASSERT_EQUAL_FATAL(open_with_files(&files->files, &storage, NULL),
-                          SL_OK);
+    open_with_later_fault(files, call, ENOSPC, &storage);
     return storage;
 }
 
@@ -700,9 +738,7 @@
 
         folder_remove_files(folder_path);
         SlStorage_Destroy(open_storage());
-        fault_files_init(&files, failing_call++, EIO);
-        CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
-                              SL_OK);
+        open_with_later_fault(&files, failing_call++, EIO, &storage);
         acknowledged =
             (struct acknowledged_writes){.truncated_from_index = UINT64_MAX};
         run_all_writes(storage, &acknowledged);
@@ -745,6 +781,61 @@
     SlStorage_Destroy(storage);
 }
 
+/// A record that could not be synced is still in the page cache when the
+/// process starts again. It must be written again before it counts as durable:
+/// the kernel may have dropped the pages, or never have written them.
+static void
+test_unsynced_record_is_written_again_after_restart(void)
+{
+    struct fault_files files;
+    struct SlStorage *storage = NULL;
+
+    write_three_batches();
+    fault_files_init(&files, 0, 0);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
+                          SL_OK);
+    append_record(storage, 7);
+    /* The write succeeds, the sync fails. */
+    files.error = EIO;
+    files.calls_until_failure = 2;
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_IO);
+    CU_ASSERT_EQUAL(last_index_of(storage), 6);
+    SlStorage_Destroy(storage);
+    fault_files_init(&files, 0, 0);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
+                          SL_OK);
+    CU_ASSERT_EQUAL(storage->type->sync(storage), SL_OK);
+    CU_ASSERT(last_index_of(storage) == 6 || files.calls > 0);
+    SlStorage_Destroy(storage);
+}
+
+/// On a full disk, log and hard state that may not have been synced cannot be
+/// written again: the start syncs them and the folder as they are, or fails.
+static void
+test_start_on_full_disk_syncs_files(void)
+{
+    struct fault_files files;
+    struct SlStorage *storage = NULL;
+    uint32_t calls;
+
+    write_three_batches();
+    fault_files_init(&files, 1, ENOSPC);
+    CU_ASSERT_EQUAL_FATAL(open_with_files(&files.files, &storage, NULL),
+                          SL_OK);
+    CU_ASSERT_FALSE(files.is_unsynced);
+    CU_ASSERT_EQUAL(files.syncs, 3);
+    CU_ASSERT_EQUAL(last_index_of(storage), 6);
+    SlStorage_Destroy(storage);
+    calls = files.calls;
+    for (uint32_t call = 1; call <= calls; call++) {
+        fault_files_init(&files, 1, ENOSPC);
+        files.failing_sync = call;
+        CU_ASSERT_EQUAL(open_with_files(&files.files, &storage, NULL),
+                        call <= 3 ? SL_IO : SL_OK);
+        SlStorage_Destroy(storage);
+    }
+}
+
 int
 main(void)
 {
@@ -760,6 +851,8 @@
         {"opening waits for the lock", test_open_waits_for_lock},
         {"acknowledged writes survive a crash at any file call",
          test_crash_at_any_file_call},
+        {"acknowledged writes survive a crash at any call of a start",
+         test_crash_at_later_start},
         {"a crash at the first start leaves a usable folder",
          test_crash_at_first_start},
         {"writes work again after the disk was full", test_full_disk},
@@ -767,8 +860,12 @@
         {"a truncation waits for room", test_truncation_on_full_disk},
         {"a snapshot waits for room", test_snapshot_on_full_disk},
         {"a start on a full disk succeeds", test_start_on_full_disk},
+        {"a start on a full disk syncs what it read",
+         test_start_on_full_disk_syncs_files},
         {"storage recovers after an I/O error", test_recovery_after_io_error},
         {"an empty write is a failure", test_empty_write_is_a_failure},
+        {"an unsynced record is written again after a restart",
+         test_unsynced_record_is_written_again_after_restart},
     };
     int failed;
 
