Count a learner as caught up by its leader's records alone

A control instance that joins while its disk is full could be marked as caught up, durably, though it lacked records that its leader had committed; it then voted without them.

Cause: the mark compared the leader's commit index with the end of the synced log. Since a truncation that a full disk refuses leaves a former leader's records in the log, that end may lie past what matches the leader's log.

Change: the mark compares the index that is acknowledged, which is at most the last record that matches and is synced.

--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -220,12 +220,13 @@
 }
 
 /// Marks the data folder as caught up once it contains all records that the
-/// leader had committed.
+/// leader had committed. Records past the acknowledged one may be a former
+/// leader's, which a full disk kept from being removed.
 static void
 mark_caught_up(struct SlRaft *raft)
 {
     if (!raft->hard_state.caught_up && raft->pending_ack.success &&
-        raft->synced_index >= raft->leader_commit_index &&
+        raft->pending_ack.index >= raft->leader_commit_index &&
         raft->leader_commit_index > 0) {
         raft->hard_state.caught_up = true;
         SlRaft_SaveHardState(raft);
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -13,6 +13,10 @@
     TERMS_MAX = 1000,
     RECORDS_MAX = 2000,
     CLIENT = 7,
+    /// Records of a learner's log, and a time after which it tries again to
+    /// write to a disk that was full.
+    LEARNER_RECORDS = 3,
+    DISK_RETRY_US = 1000 * 1000,
     /// Client id of requests for membership changes.
     MEMBER_CLIENT = 9,
     /// Number of steps after an accepted change, after which no instance may
@@ -627,6 +631,73 @@
     CU_ASSERT(detected > 0);
 }
 
+/// Passes node 0 records that do nothing, after previous, as node 1 that
+/// leads.
+static void
+send_records(struct control_simulation *simulation, uint64_t link,
+             uint64_t term, struct SlVersion previous, uint32_t count,
+             uint64_t commit)
+{
+    struct SlChange noop = {.verb = SL_VERB_NOOP};
+    struct SlLogEntry entries[LEARNER_RECORDS];
+    struct SlBuffer data = {.bytes = NULL};
+    struct SlMessage message = {.kind = SL_MESSAGE_APPEND,
+                                .append = {.term = term,
+                                           .previous = previous,
+                                           .commit = commit,
+                                           .entry_count = count,
+                                           .entries = entries}};
+
+    CU_ASSERT_EQUAL_FATAL(SlChange_Encode(&noop, &data), SL_OK);
+    for (uint32_t i = 0; i < count; i++) {
+        entries[i] =
+            (struct SlLogEntry){.term = term,
+                                .index = previous.index + 1 + i,
+                                .data = data.bytes,
+                                .data_bytes = (uint32_t)data.length_bytes};
+    }
+    simulation_send_message(simulation, 0, link, &message);
+    simulation_flush(simulation, 0);
+    SlBuffer_Release(&data);
+}
+
+/// A learner whose full disk keeps a former leader's records is not caught up
+/// by them, but by the leader's own.
+static void
+test_stale_records_do_not_catch_up(void)
+{
+    struct control_simulation *simulation = calloc(1, sizeof(*simulation));
+    struct SlVersion none = {.index = 0};
+    struct SlVersion first = {.term = 1, .index = 1};
+    struct fault_storage *storage;
+    uint64_t link;
+
+    simulation_create(simulation, 2, 1);
+    simulation->nodes[0].bootstrap = false;
+    storage = simulation->nodes[0].storage;
+    CU_ASSERT_EQUAL_FATAL(simulation_start_node(simulation, 0), SL_OK);
+    link = simulation_connect(simulation, 0, simulation->nodes[1].name,
+                              SL_ROLE_CONTROL);
+    send_records(simulation, link, 1, none, LEARNER_RECORDS, 0);
+    CU_ASSERT_EQUAL(storage->synced_index, LEARNER_RECORDS);
+    send_records(simulation, link, 2, none, 0, 0);
+    CU_ASSERT_EQUAL(storage->durable_state.term, 2);
+    storage->disk_full = true;
+    send_records(simulation, link, 2, first, LEARNER_RECORDS - 1,
+                 LEARNER_RECORDS);
+    CU_ASSERT_EQUAL(storage->synced_index, LEARNER_RECORDS);
+    storage->disk_full = false;
+    simulation->now_us += DISK_RETRY_US;
+    simulation_handle_input(simulation, 0,
+                            (struct SlInput){.kind = SL_INPUT_TICK});
+    CU_ASSERT_FALSE(storage->durable_state.caught_up);
+    send_records(simulation, link, 2, first, LEARNER_RECORDS - 1,
+                 LEARNER_RECORDS);
+    CU_ASSERT(storage->durable_state.caught_up);
+    simulation_destroy(simulation);
+    free(simulation);
+}
+
 int
 main(void)
 {
@@ -635,6 +706,8 @@
         {"votes without sync are detected", test_unsynced_votes_are_detected},
         {"records without sync are detected",
          test_unsynced_records_are_detected},
+        {"stale records do not catch up a learner",
+         test_stale_records_do_not_catch_up},
     };
 
     return RUN_SUITE("raft", CASES);
