Let an instance whose disk fails at a start wait for its disk

Since log and hard state become durable again at a restart, a process whose disk failed just then did not start at all, with every other role that it has.

Cause: the open call returned the I/O error of these writes.

Evidence: with the open call alone changed, full_disk_test "a disk that fails at a start" failed at CU_ASSERT_EQUAL(fresh_steps, 0) because the log asked storage for nothing and took its records for synced.

Change: storage that cannot make durable what it read opens and refuses writes and syncs, also a sync of nothing. The log asks for one sync when it opens, and after a refusal takes no part until the storage recovers, as after a failed sync; that logs the same event and is tried twice a second. The storage of the tests passes a sync of nothing on.

--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -73,6 +73,11 @@
     raft->state =
         SlRaft_IsElectable(raft) ? SL_CONTROL_FOLLOWER : SL_CONTROL_LEARNER;
     SlRaft_ResetElection(raft);
+    /* Storage that could not make durable what it read refuses this. */
+    status = storage->type->sync(storage);
+    if (status != SL_OK) {
+        SlRaft_StorageFailed(raft, status);
+    }
     options->host_type->emit_event(
         options->host, SL_EVENT_RECOVERED, NULL,
         SlRaft_IsElectable(raft) ? "voter" : "learner",
--- a/packages/state/include/savoryledge/state/storage.h
+++ b/packages/state/include/savoryledge/state/storage.h
@@ -125,7 +125,9 @@
 /// folder must exist. It is locked until the storage is destroyed.
 ///
 /// What was read is made durable before the call returns: log and hard state
-/// are written anew, or synced as they are on a full disk. An incomplete batch
+/// are written anew, or synced as they are on a full disk. When neither is
+/// possible, every write and sync fails with SL_IO until recover succeeds.
+/// An incomplete batch
 /// at the end of the log, left by a crash, is removed.
 /// Any other damage fails with SL_DAMAGED and leaves the files unchanged; the
 /// message names the file and the offset.
--- a/packages/state/src/storage_folder.c
+++ b/packages/state/src/storage_folder.c
@@ -328,7 +328,11 @@
     enum SlStatus status;
 
     self->folder.writes_disabled = false;
-    status = rewrite_log(self, SlRecords_LastIndex(&self->records));
+    /* The snapshot's name first, as at the start. */
+    status = SlFolder_Sync(&self->folder, SL_STEP_RECOVER);
+    if (status == SL_OK) {
+        status = rewrite_log(self, SlRecords_LastIndex(&self->records));
+    }
     if (status == SL_OK) {
         status = storage_save_hard_state_folder(storage, &self->hard_state);
     }
@@ -582,7 +586,8 @@
 /// Makes durable what was read. It may come from the page cache alone: the
 /// process before may have been killed before it synced, or after a sync that
 /// failed, which leaves pages that look clean. So log and hard state are
-/// written anew; on a full disk the old files are synced.
+/// written anew; on a full disk the old files are synced. When neither is
+/// possible, the storage refuses writes until it recovers.
 static enum SlStatus
 make_durable(struct storage_folder *self)
 {
@@ -605,6 +610,10 @@
     if (status == SL_DISK_FULL) {
         status = SlFolder_SyncFile(&self->folder, SL_STEP_RECOVER, STATE_NAME);
     }
+    if (status == SL_IO || status == SL_DISK_FULL) {
+        self->folder.writes_disabled = true;
+        return SL_OK;
+    }
     return status;
 }
 
--- a/test/fault_storage.h
+++ b/test/fault_storage.h
@@ -132,7 +132,7 @@
         return fault_set_error(fault, SL_IO);
     }
     if (last_index <= fault->synced_index) {
-        return SL_OK;
+        return fault->memory->type->sync(fault->memory);
     }
     if (fault->disk_full || fault_is_refused(fault)) {
         fault->memory->type->truncate(fault->memory, fault->synced_index + 1);
--- a/test/full_disk_test.c
+++ b/test/full_disk_test.c
@@ -311,6 +311,40 @@
     CU_ASSERT_EQUAL(missing, 0);
 }
 
+/// An instance whose disk fails while it starts again cannot make durable what
+/// it read: it takes no part until the disk works, and then does.
+static void
+test_disk_failing_at_start(void)
+{
+    struct full_disks disks;
+    struct control_simulation *simulation;
+    struct simulated_node *node;
+    uint32_t other;
+    uint32_t fresh_steps = 0;
+
+    create_disks(&disks, 3, 1);
+    simulation = &disks.fixture->simulation;
+    other = (find_leader(disks.fixture) + 1) % 3;
+    node = &simulation->nodes[other];
+    CU_ASSERT(accept_change(&disks) < ACK_STEPS);
+    CU_ASSERT(await_same_version(&disks));
+    simulation_crash_node(simulation, other);
+    SlStorage_Destroy(node->storage->memory);
+    break_disk(&disks, other, 1, EIO);
+    node->storage->memory = open_folder(&disks, other);
+    fixture_start_node(disks.fixture, other);
+    for (uint32_t i = 0; i < FULL_STEPS; i++) {
+        fixture_step(disks.fixture);
+        fresh_steps += SlControl_IsFresh(node->control, simulation->now_us);
+    }
+    CU_ASSERT_EQUAL(fresh_steps, 0);
+    mend_disk(&disks, other);
+    CU_ASSERT(accept_change(&disks) < ACK_STEPS);
+    CU_ASSERT(await_same_version(&disks));
+    CU_ASSERT(SlControl_IsFresh(node->control, simulation->now_us));
+    destroy_disks(&disks);
+}
+
 int
 main(void)
 {
@@ -321,6 +355,7 @@
         {"a disk that is full after an election",
          test_disk_full_after_election},
         {"a disk that is full at a snapshot", test_disk_full_at_snapshot},
+        {"a disk that fails at a start", test_disk_failing_at_start},
     };
 
     return RUN_SUITE("full disk", CASES);
