Send operators on from an unlinked instance outside the group

What callers could see: an instance with a log that is no member of the group and has no link to an instance that it knows refused reads and orders for good. Operators that pick among all processes met it again and again.

Cause: only a process without a log sent operators to an instance of the configuration that it holds; one with a log outside the group, which can answer as little, did not.

Evidence, found in a review; the test fails before the change: call_route_test.c:165 CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_TO_LISTED), and 166 the same of SlCallRoute_ForOrder

Change: both do the same now. A member still refuses while it hears no leader. Two instances outside the group may send an operator to each other; the next call goes to another one, and operators follow two redirects.

An instance that was never taken in holds no configuration unless its process does, and goes on refusing until then.

--- a/packages/coordination/include/savoryledge/coordination/call_route.h
+++ b/packages/coordination/include/savoryledge/coordination/call_route.h
@@ -11,7 +11,8 @@
 /// it refuses may be refused again by the next one. Operators follow two
 /// redirects, so each leads closer to the leader: from a process without a
 /// control instance to the instance that it uses, and from there to the
-/// leader.
+/// leader. An instance that is no member of the log's group does the same as a
+/// process without one.
 
 #include "savoryledge/common/address.h"
 #include "savoryledge/state/config.h"
--- a/packages/coordination/src/call_route.c
+++ b/packages/coordination/src/call_route.c
@@ -46,7 +46,8 @@
 
 /// Finds who may handle a call that this process cannot. A member that hears
 /// no leader sends nobody on: the other members may hear none either, and
-/// would send the operator back.
+/// would send the operator back. An instance outside the group sends even to
+/// one that may stand outside too: the next call goes to another.
 static enum SlCallRoute
 find_target(const struct SlCallView *view, struct SlCallTarget *target)
 {
@@ -61,9 +62,8 @@
         *target = view->linked;
         return SL_CALL_TO_LINKED;
     }
-    return !view->has_control && find_listed_target(view, target)
-               ? SL_CALL_TO_LISTED
-               : SL_CALL_REFUSED;
+    return find_listed_target(view, target) ? SL_CALL_TO_LISTED
+                                            : SL_CALL_REFUSED;
 }
 
 enum SlCallRoute
--- a/test/call_route_test.c
+++ b/test/call_route_test.c
@@ -152,10 +152,27 @@
     CU_ASSERT_EQUAL(SlCallRoute_ForOrder(&view, &target), SL_CALL_TO_LINKED);
 }
 
+/* An instance outside the group that is linked to no instance sends operators
+   to one of its configuration, as a process without a log does. */
+static void
+test_unlinked_outsider_sends_calls_on(void)
+{
+    struct SlConfig *config = create_config();
+    struct SlCallView view = {
+        .node_id = SELF, .has_control = true, .config = config};
+    struct SlCallTarget target = {.node_id = 0};
+
+    CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_TO_LISTED);
+    CU_ASSERT_EQUAL(SlCallRoute_ForOrder(&view, &target), SL_CALL_TO_LISTED);
+    SlConfig_Destroy(config);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
+        {"an unlinked outsider sends calls on",
+         test_unlinked_outsider_sends_calls_on},
         {"a process without a disk sends calls on",
          test_diskless_process_sends_calls_on},
         {"a call is refused when nobody is known",
