Use other control instances while the own one hears no leader

What callers could see: in a self-forming site with ten or more disks, nine instances are members. A process whose instance found no room, or was removed while it was down, subscribed to that instance alone: it had no configuration, or an old one, for as long as the nine lived, though its seeds knew the present one. Its entry served by that, and its operators were refused.

Cause: node.c bound the replica of a process with a control instance to this instance without an exception.

Change: once the own instance has heard no leader for 3 s, the replica goes through the instances of the settings and of the configuration as in a process without a log, its own left out; it returns when its own is current. Where control has a link to the instance, the replica uses that: no second one is dialled, and leaving it drops none of the log's. Event 1408 and the counter replica_control_list_changes tell each change.

Not run: ten real processes.

--- a/packages/common/include/savoryledge/common/event.h
+++ b/packages/common/include/savoryledge/common/event.h
@@ -113,6 +113,7 @@
     SL_EVENT_INVITATION_TAKEN = 1405,
     SL_EVENT_CONTROL_LEFT = 1406,
     SL_EVENT_JOIN_PASSED = 1407,
+    SL_EVENT_CONTROLS_CHANGED = 1408,
     /* Events of links, datagrams and security. */
     SL_EVENT_LINK_UP = 1500,
     SL_EVENT_LINK_DOWN = 1501,
--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -244,6 +244,10 @@
     {SL_EVENT_JOIN_PASSED, SL_LEVEL_INFO, "join_passed", NULL, NULL,
      "A process without a log passed the request of a new control instance on "
      "to the control instance that it uses."},
+    {SL_EVENT_CONTROLS_CHANGED, SL_LEVEL_NOTICE, "controls_changed",
+     "leader_silent_us", NULL,
+     "A process whose own control instance hears no leader uses other ones, "
+     "or uses its own again."},
     {SL_EVENT_LINK_UP, SL_LEVEL_INFO, "link_up", NULL, NULL,
      "A link to another process was established."},
     {SL_EVENT_LINK_DOWN, SL_LEVEL_NOTICE, "link_down", NULL, NULL,
--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -127,6 +127,11 @@
 bool
 SlControl_FindLinkedInstance(const struct SlControl *control, uint64_t turn,
                              struct SlControlMember *instance);
+/// Finds a link to the process. Returns NULL when there is none; else valid
+/// until the next call of SlControl_HandleInput. link: set to its number.
+const struct SlPeer *
+SlControl_FindPeer(const struct SlControl *control, uint64_t node_id,
+                   uint64_t *link);
 /// Returns the time since the last message of a leader, or since this instance
 /// started; 0 at a leader.
 uint64_t
--- a/packages/coordination/include/savoryledge/coordination/replica.h
+++ b/packages/coordination/include/savoryledge/coordination/replica.h
@@ -49,6 +49,8 @@
     /// Requests of new control instances to be taken in, passed on to the
     /// instance in use.
     uint64_t joins_passed;
+    /// Calls of SlReplica_SetControls.
+    uint64_t control_list_changes;
 };
 
 /// Creates a replica. Returns NULL when out of memory.
@@ -79,6 +81,18 @@
 SlReplica_SetAnnouncement(struct SlReplica *replica, struct SlSink *sink,
                           uint64_t now_us, const struct SlObject *announce);
 
+/// Drops the control instance in use and goes on with those of options: its
+/// control_count, control_ids, control and discover_controls. waited_us: for
+/// the log line, the time for which the process heard no leader.
+void
+SlReplica_SetControls(struct SlReplica *replica, struct SlSink *sink,
+                      uint64_t now_us, const struct SlReplicaOptions *options,
+                      uint64_t waited_us);
+/// Returns the node id of the control instance that is being dialled; 0 when
+/// one is linked or none is known.
+uint64_t
+SlReplica_AwaitedControl(const struct SlReplica *replica);
+
 /// Returns the configuration in force in this process. Valid until the next
 /// call of SlReplica_HandleInput.
 const struct SlConfig *
--- a/packages/coordination/src/control_links.c
+++ b/packages/coordination/src/control_links.c
@@ -53,6 +53,19 @@
     return NULL;
 }
 
+const struct SlPeer *
+SlControl_FindPeer(const struct SlControl *control, uint64_t node_id,
+                   uint64_t *link)
+{
+    for (uint32_t i = control->link_count; i > 0; i--) {
+        if (control->links[i - 1].peer.node_id == node_id) {
+            *link = control->links[i - 1].link;
+            return &control->links[i - 1].peer;
+        }
+    }
+    return NULL;
+}
+
 static bool
 reserve_link(struct SlControl *control)
 {
--- a/packages/coordination/src/control_list.c
+++ b/packages/coordination/src/control_list.c
@@ -1,5 +1,7 @@
 #include "control_list.h"
 
+#include <string.h>
+
 void
 SlControlList_RemoveSelf(struct SlReplicaOptions *options)
 {
@@ -21,7 +23,8 @@
                     const struct SlObject *node)
 {
     if (!(node->node.roles & SL_ROLE_CONTROL) || node->node.leaving ||
-        node->node.unreachable) {
+        node->node.unreachable ||
+        strcmp(node->name, options->core.name) == 0) {
         return false;
     }
     for (uint32_t i = 0; i < options->control_count; i++) {
--- a/packages/coordination/src/local_link.c
+++ b/packages/coordination/src/local_link.c
@@ -108,6 +108,10 @@
         local->dialled = true;
         return;
     }
+    if (end->end == SL_LOCAL_REPLICA && local->has_link != NULL &&
+        local->has_link(local->control, node_id)) {
+        return;
+    }
     if (find_dialled_node(end, node_id) == end->dial_count &&
         end->dial_count < SL_LOCAL_DIALS_MAX) {
         end->dialled_nodes[end->dial_count++] = node_id;
--- a/packages/coordination/src/local_link.h
+++ b/packages/coordination/src/local_link.h
@@ -22,6 +22,7 @@
 /// Link number of the local link. The numbers of transports' links are lower.
 #define SL_LOCAL_LINK (UINT64_C(1) << 63)
 
+struct SlControl;
 struct SlLocalMessage;
 
 /// Sink for one end of the link: messages for the local link are queued, and
@@ -38,6 +39,10 @@
 
 struct SlLocalLink {
     uint64_t node_id;
+    /// True when control has a link to the process. The replica's dial opens
+    /// no second one then, and its drop closes none that the log uses.
+    bool (*has_link)(const struct SlControl *control, uint64_t node_id);
+    const struct SlControl *control;
     /// The sink of the process; valid only while an input is being handled.
     struct SlSink *outer;
     struct SlLocalSink ends[SL_LOCAL_ENDS];
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -13,6 +13,9 @@
     /// Min time between two builds of the routing table. Versions that arrive
     /// sooner share the next build.
     ROUTING_BUILD_US = 100 * 1000,
+    /// Time without a message of a leader after which the process uses other
+    /// control instances than its own: longer than elections take.
+    OWN_CONTROL_SILENCE_US = 3 * 1000 * 1000,
 };
 
 /// The newest configuration version that a datagram named, and its sender.
@@ -34,11 +37,17 @@
     uint64_t routing_built_us;
     struct newer_version newer_version;
     struct SlLocalLink local;
+    /// The control instances of the settings, and this process's own alone;
+    /// for self-forming sites.
+    struct SlReplicaOptions listed_controls;
+    struct SlReplicaOptions own_control;
+    bool may_use_others;
+    bool uses_others;
 };
 
 /// Makes a process with a control instance subscribe to that instance alone.
 /// It receives every change first, and its links to the other instances are
-/// used for the log.
+/// used for the log. choose_controls makes exceptions.
 static void
 use_local_control(struct SlNodeOptions *options)
 {
@@ -70,6 +79,10 @@
 
     if (options->core.roles & SL_ROLE_CONTROL) {
         use_local_control(&node_options);
+        node->may_use_others = options->control.self_forming;
+        node->listed_controls = options->replica;
+        node->listed_controls.discover_controls = true;
+        node->own_control = node_options.replica;
     }
     node_options.replica.core = options->core;
     node_options.entry.core = options->core;
@@ -216,6 +229,60 @@
     }
 }
 
+static bool
+has_link(const struct SlControl *control, uint64_t node_id)
+{
+    uint64_t link;
+
+    return SlControl_FindPeer(control, node_id, &link) != NULL;
+}
+
+/// Selects the control instances that the replica uses. The own one may be
+/// outside the group, or removed from it while it was down, and hears no
+/// leader then though the site has one.
+static void
+choose_controls(struct SlNode *node, struct SlSink *sink, uint64_t now_us)
+{
+    uint64_t silent_us;
+
+    if (!node->may_use_others) {
+        return;
+    }
+    silent_us = SlControl_LeaderSilentUs(node->control, now_us);
+    if (node->uses_others ? !SlControl_IsFresh(node->control, now_us)
+                          : silent_us < OWN_CONTROL_SILENCE_US) {
+        return;
+    }
+    node->uses_others = !node->uses_others;
+    node->local.control = node->control;
+    node->local.has_link = has_link;
+    SlReplica_SetControls(
+        node->replica, SlLocalLink_Sink(&node->local, SL_LOCAL_REPLICA, sink),
+        now_us,
+        node->uses_others ? &node->listed_controls : &node->own_control,
+        silent_us);
+}
+
+/// Gives the replica the link that control has to the instance that the
+/// replica dials: no further link comes up then.
+static void
+share_link(struct SlNode *node, struct SlSink *sink,
+           const struct SlInput *input)
+{
+    uint64_t awaited = SlReplica_AwaitedControl(node->replica);
+    struct SlInput up = {.kind = SL_INPUT_LINK_UP,
+                         .now_us = input->now_us,
+                         .wall_us = input->wall_us};
+
+    if (!node->uses_others || awaited == 0) {
+        return;
+    }
+    up.peer = SlControl_FindPeer(node->control, awaited, &up.link);
+    if (up.peer != NULL && up.link != SL_LOCAL_LINK) {
+        pass_to_replica(node, sink, &up);
+    }
+}
+
 static void
 change_local_link(struct SlNode *node, struct SlSink *sink,
                   const struct SlInput *input, bool up)
@@ -355,10 +422,14 @@
                      const struct SlInput *input)
 {
     pass_to_control(node, sink, input);
+    if (input->kind == SL_INPUT_TICK) {
+        choose_controls(node, sink, input->now_us);
+    }
     if (!is_for_control_only(node, input)) {
         pass_to_replica(node, sink, input);
     }
     if (input->kind == SL_INPUT_TICK) {
+        share_link(node, sink, input);
         report_newer_version(node, sink, input->now_us);
     }
     run_local_link(node, sink, input);
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -432,6 +432,8 @@
     append_count(out, "replica_controls_empty", counters.controls_empty);
     append_count(out, "replica_controls_no_log", counters.controls_no_log);
     append_count(out, "replica_joins_passed", counters.joins_passed);
+    append_count(out, "replica_control_list_changes",
+                 counters.control_list_changes);
 }
 
 static void
