Send operators on from members that were removed while down

What callers could see: an instance that believes by its own log that it is a member, but was removed while it was down, refused reads and orders for good; so did a member that the rest of the group no longer reaches.

Cause: a member that hears no leader sent nobody on, since the others may hear none either.

Evidence, found in a review: the new case of call_route_test uses a field that the code before lacks, so it has no failing line of before. There such a view ended in SL_CALL_REFUSED, which "a call is refused when nobody is known" shows.

A heard leader still comes first, a leader still sends nobody on, and without such an instance a member still refuses, so no circle lasts longer than the lease.

--- a/packages/coordination/include/savoryledge/coordination/call_route.h
+++ b/packages/coordination/include/savoryledge/coordination/call_route.h
@@ -43,6 +43,9 @@
     /// that confirmed lately that it is current. With one: an instance that it
     /// is linked to.
     struct SlCallTarget linked;
+    /// With a control instance that has heard no leader for long: another one
+    /// that confirmed lately to this process that it is current.
+    struct SlCallTarget confirmed;
     /// The configuration that this process holds; may be out of date.
     const struct SlConfig *config;
     /// Selects among several instances of the configuration; to be increased
--- a/packages/coordination/src/call_route.c
+++ b/packages/coordination/src/call_route.c
@@ -45,7 +45,8 @@
 }
 
 /// Finds who may handle a call that this process cannot. A member that hears
-/// no leader sends nobody on: the other members may hear none either, and
+/// no leader sends operators only to one that was current a lease ago, so no
+/// circle lasts longer: the other members may hear none either, and
 /// would send the operator back. An instance outside the group sends even to
 /// one that may stand outside too: the next call goes to another.
 static enum SlCallRoute
@@ -55,6 +56,11 @@
         *target = view->leader;
         return SL_CALL_TO_LEADER;
     }
+    if (view->has_control && !view->is_leader &&
+        is_other_process(view, &view->confirmed)) {
+        *target = view->confirmed;
+        return SL_CALL_TO_LINKED;
+    }
     if (view->has_control && (view->is_leader || view->is_member)) {
         return SL_CALL_REFUSED;
     }
--- a/packages/daemon/src/front.c
+++ b/packages/daemon/src/front.c
@@ -281,6 +281,8 @@
         view.leader.node_id = other.node_id;
         view.leader.link = other.link_address;
     }
+    (void)SlReplica_FindCurrentControl(
+        replica, now_us, &view.confirmed.node_id, &view.confirmed.link);
     if (SlControl_FindLinkedInstance(control, view.turn, &other)) {
         view.linked.node_id = other.node_id;
         view.linked.link = other.link_address;
--- a/test/call_route_test.c
+++ b/test/call_route_test.c
@@ -167,12 +167,38 @@
     SlConfig_Destroy(config);
 }
 
+/* A member that hears no leader, or that was removed while it was down, sends
+   operators to an instance that confirmed lately that it is current. */
+static void
+test_member_without_leader_uses_confirmed(void)
+{
+    struct SlCallView view = {.node_id = SELF,
+                              .has_control = true,
+                              .is_member = true,
+                              .confirmed = {.node_id = LINKED}};
+    struct SlCallTarget target = {.node_id = 0};
+
+    CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_TO_LINKED);
+    CU_ASSERT_EQUAL(target.node_id, LINKED);
+    CU_ASSERT_EQUAL(SlCallRoute_ForOrder(&view, &target), SL_CALL_TO_LINKED);
+    view.confirmed.node_id = SELF;
+    CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_REFUSED);
+    view.confirmed.node_id = LINKED;
+    view.leader.node_id = LEADER;
+    CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_TO_LEADER);
+    view.leader.node_id = SELF;
+    view.is_leader = true;
+    CU_ASSERT_EQUAL(SlCallRoute_ForRead(&view, &target), SL_CALL_REFUSED);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"an unlinked outsider sends calls on",
          test_unlinked_outsider_sends_calls_on},
+        {"a member without a leader uses a confirmed instance",
+         test_member_without_leader_uses_confirmed},
         {"a process without a disk sends calls on",
          test_diskless_process_sends_calls_on},
         {"a call is refused when nobody is known",
