--- a/packages/coordination/include/savoryledge/coordination/call_route.h
+++ b/packages/coordination/include/savoryledge/coordination/call_route.h
@@ -11,7 +11,8 @@
 /// it refuses may be refused again by the next one. Operators follow two
 /// redirects, so each leads closer to the leader: from a process without a
 /// control instance to the instance that it uses, and from there to the
-/// leader.
+/// leader. An instance that is no member of the log's group does the same as a
+/// process without one.
 
 #include "savoryledge/common/address.h"
 #include "savoryledge/state/config.h"
@@ -42,6 +43,9 @@
     /// that confirmed lately that it is current. With one: an instance that it
     /// is linked to.
     struct SlCallTarget linked;
+    /// With a control instance that has heard no leader for long: another one
+    /// that confirmed lately to this process that it is current.
+    struct SlCallTarget confirmed;
     /// The configuration that this process holds; may be out of date.
     const struct SlConfig *config;
     /// Selects among several instances of the configuration; to be increased
