Find flows whose route has moved after all processes restart

What callers saw: a route moved to another service, then all processes restarted (a new release, or all are killed), and 11 of 12 open flows got no answer within the 4 s for which their callers ask. Meanwhile each search sent segments to up to 24 upstreams that did not hold the flow.

Cause: only homes in the services that the route allows now were queried. The holder is a home in the former service. The broadcast query after that holds 32 claims, every restarted agent claims every flow, and the same 24 agents that claimed first were probed.

Evidence: relay_evidence_test, "a route has moved, and all processes restart", 100 agents, before: 1 of 12 flows answered relay_evidence_test.c:331 - CU_ASSERT_EQUAL(answered,FLOWS) and with a flow that is lost, 72 segments at other upstreams in 3 searches: relay_evidence_test.c:367 - CU_ASSERT_EQUAL(returned,counters.searches * HOMES)

Change: when homes have restarted, or the route leads to no agent, the flow's homes in the other services are queried before the broadcast query, within the query budget, 64 in a search at most; the next search goes on after them. They are queried after the broadcast query when that shows restarted agents of other services. An agent of another service that is no home of the flow and does not know for certain is not probed any more; the search ends without a reset then. Event SL1119 and the counters relay_entry_claims_not_probed and relay_entry_queries_earlier tell.

Result: 12 of 12 flows are answered, none is reset; 24 segments go to other upstreams in 3 searches, to the homes only.

Cost: a flow that nobody holds is reset later than before while agents of another service that are no homes of it have restarted: once their tables are complete.

--- a/packages/common/src/event.c
+++ b/packages/common/src/event.c
@@ -64,6 +64,11 @@
      "Agents that have been unreachable for as long as an unused flow may "
      "live "
      "left a query unanswered; for a while their answers are not awaited."},
+    {SL_EVENT_RELAY_CLAIMS_NOT_PROBED, SL_LEVEL_INFO, "claims_not_probed",
+     "not_probed", "claims",
+     "Agents that have restarted said that they may hold flows whose route "
+     "does not lead to them; they are no homes of those flows, so they were "
+     "not sent segments, and the searches end without a reset."},
     {SL_EVENT_TRANSFER_HELD, SL_LEVEL_INFO, "transfer_held", "ahead",
      "expected_us",
      "The opening segment of an upload waits in an entry, because as many "
--- a/packages/coordination/include/savoryledge/coordination/relay_entry.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_entry.h
@@ -49,6 +49,10 @@
     /// of a flow.
     uint64_t frames;
     uint64_t queries;
+    /// Queries to homes in services that the flow's route does not allow, and
+    /// claims of agents that are too unlikely holders to be probed.
+    uint64_t queries_earlier;
+    uint64_t claims_not_probed;
     /// Broadcast queries, each for many flows.
     uint64_t broadcasts;
     /// Number of times that an agent was marked as suspect.
--- a/packages/coordination/src/relay_delegate.c
+++ b/packages/coordination/src/relay_delegate.c
@@ -193,40 +193,103 @@
     return NULL;
 }
 
-/// True when the present plan leads the flow to the agent's service.
-static bool
-serves_route(const struct SlRelayEntry *entry, const struct SlEntryFlow *flow,
-             uint64_t node_id)
+/// Who claims a flow.
+enum claimant {
+    /// An agent whose service the flow's route leads to, or any agent that
+    /// knows for certain.
+    CLAIMANT_BY_ROUTE = 0,
+    /// A home of the flow in another service: it may hold the flow since an
+    /// earlier plan.
+    CLAIMANT_EARLIER,
+    /// Any other agent. It holds the flow only when the homes had no free slot
+    /// and the route has moved since.
+    CLAIMANT_UNLIKELY,
+};
+
+static enum claimant
+find_claimant(struct SlRelayEntry *entry, const struct SlRelayQueryItem *claim)
 {
+    struct SlRelayMembers *members = &entry->members;
     const struct SlPlanRoute *route =
-        SlPlan_FindRoute(entry->plan, &flow->item.key.service);
-    uint32_t index = SlRelayMembers_Find(&entry->members, node_id);
+        entry->plan != NULL
+            ? SlPlan_FindRoute(entry->plan, &claim->flow.service)
+            : NULL;
+    uint32_t index = SlRelayMembers_Find(members, claim->holder);
+    uint32_t service;
 
-    return route != NULL && index != SL_RELAY_NO_MEMBER &&
-           SlPlan_RouteAllowsService(route,
-                                     entry->members.members[index].service);
+    if (claim->certain) {
+        return CLAIMANT_BY_ROUTE;
+    }
+    if (route == NULL || index == SL_RELAY_NO_MEMBER) {
+        return CLAIMANT_UNLIKELY;
+    }
+    service = members->members[index].service;
+    if (SlPlan_RouteAllowsService(route, service)) {
+        return CLAIMANT_BY_ROUTE;
+    }
+    SlRelayMembers_MarkHomes(members, service, &claim->flow);
+    return members->candidates[index].is_home ? CLAIMANT_EARLIER
+                                              : CLAIMANT_UNLIKELY;
 }
 
-/// Handles the claims of agents whose service the flow's route leads to, or
-/// those of other agents. The former hold the flow more likely, and are probed
-/// first; the latter may hold it since an earlier plan.
-static void
+/// Handles the claims of one kind. Likely holders are probed; an unlikely one
+/// makes the search uncertain, since its upstream must not be sent the
+/// segments of flows that it most likely does not hold. Returns the number of
+/// claims.
+static uint32_t
 handle_claims(struct SlRelayEntry *entry, struct SlRelaySink *sink,
               uint64_t now_us, const struct SlRelayDelegation *delegation,
-              const struct SlRelayQueryList *claims, bool by_route)
+              const struct SlRelayQueryList *claims, enum claimant claimant)
 {
+    uint32_t handled = 0;
+
     for (uint32_t i = 0; i < claims->count; i++) {
         const struct SlRelayQueryItem *claim = &claims->items[i];
         struct SlEntryFlow *flow = (struct SlEntryFlow *)SlRelayIndex_Find(
             &entry->flows, &claim->flow);
 
-        if (flow != NULL && flow->search != NULL &&
-            flow->search->broadcast == delegation->number &&
-            serves_route(entry, flow, claim->holder) == by_route) {
+        if (flow == NULL || flow->search == NULL ||
+            flow->search->broadcast != delegation->number ||
+            find_claimant(entry, claim) != claimant) {
+            continue;
+        }
+        handled++;
+        if (claimant == CLAIMANT_UNLIKELY) {
+            flow->search->claim_not_probed = true;
+            flow->search->uncertain = true;
+        }
+        else {
             SlRelayEntry_HandleHolderClaim(entry, sink, now_us, flow,
                                            claim->holder, claim->certain);
         }
     }
+    return handled;
+}
+
+/// Handles the claims of likely holders, the most likely ones first, and then
+/// the others.
+static void
+handle_all_claims(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                  uint64_t now_us, const struct SlRelayDelegation *delegation,
+                  const struct SlRelayQueryList *claims)
+{
+    uint32_t unlikely;
+
+    (void)handle_claims(entry, sink, now_us, delegation, claims,
+                        CLAIMANT_BY_ROUTE);
+    (void)handle_claims(entry, sink, now_us, delegation, claims,
+                        CLAIMANT_EARLIER);
+    unlikely = handle_claims(entry, sink, now_us, delegation, claims,
+                             CLAIMANT_UNLIKELY);
+    if (unlikely > 0) {
+        entry->counters.claims_not_probed += unlikely;
+        SlRelayEntry_LogEvent(
+            entry, sink, now_us,
+            (struct SlEvent){.number = SL_EVENT_RELAY_CLAIMS_NOT_PROBED,
+                             .reason = "no_home_of_the_flow",
+                             .value = unlikely,
+                             .limit = claims->count});
+    }
 }
 
 void
@@ -257,7 +320,6 @@
         SlAnswerTimeout_AddSample(&entry->delegation_timeout,
                                   now_us - delegation->sent_us);
     }
-    handle_claims(entry, sink, now_us, delegation, &claims, true);
-    handle_claims(entry, sink, now_us, delegation, &claims, false);
+    handle_all_claims(entry, sink, now_us, delegation, &claims);
     end_delegation(entry, sink, now_us, delegation, claims.unanswered);
 }
--- a/packages/coordination/src/relay_entry_core.h
+++ b/packages/coordination/src/relay_entry_core.h
@@ -54,6 +54,9 @@
     /// No new search begins before this time after a failed one; segments that
     /// the caller sends meanwhile are dropped.
     uint64_t search_backoff_until_us;
+    /// The agent, modulo their number, at which a search begins to look for
+    /// the flow's homes in services that the route does not allow.
+    uint32_t earlier_next;
     /// The transfer of an upload; NULL for other flows.
     struct SlEntryTransfer *transfer;
 };
--- a/packages/coordination/src/relay_locate.c
+++ b/packages/coordination/src/relay_locate.c
@@ -9,6 +9,11 @@
 /// flow. It is probed with the segment itself, which its upstream returns when
 /// it does not hold the flow. When homes in the entry's zone have restarted,
 /// those in other zones are also queried before all agents are.
+///
+/// A flow stays where it is when its route moves. So when homes have
+/// restarted, or the route leads to no agent, the flow's homes in the services
+/// that the route does not allow are queried too before all agents are. The
+/// claims of all agents would not fit into one answer when all have restarted.
 
 #include "relay_entry_core.h"
 
@@ -24,6 +29,9 @@
     /// These are the intervals of the callers' retransmissions.
     SEARCH_BACKOFF_US = 200 * 1000,
     SEARCH_BACKOFF_DOUBLINGS = 3,
+    /// Homes in services that the route does not allow that one search
+    /// queries: no more can be probed. The next search goes on after them.
+    EARLIER_HOMES_MAX = SL_SEARCH_POSSIBLE_MAX,
 };
 
 static bool
@@ -72,11 +80,70 @@
                 SlRelayEntry_SendFrame(entry, sink, index, &frame);
                 entry->counters.queries++;
                 search->unanswered++;
+                search->home_queried = true;
             }
         }
     }
 }
 
+/// Queries the flow's homes in the services that the route does not allow, as
+/// far as the query budget allows; later calls go on. Returns true when the
+/// search has to wait for answers or for budget.
+static bool
+query_earlier_homes(struct SlRelayEntry *entry, struct SlRelaySink *sink,
+                    uint64_t now_us, struct SlEntryFlow *flow)
+{
+    struct SlRelaySearch *search = flow->search;
+    struct SlRelayMembers *members = &entry->members;
+    const struct SlPlanRoute *route =
+        SlPlan_FindRoute(entry->plan, &flow->item.key.service);
+    struct SlRelayFrame frame = {.kind = SL_RELAY_QUERY,
+                                 .sender = entry->node_id,
+                                 .plan_version = SlPlan_Version(entry->plan),
+                                 .flow = flow->item.key,
+                                 .ack = search->ack};
+    uint32_t marked = SL_PLAN_NO_SERVICE;
+
+    search->awaits_budget = false;
+    for (; route != NULL && search->earlier_checked < members->count &&
+           search->earlier_queried < EARLIER_HOMES_MAX;
+         search->earlier_checked++, flow->earlier_next++) {
+        uint32_t index = flow->earlier_next % members->count;
+        uint32_t service = members->members[index].service;
+
+        if (SlPlan_RouteAllowsService(route, service)) {
+            continue;
+        }
+        if (service != marked) {
+            SlRelayMembers_MarkHomes(members, service, &flow->item.key);
+            marked = service;
+        }
+        if (!members->candidates[index].is_home ||
+            !SlRelayMembers_IsAskedAtHome(members, index, now_us)) {
+            continue;
+        }
+        if (!SlQueryBudget_SpendQueries(&entry->query_budget, 1)) {
+            search->awaits_budget = search->unanswered == 0;
+            break;
+        }
+        SlRelayEntry_SendFrame(entry, sink, index, &frame);
+        entry->counters.queries++;
+        entry->counters.queries_earlier++;
+        search->queried_us = now_us;
+        search->earlier_queried++;
+        search->unanswered++;
+    }
+    if (search->unanswered > 0) {
+        SlRelayEntry_LogEvent(
+            entry, sink, now_us,
+            (struct SlEvent){.number = SL_EVENT_RELAY_SEARCH,
+                             .flow = &flow->item.key,
+                             .reason = "route_may_have_moved",
+                             .value = search->unanswered});
+    }
+    return search->unanswered > 0 || search->awaits_budget;
+}
+
 /// True when the query budget of this tick allows one more search to start its
 /// queries.
 static bool
@@ -180,6 +247,7 @@
     flow->holder = node_id;
     flow->holder_confirmed = false;
     search->probed_us = now_us;
+    search->awaits_budget = false;
     if (search->segment_count > 0) {
         (void)SlRelayEntry_ForwardSegment(entry, sink, flow,
                                           search->segments[0].bytes,
@@ -195,6 +263,10 @@
     struct SlRelaySearch *search = flow->search;
     uint64_t next = SlRelaySearch_NextPossibleHolder(search);
 
+    if (entry->plan == NULL) {
+        give_up_search(entry, sink, now_us, flow);
+        return;
+    }
     if (next != 0) {
         probe_holder(entry, sink, now_us, flow, next);
         return;
@@ -207,7 +279,16 @@
         }
     }
     if (search->stage != SL_SEARCH_ALL) {
-        search->stage = SL_SEARCH_ALL;
+        if ((search->possible_count == 0 && search->home_queried) ||
+            !query_earlier_homes(entry, sink, now_us, flow)) {
+            search->stage = SL_SEARCH_ALL;
+        }
+        return;
+    }
+    /* Agents of services that the route does not allow have restarted, and
+       more of their claims may not have fitted into the answer. */
+    if (search->claim_not_probed &&
+        query_earlier_homes(entry, sink, now_us, flow)) {
         return;
     }
     end_unheld_search(entry, sink, now_us, flow);
@@ -360,6 +441,9 @@
             start_queries(entry, sink, now_us, flow);
         }
     }
+    else if (search->awaits_budget) {
+        SlRelayEntry_ContinueSearch(entry, sink, now_us, flow);
+    }
     else if (search->unanswered > 0) {
         if (now_us - search->queried_us > timeout_us) {
             stop_awaiting_homes(entry, sink, now_us, flow);
--- a/packages/coordination/src/relay_search.h
+++ b/packages/coordination/src/relay_search.h
@@ -48,6 +48,17 @@
     uint32_t broadcast;
     /// Queried agents that have not answered yet.
     uint32_t unanswered;
+    /// A home in a service that the route allows was queried.
+    bool home_queried;
+    /// Progress with the flow's homes in other services: agents checked, and
+    /// homes among them queried. awaits_budget: the rest wait for query
+    /// budget, and no answer is awaited.
+    uint32_t earlier_checked;
+    uint32_t earlier_queried;
+    bool awaits_budget;
+    /// An agent that is no likely holder may hold the flow, and was not
+    /// probed.
+    bool claim_not_probed;
     /// Agents that did not answer in time, or neither returned nor claimed the
     /// segment they were probed with.
     uint32_t silent_count;
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -257,6 +257,9 @@
                  counters.searches_found_no_holder);
     append_count(out, "relay_entry_searches_given_up",
                  counters.searches_given_up);
+    append_count(out, "relay_entry_queries_earlier", counters.queries_earlier);
+    append_count(out, "relay_entry_claims_not_probed",
+                 counters.claims_not_probed);
     append_count(out, "relay_entry_dropped", counters.segments_dropped);
     append_count(out, "relay_entry_frames", counters.frames);
     append_count(out, "relay_entry_questions", counters.queries);
--- a/test/relay_evidence_test.c
+++ b/test/relay_evidence_test.c
@@ -1,6 +1,8 @@
 /* Answers that a flow is not held, given by agents that cannot know it: no
    open flow may be reset because of them. */
 
+#include "savoryledge/balance/homes.h"
+
 #include "relay_simulation.h"
 
 enum {
@@ -283,11 +285,107 @@
     check_early_restart(9000, 0, 7600, 1200);
 }
 
+/// A route moves to another service, and then all processes but the upstreams
+/// restart. The open flows of the route are found again within the shortest
+/// time after which their callers count on it, 4 s.
+static void
+test_route_moved_and_all_restart(void)
+{
+    enum {
+        MANY_AGENTS = 100,
+        FLOWS = 12,
+        CONTACT_MS = 4000,
+        REPEAT_MS = 400
+    };
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, MANY_AGENTS, 2, 74);
+    uint32_t flows[FLOWS];
+    uint32_t answers[FLOWS];
+    uint32_t answered = 0;
+
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        flows[i] = relay_open_flow_and_request(sim, 0);
+        answers[i] = sim->callers[flows[i]].answers;
+    }
+    put_plan(sim, "moved", 15000);
+    relay_simulation_run(sim, 1000);
+    for (uint32_t i = 0; i < MANY_AGENTS; i++) {
+        restart_agent(sim, i);
+    }
+    relay_restart_node(sim, 0);
+    for (uint32_t ms = 0; ms < CONTACT_MS; ms += REPEAT_MS) {
+        for (uint32_t i = 0; i < FLOWS; i++) {
+            struct relay_caller *caller = &sim->callers[flows[i]];
+
+            if (caller->answers == answers[i]) {
+                caller->seq -= ms > 0 ? 100 : 0;
+                relay_send_request(sim, 0, flows[i]);
+            }
+        }
+        relay_simulation_run(sim, REPEAT_MS);
+    }
+    for (uint32_t i = 0; i < FLOWS; i++) {
+        answered += sim->callers[flows[i]].answers > answers[i];
+        CU_ASSERT_EQUAL(sim->callers[flows[i]].resets, 0);
+    }
+    CU_ASSERT_EQUAL(answered, FLOWS);
+    printf("%u of %u flows answered\n", (unsigned)answered, (unsigned)FLOWS);
+    relay_simulation_destroy(sim);
+}
+
+/// The same for a flow whose upstream has lost it. Its segments go to no other
+/// upstreams of the former service than its homes there, and its caller is not
+/// reset before the tables of the other agents are complete.
+static void
+test_route_moved_and_flow_lost(void)
+{
+    enum {
+        MANY_AGENTS = 100,
+        HOMES = 2 * SL_HOMES_PER_ZONE
+    };
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, MANY_AGENTS, 2, 75);
+    struct SlRelayEntryCounters counters;
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t returned = 0;
+
+    sim->upstreams[relay_find_holder(sim, flow)].held_count = 0;
+    put_plan(sim, "moved", 15000);
+    relay_simulation_run(sim, 1000);
+    for (uint32_t i = 0; i < MANY_AGENTS; i++) {
+        restart_agent(sim, i);
+    }
+    for (uint32_t i = 0; i < 3; i++) {
+        relay_send_request(sim, 1, flow);
+        relay_simulation_run(sim, 1000);
+    }
+    for (uint32_t i = 0; i < MANY_AGENTS; i++) {
+        returned += sim->upstreams[i].returned_segment_count;
+    }
+    SlRelayEntry_Counters(sim->nodes[1].entry, &counters);
+    CU_ASSERT(counters.searches > 0);
+    CU_ASSERT_EQUAL(counters.queries_earlier, counters.searches * HOMES);
+    CU_ASSERT_EQUAL(returned, counters.searches * HOMES);
+    CU_ASSERT(counters.claims_not_probed > 0);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+    relay_simulation_run(sim, 16000);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 1000);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 1);
+    printf("%u searches, %u segments returned\n", (unsigned)counters.searches,
+           (unsigned)returned);
+    relay_simulation_destroy(sim);
+}
+
 int
 main(void)
 {
     static const struct test_case CASES[] = {
         {"a route has moved to another service", test_route_moved},
+        {"a route has moved, and all processes restart",
+         test_route_moved_and_all_restart},
+        {"a route has moved, all processes restart, and a flow is lost",
+         test_route_moved_and_flow_lost},
         {"the idle timeout changes after a restart",
          test_idle_timeout_changes},
         {"a longer idle timeout arrives late", test_idle_timeout_grows_late},
