Count a broadcast query's answers only in the process that asked

Callers of open flows were reset when an entry or an agent had restarted: a search ended as held_by_nobody although the flow's upstream held it.

Cause: entries and agents numbered their broadcast queries from 1 on in each process, and a result is matched by its number alone. A result that an agent had been slow to send, for a query of the killed entry, was taken for the present query with the same number: it claims other flows, and no agent is missing. The same holds for agents' answers to an agent that has restarted.

Evidence: two tests in relay_evidence_test, in each of which one frame is late and its receiver restarts. Before: both flows are reset (held_by_nobody).

Change: the first number of a process is random, drawn from its seed. 31 bits are enough for the few numbers that a process uses while a frame may be late. No frame changes.

--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "savoryledge/balance/placement.h"
+
 enum {
     US_PER_MS = 1000,
     /// A status contains the remaining time for which the upstream is cold.
@@ -22,6 +24,9 @@
     /// How long an upstream that no longer listens may take for the requests
     /// that it has: most of the time that a planned stop of its agent lasts.
     UNANSWERED_TIMEOUT_US = 3000 * 1000,
+    /// Broadcast queries are numbered from a random number of 31 bits on, so
+    /// that an answer for a former process is not taken for one of this.
+    FIRST_NUMBER_SHIFT = 33,
 };
 
 void
@@ -45,6 +50,8 @@
     agent->node_id = SlNode_Id(options->name);
     agent->service = SL_PLAN_NO_SERVICE;
     agent->flows.seed = options->seed;
+    agent->last_broadcast =
+        (uint32_t)(SlPlacement_MixBits(options->seed) >> FIRST_NUMBER_SHIFT);
     agent->created_us = now_us;
     agent->table.since_us = now_us;
     agent->query_budget.limit = INITIAL_QUERIES_PER_TICK;
--- a/packages/coordination/src/relay_agent_core.h
+++ b/packages/coordination/src/relay_agent_core.h
@@ -177,6 +177,7 @@
     struct SlBroadcastPeer *peers;
     /// Broadcast queries to all peers; unused elements have number 0.
     struct SlRelayBroadcast broadcasts[SL_AGENT_BROADCASTS_MAX];
+    /// Number of the last one; the first of a process is random.
     uint32_t last_broadcast;
     /// Adaptive answer timeout for peers, and the number of queries that it
     /// allows per tick.
--- a/packages/coordination/src/relay_entry.c
+++ b/packages/coordination/src/relay_entry.c
@@ -27,6 +27,9 @@
     /// Maximum number of flows in the table; the least recently used one is
     /// removed.
     FLOWS_MAX = 200000,
+    /// Broadcast queries are numbered from a random number of 31 bits on, so
+    /// that a result for a former process is not taken for one of this.
+    FIRST_NUMBER_SHIFT = 33,
 };
 
 static struct SlEntryFlow *
@@ -103,6 +106,8 @@
     entry->node_id = SlNode_Id(options->name);
     entry->random = options->seed ^ entry->node_id;
     entry->flows.seed = options->seed;
+    entry->last_delegation =
+        (uint32_t)(SlPlacement_MixBits(options->seed) >> FIRST_NUMBER_SHIFT);
     SlEntryTransfers_Init(&entry->transfers, options->link_bytes_per_s);
     return entry;
 }
--- a/packages/coordination/src/relay_entry_core.h
+++ b/packages/coordination/src/relay_entry_core.h
@@ -93,6 +93,7 @@
     /// Broadcast queries, and the adaptive answer timeout for the agents that
     /// run them.
     struct SlRelayDelegation delegations[SL_ENTRY_DELEGATIONS_MAX];
+    /// Number of the last one; the first of a process is random.
     uint32_t last_delegation;
     struct SlAnswerTimeout delegation_timeout;
     struct SlEntryTransfers transfers;
--- a/test/relay_evidence_test.c
+++ b/test/relay_evidence_test.c
@@ -283,6 +283,102 @@
     check_early_restart(9000, 0, 7600, 1200);
 }
 
+/// Returns the first frame of a kind from a process that is on its way; NULL
+/// when there is none.
+static struct relay_message *
+find_message(struct relay_simulation *sim, enum SlRelayKind kind,
+             const struct relay_node *from)
+{
+    for (struct relay_message *message = sim->queue_head; message != NULL;
+         message = message->next) {
+        struct SlRelayFrame frame;
+
+        if (!message->for_upstream &&
+            SlAddress_Equal(&message->from, &from->address) &&
+            SlRelayFrame_Decode(message->bytes, message->length_bytes,
+                                &frame) == SL_OK &&
+            frame.kind == kind) {
+            return message;
+        }
+    }
+    return NULL;
+}
+
+/// Runs until a process has sent a frame of a kind.
+static struct relay_message *
+run_until_sent(struct relay_simulation *sim, enum SlRelayKind kind,
+               const struct relay_node *from)
+{
+    struct relay_message *message = find_message(sim, kind, from);
+
+    for (uint32_t i = 0; i < 100 && message == NULL; i++) {
+        relay_simulation_step(sim);
+        message = find_message(sim, kind, from);
+    }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(message);
+    return message;
+}
+
+/// Three agents, of which the second alone is in the zone of the second entry
+/// and runs its broadcast queries, and two flows in the other zone.
+static struct relay_simulation *
+create_with_delegate(void)
+{
+    struct relay_simulation *sim = relay_simulation_create(ENTRIES, 3, 2, 77);
+
+    (void)relay_open_flow_and_request(sim, 0);
+    (void)relay_open_flow_and_request(sim, 0);
+    CU_ASSERT_NOT_EQUAL(relay_find_holder(sim, 0), 1);
+    CU_ASSERT_NOT_EQUAL(relay_find_holder(sim, 1), 1);
+    return sim;
+}
+
+/// The result of a broadcast query for a flow is late, and reaches the entry
+/// after its restart, while it searches for another flow. That flow stays.
+static void
+test_late_result(void)
+{
+    struct relay_simulation *sim = create_with_delegate();
+    struct relay_message *late;
+
+    relay_send_request(sim, 1, 0);
+    late = run_until_sent(sim, SL_RELAY_BROADCAST_RESULT,
+                          &sim->nodes[ENTRIES + 1]);
+    late->due_us = UINT64_MAX;
+    relay_restart_node(sim, 1);
+    relay_send_request(sim, 1, 1);
+    (void)run_until_sent(sim, SL_RELAY_BROADCAST_QUERY, &sim->nodes[1]);
+    late->due_us = 0;
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[1].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[1].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
+/// The holder's answer about another flow is late, and reaches the agent that
+/// asked after its restart, while it asks about this flow. The flow stays.
+static void
+test_late_answer(void)
+{
+    struct relay_simulation *sim = create_with_delegate();
+    struct relay_node *delegate = &sim->nodes[ENTRIES + 1];
+    struct relay_message *late;
+
+    relay_send_request(sim, 1, 0);
+    late = run_until_sent(sim, SL_RELAY_HOLDS_MANY,
+                          &sim->nodes[ENTRIES + relay_find_holder(sim, 1)]);
+    late->due_us = UINT64_MAX;
+    relay_send_request(sim, 1, 1);
+    (void)run_until_sent(sim, SL_RELAY_BROADCAST_QUERY, &sim->nodes[1]);
+    restart_agent(sim, 1);
+    (void)run_until_sent(sim, SL_RELAY_QUERY_MANY, delegate);
+    late->due_us = 0;
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[1].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[1].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
 int
 main(void)
 {
@@ -296,6 +392,8 @@
         {"agents are gone for good", test_agents_gone_for_good},
         {"an agent restarts soon after its upstream's start",
          test_early_restart},
+        {"a result for an entry's former process", test_late_result},
+        {"an answer for an agent's former process", test_late_answer},
     };
 
     return RUN_SUITE("relay evidence", CASES);
