Test runs of an upstream whose statuses are sparse, nameless or cold

Each half of the change that orders runs by what was seen was taken out of a scratch copy. Four of them failed no test: the two times that a run needs to take over, ids of runs without a start time, and the cold phase of a run that is not taken yet. Each fails one of the new tests now.

--- a/test/relay_runs_test.c
+++ b/test/relay_runs_test.c
@@ -174,6 +174,73 @@
     check_late_statuses(5000 + AHEAD_MS, 5);
 }
 
+/// A former run's late statuses arrive at late_ms, while the present run
+/// reports at present_ms only. They do not make it the present one.
+static void
+check_sparse_statuses(const uint32_t late_ms[2], uint32_t present_ms,
+                      uint64_t seed)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, seed);
+    struct relay_node *node = &sim->nodes[ENTRIES];
+    struct SlUpstreamStatus late;
+    struct SlUpstreamStatus current;
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "former", 5000 + AHEAD_MS);
+    run_with_statuses(sim, 0, 1);
+    late = sim->upstreams[0].status;
+    relay_simulation_run(sim, 500);
+    start_run(sim, 0, "present", 6500);
+    run_with_statuses(sim, 0, 4);
+    for (uint32_t ms = 0; ms <= late_ms[1]; ms += 100) {
+        if (ms == present_ms) {
+            CU_ASSERT(relay_report_status(sim, 0));
+        }
+        for (uint32_t i = 0; i < 2; i++) {
+            if (ms == late_ms[i]) {
+                late.seq++;
+                CU_ASSERT_FALSE(SlRelayAgent_UpdateStatus(
+                    node->agent, &node->sink, sim->now_us, &late));
+            }
+        }
+        relay_simulation_run(sim, 100);
+    }
+    CU_ASSERT(SlRelayAgent_GetUpstreamStatus(node->agent, &current));
+    CU_ASSERT_STRING_EQUAL(current.id, "present");
+    relay_simulation_destroy(sim);
+}
+
+/// Statuses of the present run are lost while late ones of a former run
+/// arrive: together, between two of the present run's, and around one of them.
+static void
+test_late_statuses_while_present_is_quiet(void)
+{
+    check_sparse_statuses((const uint32_t[]){2500, 2600}, 0, 87);
+    check_sparse_statuses((const uint32_t[]){100, 800}, 0, 88);
+    check_sparse_statuses((const uint32_t[]){0, 2100}, 500, 89);
+}
+
+/// Upstreams that do not tell their start time are told apart by their ids: a
+/// new one is taken at its first status, although its numbers start anew.
+static void
+test_runs_without_a_start_time(void)
+{
+    struct relay_simulation *sim =
+        relay_simulation_create(ENTRIES, AGENTS, 2, 90);
+    struct SlUpstreamStatus current;
+
+    sim->upstreams[0].status_paused = true;
+    start_run(sim, 0, "first", 0);
+    run_with_statuses(sim, 0, 3);
+    start_run(sim, 0, "second", 0);
+    CU_ASSERT(relay_report_status(sim, 0));
+    CU_ASSERT(
+        SlRelayAgent_GetUpstreamStatus(sim->nodes[ENTRIES].agent, &current));
+    CU_ASSERT_STRING_EQUAL(current.id, "second");
+    relay_simulation_destroy(sim);
+}
+
 /// Takes zone "a" out of service, or takes it back.
 static void
 set_zone_out(struct relay_simulation *sim, bool is_out)
@@ -219,6 +286,35 @@
     relay_simulation_destroy(sim);
 }
 
+/// An upstream starts anew after the time of day was put back, and is cold. As
+/// soon as a status says so it gets no more flows than a cold one bears, also
+/// before its run is taken for the present one.
+static void
+test_undecided_run_is_cold(void)
+{
+    struct relay_simulation *sim = relay_simulation_create(1, 2, 40, 91);
+    struct relay_upstream *upstream = &sim->upstreams[0];
+    uint32_t opened;
+
+    SlPlan_Unref(sim->plan);
+    sim->plan = relay_create_plan(2, 8);
+    relay_configure_all(sim);
+    upstream->status_paused = true;
+    sim->upstreams[1].status.draining = true;
+    start_run(sim, 0, "ahead", 5000 + AHEAD_MS);
+    run_with_statuses(sim, 0, 3);
+    start_run(sim, 0, "right", 6500);
+    upstream->status.cold_remaining_ms = 5000;
+    CU_ASSERT_FALSE(relay_report_status(sim, 0));
+    opened = upstream->opened_flow_count;
+    for (uint32_t i = 0; i < 40; i++) {
+        (void)relay_open_flow(sim, 0);
+        relay_simulation_run(sim, 20);
+    }
+    CU_ASSERT(upstream->opened_flow_count - opened <= 11);
+    relay_simulation_destroy(sim);
+}
+
 static void
 test_zone_back(void)
 {
@@ -263,6 +359,10 @@
         {"flows of a run before it is taken", test_flows_of_undecided_run},
         {"the first status of a run is missed", test_first_status_missed},
         {"late statuses of a former run", test_late_statuses},
+        {"late statuses while the present run is quiet",
+         test_late_statuses_while_present_is_quiet},
+        {"runs without a start time", test_runs_without_a_start_time},
+        {"a run that is not taken yet is cold", test_undecided_run_is_cold},
         {"a zone is taken back after its upstream became cold",
          test_zone_back},
         {"the late end of a former run", test_late_end_of_a_former_run},
