--- a/test/relay_stop_test.c
+++ b/test/relay_stop_test.c
@@ -185,6 +185,34 @@
     relay_simulation_destroy(sim);
 }
 
+/// The same while no status arrives, but the upstream answers a request that
+/// it gets after it refused the connection: it runs. The stop goes on as soon
+/// as the upstream is heard, and does not take longer than a status.
+static void
+test_draining_upstream_answers(void)
+{
+    struct relay_simulation *sim = relay_simulation_create(2, 2, 2, 49);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+    struct relay_node *node = &sim->nodes[2 + holder];
+
+    sim->upstreams[holder].status.draining = true;
+    sim->upstreams[holder].status.seq = 30;
+    CU_ASSERT(relay_report_status(sim, holder));
+    sim->upstreams[holder].status_paused = true;
+    relay_simulation_run(sim, 300);
+    SlRelayAgent_BeginStop(node->agent, &node->sink, sim->now_us);
+    SlRelayAgent_HandleUpstreamStopped(node->agent, &node->sink, sim->now_us);
+    CU_ASSERT_FALSE(SlRelayAgent_IsIdle(node->agent));
+    relay_send_request(sim, 0, flow);
+    relay_simulation_run(sim, 200);
+    CU_ASSERT(SlRelayAgent_IsIdle(node->agent));
+    relay_simulation_run(sim, 3000);
+    CU_ASSERT_FALSE(SlRelayAgent_IsUpstreamGone(node->agent));
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, 2);
+    relay_simulation_destroy(sim);
+}
+
 /// One that drains, refuses connections and reports nothing for longer than
 /// the interval of its statuses has ended, whether its agent has heard from it
 /// or not. The callers of its flows are reset.
@@ -242,6 +270,8 @@
          test_restart_after_gone},
         {"a draining upstream no longer listens",
          test_draining_upstream_refuses},
+        {"a draining upstream answers a request",
+         test_draining_upstream_answers},
         {"an upstream has drained and ended", test_drained_upstream_refuses},
     };
 
