Acknowledge a repeated order at once when what it asks for is in force

A leader now answers a document at once when it has applied that version or a newer one, which is committed and never taken back; and a hold or release when its configuration is certainly current, the zone is as asked, and no change of the zone that it submitted may still be under way. Orders whose time is over are kept until their result arrives, to know that.

http_test: without the change, "an order is repeated after its change is committed" submits a further change.

--- a/packages/coordination/include/savoryledge/coordination/order_handler.h
+++ b/packages/coordination/include/savoryledge/coordination/order_handler.h
@@ -11,6 +11,10 @@
 /// order is committed. After SL_ORDER_UNKNOWN_OUTCOME the order may or may not
 /// be in force; it is safe to repeat the order at the same or another
 /// instance.
+///
+/// Load pattern: a commit takes longer than operators wait for an answer, and
+/// they send the order again. The repeated order is done at once when what it
+/// asks for is in force; a new change for it would be late again.
 
 #include "savoryledge/coordination/core.h"
 #include "savoryledge/state/config.h"
@@ -46,6 +50,8 @@
 struct SlControlView {
     /// This instance is the leader.
     bool is_leader;
+    /// The instance can be sure that its configuration is the newest.
+    bool is_current;
     /// Address of the leader, or of an instance that may know it; NULL when
     /// none is known.
     const struct SlAddress *leader;
@@ -56,7 +62,7 @@
 };
 
 enum {
-    /// Maximum number of pending orders.
+    /// Maximum number of pending orders, including overdue ones.
     SL_ORDERS_MAX = 64,
 };
 
@@ -70,6 +76,11 @@
     uint64_t started_us;
     /// The order releases the hold on a zone, which puts the zone back.
     bool release;
+    /// The order has ended without a result; its change may still be
+    /// committed.
+    bool is_overdue;
+    /// Zone that the order holds or releases; empty for a document.
+    char zone[SL_NAME_BYTES];
 };
 
 /// Pending orders, oldest first.
@@ -90,8 +101,8 @@
 SlOrderHandler_Init(struct SlOrderHandler *handler,
                     const struct SlOrderHostType *host_type, void *host,
                     uint64_t client);
-/// Begins an order to put a document in force. The document is rejected unless
-/// its version is higher than that of the present document. ticket: identifies
+/// Begins an order to put a document in force. The order is done at once when
+/// the present document has that version or a higher one. ticket: identifies
 /// the order in the call of order_ended.
 void
 SlOrderHandler_PutDocument(struct SlOrderHandler *handler, uint64_t now_us,
--- a/packages/coordination/src/order_handler.c
+++ b/packages/coordination/src/order_handler.c
@@ -7,6 +7,9 @@
     /// Callers wait about one second for an answer before they contact another
     /// instance; this must be shorter.
     ORDER_TIMEOUT_US = 900 * 1000,
+    /// Time after which an overdue order is forgotten. Its change has been
+    /// committed, or refused, long before.
+    OVERDUE_ORDER_US = 30 * 1000 * 1000,
 };
 
 static const char HOLD_KEY[] = "operator";
@@ -60,15 +63,49 @@
 /// Adds a pending order that ends with the result of the next submitted
 /// change. Must precede submit_change, which may deliver the result before it
 /// returns.
-static void
-expect_result(struct SlOrderHandler *handler, uint64_t now_us, uint64_t ticket,
-              bool release)
+static struct SlPendingOrder *
+expect_result(struct SlOrderHandler *handler, uint64_t now_us, uint64_t ticket)
+{
+    struct SlPendingOrder *order = &handler->orders[handler->count++];
+
+    *order = (struct SlPendingOrder){.ticket = ticket,
+                                     .request = handler->next_request + 1,
+                                     .started_us = now_us};
+    return order;
+}
+
+static bool
+is_document_in_force(const struct SlControlView *view,
+                     const struct SlDocumentText *document)
 {
-    handler->orders[handler->count++] =
-        (struct SlPendingOrder){.ticket = ticket,
-                                .request = handler->next_request + 1,
-                                .started_us = now_us,
-                                .release = release};
+    const struct SlDocument *present = SlConfig_Document(view->config);
+
+    return present != NULL &&
+           SlDocument_Text(present).version >= document->version;
+}
+
+/// True when the zone certainly is as the order asks: no change of it is under
+/// way here.
+static bool
+is_zone_in_force(const struct SlOrderHandler *handler,
+                 const struct SlControlView *view, const char *zone, bool out)
+{
+    const struct SlObject *object;
+    bool is_held = false;
+
+    if (!view->is_current) {
+        return false;
+    }
+    for (uint32_t i = 0; i < handler->count; i++) {
+        if (strcmp(handler->orders[i].zone, zone) == 0) {
+            return false;
+        }
+    }
+    object = SlConfig_FindObject(view->config, SL_KIND_ZONE, zone);
+    for (uint32_t i = 0; object != NULL && i < object->holds.count; i++) {
+        is_held = is_held || strcmp(object->holds.items[i].key, HOLD_KEY) == 0;
+    }
+    return is_held == out;
 }
 
 void
@@ -78,10 +115,15 @@
 {
     struct SlChange change = {.verb = SL_VERB_DOCUMENT, .document = *document};
 
-    if (accept_order(handler, view, ticket)) {
-        expect_result(handler, now_us, ticket, false);
-        submit_change(handler, now_us, view, &change);
+    if (!accept_order(handler, view, ticket)) {
+        return;
+    }
+    if (is_document_in_force(view, document)) {
+        end_order(handler, ticket, SL_ORDER_DONE, NULL);
+        return;
     }
+    (void)expect_result(handler, now_us, ticket);
+    submit_change(handler, now_us, view, &change);
 }
 
 void
@@ -91,10 +133,15 @@
 {
     struct SlChange change = {.verb = SL_VERB_CREATE,
                               .object = {.kind = SL_KIND_ZONE}};
+    struct SlPendingOrder *order;
 
     if (!accept_order(handler, view, ticket)) {
         return;
     }
+    if (is_zone_in_force(handler, view, zone, out)) {
+        end_order(handler, ticket, SL_ORDER_DONE, NULL);
+        return;
+    }
     snprintf(change.object.name, sizeof(change.object.name), "%s", zone);
     if (out && SlConfig_FindObject(view->config, SL_KIND_ZONE,
                                    change.object.name) == NULL) {
@@ -102,7 +149,9 @@
     }
     change.verb = out ? SL_VERB_HOLD : SL_VERB_RELEASE;
     memcpy(change.hold.key, HOLD_KEY, sizeof(HOLD_KEY));
-    expect_result(handler, now_us, ticket, !out);
+    order = expect_result(handler, now_us, ticket);
+    order->release = !out;
+    memcpy(order->zone, change.object.name, sizeof(order->zone));
     submit_change(handler, now_us, view, &change);
 }
 
@@ -141,8 +190,10 @@
 
         if (order.request == request) {
             remove_order(handler, i);
-            end_order(handler, order.ticket,
-                      outcome_from_status(&order, result->status), NULL);
+            if (!order.is_overdue) {
+                end_order(handler, order.ticket,
+                          outcome_from_status(&order, result->status), NULL);
+            }
             return;
         }
     }
@@ -152,10 +203,17 @@
 SlOrderHandler_Tick(struct SlOrderHandler *handler, uint64_t now_us)
 {
     while (handler->count > 0 &&
-           now_us - handler->orders[0].started_us > ORDER_TIMEOUT_US) {
-        uint64_t ticket = handler->orders[0].ticket;
-
+           now_us - handler->orders[0].started_us > OVERDUE_ORDER_US) {
         remove_order(handler, 0);
-        end_order(handler, ticket, SL_ORDER_UNKNOWN_OUTCOME, NULL);
+    }
+    for (uint32_t i = 0;
+         i < handler->count &&
+         now_us - handler->orders[i].started_us > ORDER_TIMEOUT_US;
+         i++) {
+        if (!handler->orders[i].is_overdue) {
+            handler->orders[i].is_overdue = true;
+            end_order(handler, handler->orders[i].ticket,
+                      SL_ORDER_UNKNOWN_OUTCOME, NULL);
+        }
     }
 }
--- a/packages/daemon/src/front.c
+++ b/packages/daemon/src/front.c
@@ -423,7 +423,8 @@
     };
     const struct SlControl *control = SlNode_Control(front->shell->node);
     struct SlCallView call_view = make_call_view(front, now_us);
-    struct SlControlView view = {.is_leader = call_view.is_leader};
+    struct SlControlView view = {.is_leader = call_view.is_leader,
+                                 .is_current = call_view.is_current};
     struct SlCallTarget target;
     enum SlCallRoute route = SlCallRoute_ForOrder(&call_view, &target);
 
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -522,6 +522,70 @@
     SlConfig_Destroy((struct SlConfig *)view.config);
 }
 
+/// Commits take longer than operators wait. An order that is sent again after
+/// its change is committed is done at once, without a further change.
+static void
+test_repeated_orders_are_done(void)
+{
+    struct SlConfig *config = SlConfig_Create();
+    struct SlControlView view = {.config = config, .is_leader = true};
+    struct SlDocumentText text = {
+        .version = 3, .length_bytes = 1, .bytes = (const uint8_t *)"x"};
+    struct SlObject zone = {.kind = SL_KIND_ZONE,
+                            .name = "ulaan-a",
+                            .holds = {.count = 1, .items = {{"operator"}}}};
+    struct SlResult result = {.status = SL_OK};
+    struct recording_host recorder = {.submitted_count = 0};
+    struct SlOrderHandler handler;
+    uint64_t late;
+
+    SlOrderHandler_Init(&handler, &RECORDING_HOST_TYPE, &recorder, 7);
+    SlOrderHandler_PutDocument(&handler, 0, &view, 1, &text);
+    SlOrderHandler_HoldZone(&handler, 0, &view, 2, "ulaan-a", true);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 3);
+    late = recorder.last_change.request;
+    SlOrderHandler_Tick(&handler, 1000 * 1000);
+    CU_ASSERT_EQUAL(recorder.outcome_count, 2);
+    CU_ASSERT_EQUAL(recorder.last_outcome, SL_ORDER_UNKNOWN_OUTCOME);
+    SlOrderHandler_Tick(&handler, 1100 * 1000);
+    CU_ASSERT_EQUAL(recorder.outcome_count, 2);
+
+    (void)SlConfig_PutDocument(
+        config, (struct SlVersion){.term = 1, .index = 1}, &text);
+    (void)SlConfig_PutObject(config, &zone);
+    SlOrderHandler_PutDocument(&handler, 1200 * 1000, &view, 3, &text);
+    CU_ASSERT_EQUAL(recorder.last_exchange, 3);
+    CU_ASSERT_EQUAL(recorder.last_outcome, SL_ORDER_DONE);
+    text.version = 2;
+    SlOrderHandler_PutDocument(&handler, 1200 * 1000, &view, 4, &text);
+    CU_ASSERT_EQUAL(recorder.last_exchange, 4);
+    CU_ASSERT_EQUAL(recorder.last_outcome, SL_ORDER_DONE);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 3);
+
+    /* While the hold's change may be under way, or the leader may have been
+       replaced, a repeated order is a change of its own. */
+    view.is_current = true;
+    SlOrderHandler_HoldZone(&handler, 1200 * 1000, &view, 5, "ulaan-a", true);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 4);
+    SlOrderHandler_OnResult(&handler, recorder.last_change.request, &result);
+    SlOrderHandler_OnResult(&handler, late, &result);
+    CU_ASSERT_EQUAL(recorder.outcome_count, 5);
+    view.is_current = false;
+    SlOrderHandler_HoldZone(&handler, 1300 * 1000, &view, 6, "ulaan-a", true);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 5);
+    SlOrderHandler_OnResult(&handler, recorder.last_change.request, &result);
+
+    view.is_current = true;
+    SlOrderHandler_HoldZone(&handler, 1400 * 1000, &view, 7, "ulaan-a", true);
+    SlOrderHandler_HoldZone(&handler, 1400 * 1000, &view, 8, "ulaan-b", false);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 5);
+    CU_ASSERT_EQUAL(recorder.outcome_count, 8);
+    CU_ASSERT_EQUAL(recorder.last_outcome, SL_ORDER_DONE);
+    SlOrderHandler_HoldZone(&handler, 1400 * 1000, &view, 9, "ulaan-a", false);
+    CU_ASSERT_EQUAL(recorder.submitted_count, 6);
+    SlConfig_Destroy(config);
+}
+
 int
 main(void)
 {
@@ -537,6 +601,8 @@
         {"odd requests", test_odd_requests},
         {"reports the outcome of each change",
          test_reports_the_outcome_of_each_change},
+        {"an order is repeated after its change is committed",
+         test_repeated_orders_are_done},
     };
 
     return RUN_SUITE("http server and change requests", CASES);
