Let election timeouts and leases follow measured round trips

A leader's lease was 0.34 s from the sending of a round, and a round trip of that length left nothing of it: the leader stayed, the term stood still, and no instance was ever current. Above 0.45 s the leader lost its majority each time.

The election timeout is now four expected round trips of a majority (RFC 6298), from 0.45 s as configured up to 4 s. It is announced with each round, and who answers promises to grant no vote for so long; a longer promise than the configured one is durable first, since a restart must not shorten it. Candidates time their requests, and wait for answers before they begin anew.

A follower's lease stays as short as it was, because the leader may commit without the follower while it lasts. So followers on slow links send reads on to their leader. Whether they pass on changes as current is told by the age of the leader's word instead, 1.5 s at most and never longer than the leader's lease.

Changes to tests: control_test and control_publish_test took their lapsed leases from round trips that no longer end a lease, so they use slower links, with the same checks. A part marked as fresh now means recent; raft_test has a further invariant for that bound.

--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -97,6 +97,10 @@
 /// received a message from such a leader within the lease.
 bool
 SlControl_IsFresh(const struct SlControl *control, uint64_t now_us);
+/// True when the instance is fresh, or follows a leader so closely that its
+/// configuration may be passed on as current.
+bool
+SlControl_IsRecent(const struct SlControl *control, uint64_t now_us);
 /// Returns for how long the configuration of this instance remains current
 /// without a further message, in microseconds. Negative: the time since the
 /// latest lease ended, or since the instance started if it had none.
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -297,6 +297,12 @@
     return SlRaft_IsFresh(&control->raft, now_us);
 }
 
+bool
+SlControl_IsRecent(const struct SlControl *control, uint64_t now_us)
+{
+    return SlRaft_IsRecent(&control->raft, now_us);
+}
+
 int64_t
 SlControl_LeaseUs(const struct SlControl *control, uint64_t now_us)
 {
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -220,7 +220,7 @@
 void
 SlControl_PublishChanges(struct SlControl *control)
 {
-    bool fresh = SlRaft_IsFresh(&control->raft, control->now_us);
+    bool fresh = SlRaft_IsRecent(&control->raft, control->now_us);
     uint32_t published = 0;
 
     if (!fresh && !control->options.self_forming) {
@@ -272,7 +272,8 @@
     struct SlMessage message = {
         .kind = SL_MESSAGE_HEARTBEAT,
         .heartbeat = {.version = SlConfig_Version(control->config),
-                      .fresh = SlRaft_IsFresh(&control->raft, control->now_us),
+                      .fresh =
+                          SlRaft_IsRecent(&control->raft, control->now_us),
                       .sent_us = control->now_us}};
 
     for (uint32_t i = 0; i < control->link_count; i++) {
--- a/packages/coordination/src/node.c
+++ b/packages/coordination/src/node.c
@@ -249,7 +249,7 @@
         return;
     }
     silent_us = SlControl_LeaderSilentUs(node->control, now_us);
-    if (node->uses_others ? !SlControl_IsFresh(node->control, now_us)
+    if (node->uses_others ? !SlControl_IsRecent(node->control, now_us)
                           : silent_us < OWN_CONTROL_SILENCE_US) {
         return;
     }
--- a/packages/coordination/src/raft.c
+++ b/packages/coordination/src/raft.c
@@ -57,9 +57,10 @@
     raft->now_us = now_us;
     raft->random_state = options->seed ^ options->node_id;
     raft->state = SL_CONTROL_LEARNER;
-    /* A lease granted before the restart may still be valid. */
     raft->last_leader_message_us = now_us;
     status = load_durable_state(raft);
+    /* A lease granted before the restart may still be valid. */
+    SlRaft_RefuseVotesAfterStart(raft);
     if (status == SL_DAMAGED) {
         return SlError_Set(error, status, SL_STEP_RECOVER, NULL,
                            "snapshot or log cannot be decoded although the "
@@ -179,19 +180,13 @@
 uint64_t
 SlRaft_LeaseRemainingUs(const struct SlRaft *raft, uint64_t now_us)
 {
-    uint64_t lease_us = raft->options.election_us / 4 * 3;
     uint64_t until_us = raft->fresh_until_us;
 
     if (raft->storage_failed) {
         return 0;
     }
     if (raft->state == SL_CONTROL_LEADER) {
-        uint64_t acked_us = SlRaft_QuorumAckedUs(raft);
-
-        if (!SlRaft_IsReady(raft) || acked_us == 0) {
-            return 0;
-        }
-        until_us = acked_us + lease_us;
+        until_us = SlRaft_IsReady(raft) ? SlRaft_QuorumLeaseUntilUs(raft) : 0;
     }
     return until_us > now_us ? until_us - now_us : 0;
 }
@@ -201,3 +196,11 @@
 {
     return SlRaft_LeaseRemainingUs(raft, now_us) > 0;
 }
+
+bool
+SlRaft_IsRecent(const struct SlRaft *raft, uint64_t now_us)
+{
+    return SlRaft_IsFresh(raft, now_us) ||
+           (raft->state != SL_CONTROL_LEADER && !raft->storage_failed &&
+            now_us < raft->recent_until_us);
+}
--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -18,6 +18,7 @@
 /// - A leader sends records only after it has synced them itself, so that a
 ///   change refused because of a full disk exists nowhere.
 
+#include "savoryledge/balance/answer_timeout.h"
 #include "savoryledge/coordination/control.h"
 
 enum {
@@ -35,6 +36,9 @@
     /// Time between two attempts to write to storage that has failed. A change
     /// waits for seconds at most once the disk works again.
     SL_RAFT_STORAGE_RETRY_US = 500 * 1000,
+    /// Age of a state that is still passed on as current: half of the 3 s
+    /// within which a change reaches every process.
+    SL_RAFT_RECENT_MAX_US = 1500 * 1000,
 };
 
 /// A member according to the log.
@@ -67,6 +71,8 @@
     /// Send time of the latest heartbeat round that the member acknowledged; 0
     /// when there is none.
     uint64_t acked_us;
+    /// End of the lease that the member has granted by its answers.
+    uint64_t lease_until_us;
     uint64_t last_received_us;
     /// Send time in the member's last reply, by the member's clock, which is
     /// echoed to it; and the time at which that reply arrived here.
@@ -147,13 +153,26 @@
     uint64_t now_us;
     uint64_t election_due_us;
     uint64_t last_leader_message_us;
-    /// Follower: end of the lease that the leader last reported.
+    /// Round trips to a majority: of rounds, and of requests for votes.
+    struct SlAnswerTimeout majority_trip;
+    /// Leader: election timeout of the present round. Follower: that of its
+    /// leader's last message. 0 before.
+    uint64_t announced_election_us;
+    /// When the durable promise was last needed.
+    uint64_t promise_needed_us;
+    /// No vote is granted before, since a leader may hold a lease.
+    uint64_t votes_refused_until_us;
+    /// Follower: until when reads may be answered by the leader's last lease,
+    /// and until when the state is recent.
     uint64_t fresh_until_us;
+    uint64_t recent_until_us;
     uint64_t leading_since_us;
     uint64_t heartbeat_due_us;
     uint64_t repair_due_us;
     uint64_t heartbeat_round;
     uint64_t round_sent_us[SL_RAFT_TRACKED_ROUNDS];
+    /// Latest round that a majority has answered, by its send time.
+    uint64_t majority_acked_us;
     bool lease_lost;
 
     /// Version of the last record covered by the snapshot.
@@ -180,10 +199,12 @@
     /// Follower: commit index in the leader's last message.
     uint64_t leader_commit_index;
     /// Follower: commit index in the leader's last message that reported a
-    /// lease, and the end of that lease. It takes effect (fresh_until_us) once
-    /// that commit index is applied here.
+    /// lease, and the ends that follow from it. They take effect
+    /// (fresh_until_us, recent_until_us) once that commit index is applied
+    /// here.
     uint64_t fresh_commit_index;
     uint64_t offered_fresh_until_us;
+    uint64_t offered_recent_until_us;
     /// The chunks received so far of a snapshot from the leader.
     struct SlBuffer incoming_snapshot;
     struct SlVersion incoming_snapshot_last;
@@ -252,6 +273,11 @@
 /// lease, or a follower of such a leader, and the lease has not expired.
 bool
 SlRaft_IsFresh(const struct SlRaft *raft, uint64_t now_us);
+/// True when this instance is fresh, or follows a leader that held a lease
+/// when it sent the state that is applied here, SL_RAFT_RECENT_MAX_US ago at
+/// most. On slow links a follower is recent although it is never fresh.
+bool
+SlRaft_IsRecent(const struct SlRaft *raft, uint64_t now_us);
 /// Returns the remaining time of the leader's lease in microseconds; 0 when
 /// there is no lease.
 uint64_t
@@ -371,6 +397,35 @@
 SlRaft_OnVoted(struct SlRaft *raft, uint64_t sender_id,
                const struct SlVoted *voted);
 
+/// raft_pace.c
+/// Records how long a majority took to answer.
+void
+SlRaft_RecordTrip(struct SlRaft *raft, uint64_t trip_us);
+/// Returns the election timeout that the round trips ask for, at least the
+/// configured one.
+uint64_t
+SlRaft_MeasuredElectionUs(const struct SlRaft *raft);
+/// Returns the election timeout in force: the longer one of the measured and
+/// the leader's.
+uint64_t
+SlRaft_ElectionUs(const struct SlRaft *raft);
+/// Returns how long a candidate waits for votes.
+uint64_t
+SlRaft_VoteTimeoutUs(const struct SlRaft *raft);
+/// Returns how long a lease lasts from the sending of a round.
+uint64_t
+SlRaft_LeaseUs(uint64_t election_us);
+/// Makes a promise to grant no vote for election_us durable. Returns for how
+/// long it may be made: less when storage refuses it.
+uint64_t
+SlRaft_PromiseElectionUs(struct SlRaft *raft, uint64_t election_us);
+/// Grants no vote for election_us from now on.
+void
+SlRaft_RefuseVotesFor(struct SlRaft *raft, uint64_t election_us);
+/// The same after a start, for as long as was promised before it at most.
+void
+SlRaft_RefuseVotesAfterStart(struct SlRaft *raft);
+
 /// raft_leader.c
 void
 SlRaft_BecomeLeader(struct SlRaft *raft, uint32_t votes);
@@ -385,6 +440,10 @@
 /// acknowledged; 0 when there was no such round.
 uint64_t
 SlRaft_QuorumAckedUs(const struct SlRaft *raft);
+/// Returns the end of the lease that a majority has granted to this leader; 0
+/// when there is none.
+uint64_t
+SlRaft_QuorumLeaseUntilUs(const struct SlRaft *raft);
 
 /// raft_follower.c
 /// Follows the sender as the leader of term. Returns false when the term is
--- a/packages/coordination/src/raft_election.c
+++ b/packages/coordination/src/raft_election.c
@@ -27,15 +27,21 @@
 void
 SlRaft_ResetElection(struct SlRaft *raft)
 {
-    uint64_t election_us = raft->options.election_us;
+    uint64_t election_us = SlRaft_ElectionUs(raft);
+    /* A candidate waits for answers, and not until a lease has ended. */
+    uint64_t wait_us = raft->state == SL_CONTROL_CANDIDATE
+                           ? SlRaft_VoteTimeoutUs(raft)
+                           : election_us;
+    uint64_t spread_us = raft->options.election_us;
+
     /* If the vote must be unanimous, two simultaneous candidates always fail:
        a longer random delay makes that less likely. */
-    uint64_t spread_us = !SlRaft_AllIncarnationsLogged(raft)
-                             ? election_us * raft->members.count
-                             : election_us;
-
+    if (!SlRaft_AllIncarnationsLogged(raft)) {
+        spread_us *= raft->members.count;
+    }
+    spread_us = spread_us > election_us ? spread_us : election_us;
     raft->election_due_us =
-        raft->now_us + election_us + SlRaft_NextRandom(raft) % spread_us;
+        raft->now_us + wait_us + SlRaft_NextRandom(raft) % spread_us;
 }
 
 void
@@ -54,6 +60,8 @@
         raft->hard_state.voted_for = 0;
         raft->fresh_until_us = 0;
         raft->offered_fresh_until_us = 0;
+        raft->recent_until_us = 0;
+        raft->offered_recent_until_us = 0;
         SlRaft_SaveHardState(raft);
     }
     if (was_leader) {
@@ -121,7 +129,8 @@
         .kind = SL_MESSAGE_VOTE,
         .vote = {.term = raft->hard_state.term + raft->pre_voting,
                  .pre_vote = raft->pre_voting,
-                 .last = SlRaft_LastVersion(raft)},
+                 .last = SlRaft_LastVersion(raft),
+                 .sent_us = raft->now_us},
     };
 
     send_to_voters(raft, &message);
@@ -137,6 +146,7 @@
     raft->hard_state.term++;
     raft->hard_state.voted_for = raft->options.node_id;
     clear_grants(raft);
+    SlRaft_ResetElection(raft);
     if (SlRaft_SaveHardState(raft) != SL_OK) {
         /* Nobody has heard of the new term, which would only make the next
            leader step down. */
@@ -202,8 +212,7 @@
     if (raft->state == SL_CONTROL_LEADER) {
         return true;
     }
-    return raft->now_us - raft->last_leader_message_us <
-           raft->options.election_us;
+    return raft->now_us < raft->votes_refused_until_us;
 }
 
 static bool
@@ -251,7 +260,8 @@
     struct SlMessage answer = {
         .kind = SL_MESSAGE_VOTED,
         .voted = {.pre_vote = vote->pre_vote,
-                  .incarnation = raft->hard_state.incarnation}};
+                  .incarnation = raft->hard_state.incarnation,
+                  .sent_us = vote->sent_us}};
     bool granted;
 
     /* A request refused because of a lease must not raise the term either. */
@@ -286,6 +296,10 @@
     uint64_t requested_term = raft->hard_state.term + raft->pre_voting;
     struct vote_count vote_count;
 
+    if (raft->state == SL_CONTROL_CANDIDATE && voted->sent_us != 0 &&
+        voted->sent_us <= raft->now_us) {
+        SlRaft_RecordTrip(raft, raft->now_us - voted->sent_us);
+    }
     if (voted->term > raft->hard_state.term && !voted->granted) {
         SlRaft_BecomeFollower(raft, voted->term, 0, "newer_term");
         return;
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -154,8 +154,11 @@
 {
     raft->leader_id = 0;
     raft->last_leader_message_us = 0;
+    raft->votes_refused_until_us = 0;
     raft->fresh_until_us = 0;
     raft->offered_fresh_until_us = 0;
+    raft->recent_until_us = 0;
+    raft->offered_recent_until_us = 0;
     raft->election_due_us =
         raft->now_us + SlRaft_NextRandom(raft) % raft->options.heartbeat_us;
 }
@@ -174,6 +177,13 @@
         handle_resignation(raft);
         return;
     }
+    raft->announced_election_us = append->election_us != 0
+                                      ? append->election_us
+                                      : raft->options.election_us;
+    raft->pending_ack.election_us =
+        SlRaft_PromiseElectionUs(raft, raft->announced_election_us);
+    SlRaft_RefuseVotesFor(raft, raft->pending_ack.election_us);
+    SlRaft_ResetElection(raft);
     raft->ack_due = true;
     raft->pending_ack.term = append->term;
     raft->pending_ack.round = append->round;
@@ -196,10 +206,20 @@
        the echoed send time of a reply of this instance, plus the time for
        which the leader kept it. */
     if (append->lease_us > 0 && append->echo.us != 0) {
+        uint64_t sent_us = append->echo.us + append->echo.kept_us;
+        uint64_t lease_us = SlRaft_LeaseUs(raft->options.election_us);
+
+        /* The leader may commit without this instance for as long as a lease
+           lasts that it grants here, so only the shortest one is used. */
+        lease_us = append->lease_us < lease_us ? append->lease_us : lease_us;
         raft->fresh_commit_index = append->commit;
         raft->offered_fresh_until_us =
-            append->echo.us + append->echo.kept_us + append->lease_us +
+            sent_us + lease_us +
             raft->options.election_us / LEASE_EXTENSION_DIVISOR;
+        raft->offered_recent_until_us =
+            sent_us + (append->lease_us < SL_RAFT_RECENT_MAX_US
+                           ? append->lease_us
+                           : SL_RAFT_RECENT_MAX_US);
     }
 }
 
@@ -216,6 +236,7 @@
     SlRaft_ApplyCommitted(raft);
     if (raft->applied.index >= raft->fresh_commit_index) {
         raft->fresh_until_us = raft->offered_fresh_until_us;
+        raft->recent_until_us = raft->offered_recent_until_us;
     }
 }
 
--- a/packages/coordination/src/raft_form.c
+++ b/packages/coordination/src/raft_form.c
@@ -35,7 +35,9 @@
 is_silent(const struct SlRaft *raft, uint32_t index)
 {
     return raft->members.items[index].node_id != raft->options.node_id &&
-           raft->now_us - last_answer_us(raft, index) > MEMBER_SILENT_US;
+           raft->now_us - last_answer_us(raft, index) >
+               MEMBER_SILENT_US + SlRaft_ElectionUs(raft) -
+                   raft->options.election_us;
 }
 
 struct member_counts {
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -30,6 +30,15 @@
     }
 }
 
+/// Sets the election timeout of the next round, which this instance itself
+/// promises first.
+static void
+begin_round(struct SlRaft *raft)
+{
+    raft->announced_election_us =
+        SlRaft_PromiseElectionUs(raft, SlRaft_MeasuredElectionUs(raft));
+}
+
 void
 SlRaft_BecomeLeader(struct SlRaft *raft, uint32_t votes)
 {
@@ -42,6 +51,8 @@
     raft->lease_lost = false;
     raft->ack_due = false;
     raft->term_start_index = next;
+    raft->majority_acked_us = 0;
+    begin_round(raft);
     for (uint32_t i = 0; i < raft->members.count; i++) {
         struct SlRaftProgress *progress = &raft->progress[i];
 
@@ -140,6 +151,29 @@
     return majority_value(acked_us, voters);
 }
 
+uint64_t
+SlRaft_QuorumLeaseUntilUs(const struct SlRaft *raft)
+{
+    uint64_t until_us[SL_MEMBERS_CONTROL_MAX] = {0};
+    uint64_t own_us =
+        raft->now_us + SlRaft_LeaseUs(raft->announced_election_us);
+    uint32_t voters = 0;
+
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        if (raft->members.items[i].is_voter) {
+            bool self =
+                raft->members.items[i].node_id == raft->options.node_id;
+
+            until_us[voters] =
+                self ? own_us : raft->progress[i].lease_until_us;
+            until_us[voters] =
+                is_counted_voter(raft, i) ? until_us[voters] : 0;
+            voters++;
+        }
+    }
+    return majority_value(until_us, voters);
+}
+
 static void
 advance_commit(struct SlRaft *raft)
 {
@@ -218,6 +252,7 @@
             .lease_us = SlRaft_LeaseRemainingUs(raft, raft->now_us),
             .echo = {.us = progress->echo_us,
                      .kept_us = raft->now_us - progress->echo_received_us},
+            .election_us = raft->announced_election_us,
             .entries = entries}};
     struct SlAppend *append = &message.append;
 
@@ -327,7 +362,7 @@
 check_quorum(struct SlRaft *raft)
 {
     uint64_t since_us = SlRaft_QuorumAckedUs(raft);
-    uint64_t limit_us = raft->options.election_us;
+    uint64_t limit_us = SlRaft_ElectionUs(raft);
 
     if (since_us < raft->leading_since_us) {
         since_us = raft->leading_since_us;
@@ -350,6 +385,7 @@
     if (raft->now_us >= raft->heartbeat_due_us) {
         raft->heartbeat_due_us = raft->now_us + raft->options.heartbeat_us;
         raft->heartbeat_round++;
+        begin_round(raft);
         raft->round_sent_us[raft->heartbeat_round % SL_RAFT_TRACKED_ROUNDS] =
             raft->now_us;
         for (uint32_t i = 0; i < raft->members.count; i++) {
@@ -416,23 +452,37 @@
         progress->match_index = 0;
         progress->next_index = SlRaft_LastIndex(raft) + 1;
         progress->acked_us = 0;
+        progress->lease_until_us = 0;
         progress->is_installing = false;
     }
     progress->incarnation = incarnation;
 }
 
+/// Records the answer to a round, with which the member grants no vote for
+/// election_us.
 static void
 record_round_ack(struct SlRaft *raft, struct SlRaftProgress *progress,
-                 uint64_t round)
+                 uint64_t round, uint64_t election_us)
 {
     uint64_t sent_us = raft->round_sent_us[round % SL_RAFT_TRACKED_ROUNDS];
+    uint64_t lease_until_us = sent_us + SlRaft_LeaseUs(election_us);
+    uint64_t majority_us;
 
     if (round == 0 || round > raft->heartbeat_round ||
         raft->heartbeat_round - round >= SL_RAFT_TRACKED_ROUNDS) {
         return;
     }
-    if (sent_us > progress->acked_us) {
-        progress->acked_us = sent_us;
+    if (lease_until_us > progress->lease_until_us) {
+        progress->lease_until_us = lease_until_us;
+    }
+    if (sent_us <= progress->acked_us) {
+        return;
+    }
+    progress->acked_us = sent_us;
+    majority_us = SlRaft_QuorumAckedUs(raft);
+    if (majority_us > raft->majority_acked_us) {
+        raft->majority_acked_us = majority_us;
+        SlRaft_RecordTrip(raft, raft->now_us - majority_us);
     }
 }
 
@@ -454,7 +504,9 @@
     progress->last_received_us = raft->now_us;
     progress->echo_us = appended->sent.us;
     progress->echo_received_us = raft->now_us;
-    record_round_ack(raft, progress, appended->round);
+    record_round_ack(raft, progress, appended->round,
+                     appended->election_us != 0 ? appended->election_us
+                                                : raft->options.election_us);
     if (progress->is_installing) {
         return;
     }
--- a/packages/coordination/src/raft_member.c
+++ b/packages/coordination/src/raft_member.c
@@ -238,7 +238,7 @@
         const struct SlRaftMember *member = &raft->members.items[i];
         bool self = member->node_id == raft->options.node_id;
         bool is_live =
-            now_us - raft->progress[i].acked_us <= raft->options.election_us &&
+            now_us - raft->progress[i].acked_us <= SlRaft_ElectionUs(raft) &&
             raft->progress[i].acked_us != 0;
 
         if (member->is_voter && member->node_id != excluded_id &&
@@ -266,7 +266,7 @@
 
     return !raft->members.items[index].is_voter && !progress->is_installing &&
            progress->incarnation != 0 && progress->acked_us != 0 &&
-           raft->now_us - progress->acked_us <= raft->options.election_us &&
+           raft->now_us - progress->acked_us <= SlRaft_ElectionUs(raft) &&
            progress->match_index >= raft->commit_index;
 }
 
--- a/packages/coordination/src/raft_snapshot.c
+++ b/packages/coordination/src/raft_snapshot.c
@@ -372,6 +372,7 @@
     if (!SlRaft_AcceptLeader(raft, sender_id, install->term)) {
         return;
     }
+    SlRaft_RefuseVotesFor(raft, raft->options.election_us);
     installed->incarnation = raft->hard_state.incarnation;
     installed->term = raft->hard_state.term;
     if (install->last.index <= raft->commit_index) {
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -165,6 +165,9 @@
     bool pre_vote;
     /// Version of the last entry in the candidate's log.
     struct SlVersion last;
+    /// When the request was sent, by the candidate's clock; the answer repeats
+    /// it.
+    uint64_t sent_us;
 };
 
 struct SlVoted {
@@ -176,6 +179,8 @@
     /// Incarnation of the sender's data folder, which changes when the folder
     /// is lost.
     uint64_t incarnation;
+    /// The sending time of the request that is answered.
+    uint64_t sent_us;
 };
 
 /// One entry of the replicated log. data is a borrowed, encoded SlChange.
@@ -218,6 +223,9 @@
     /// The time stamp of the receiver's latest answer that arrived before this
     /// message was sent.
     struct SlTimestamp echo;
+    /// Election timeout of the leader's round; a receiver that answers grants
+    /// no vote for so long. 0 for the configured one.
+    uint64_t election_us;
 };
 
 struct SlAppended {
@@ -230,6 +238,9 @@
     uint64_t incarnation;
     /// Time of sending, which the leader returns in SlAppend.echo.
     struct SlTimestamp sent;
+    /// For how long after the round's arrival the sender grants no vote; at
+    /// most SlAppend.election_us. 0 for the configured election timeout.
+    uint64_t election_us;
 };
 
 /// One part of a snapshot, for an instance whose log is too far behind to
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -187,16 +187,16 @@
     U64(SlVote, term),
     BOOL(SlVote, pre_vote),
     PART(SlVote, last, VERSION),
+    U64(SlVote, sent_us),
 };
-static const struct SlLayout VOTE = SL_LAYOUT(SlVote, VOTE_FIELDS);
+static const struct SlLayout VOTE = SL_LAYOUT_OPTIONAL(SlVote, VOTE_FIELDS, 1);
 
 static const struct SlField VOTED_FIELDS[] = {
-    U64(SlVoted, term),
-    BOOL(SlVoted, pre_vote),
-    BOOL(SlVoted, granted),
-    U64(SlVoted, incarnation),
+    U64(SlVoted, term),        BOOL(SlVoted, pre_vote), BOOL(SlVoted, granted),
+    U64(SlVoted, incarnation), U64(SlVoted, sent_us),
 };
-static const struct SlLayout VOTED = SL_LAYOUT(SlVoted, VOTED_FIELDS);
+static const struct SlLayout VOTED =
+    SL_LAYOUT_OPTIONAL(SlVoted, VOTED_FIELDS, 1);
 
 static const struct SlField LOG_ENTRY_FIELDS[] = {
     U64(SlLogEntry, term),
@@ -222,17 +222,19 @@
     SL_FIELD_POINTER(SlAppend, entries, entry_count, APPEND_ENTRIES_MAX,
                      LOG_ENTRY),
     PART(SlAppend, echo, STAMP),
+    U64(SlAppend, election_us),
 };
 static const struct SlLayout APPEND =
-    SL_LAYOUT_OPTIONAL(SlAppend, APPEND_FIELDS, 1);
+    SL_LAYOUT_OPTIONAL(SlAppend, APPEND_FIELDS, 2);
 
 static const struct SlField APPENDED_FIELDS[] = {
     U64(SlAppended, term),        BOOL(SlAppended, success),
     U64(SlAppended, index),       U64(SlAppended, round),
     U64(SlAppended, incarnation), PART(SlAppended, sent, STAMP),
+    U64(SlAppended, election_us),
 };
 static const struct SlLayout APPENDED =
-    SL_LAYOUT_OPTIONAL(SlAppended, APPENDED_FIELDS, 1);
+    SL_LAYOUT_OPTIONAL(SlAppended, APPENDED_FIELDS, 2);
 
 static const struct SlField INSTALL_FIELDS[] = {
     U64(SlInstall, term),
--- a/packages/state/include/savoryledge/state/storage.h
+++ b/packages/state/include/savoryledge/state/storage.h
@@ -34,6 +34,9 @@
     /// True once the instance has received a leader's snapshot or log
     /// completely; the instance does not vote before that.
     bool caught_up;
+    /// Longest election timeout for which the instance may have promised a
+    /// leader to grant no vote, microseconds; 0 for the configured one.
+    uint64_t promised_election_us;
 };
 
 /// A record of the log. Its data is borrowed.
--- a/packages/state/src/storage_folder.c
+++ b/packages/state/src/storage_folder.c
@@ -22,6 +22,9 @@
 enum {
     /// Number of 64-bit integers in the file "state".
     STATE_WORDS = 5,
+    /// The last word: a flag, and the promised election timeout above it.
+    STATE_FLAG_BITS = 1,
+    STATE_CAUGHT_UP = 1,
     /// Size of the term and index of the last change, which the file
     /// "snapshot" contains before the snapshot's bytes.
     SNAPSHOT_HEADER_BYTES = 16,
@@ -56,9 +59,12 @@
 {
     struct storage_folder *self = (struct storage_folder *)storage;
     uint64_t words[STATE_WORDS] = {
-        htole64(state->term),        htole64(state->voted_for),
-        htole64(state->incarnation), htole64(state->node_id),
-        htole64(state->caught_up),
+        htole64(state->term),
+        htole64(state->voted_for),
+        htole64(state->incarnation),
+        htole64(state->node_id),
+        htole64(state->caught_up | state->promised_election_us
+                                       << STATE_FLAG_BITS),
     };
     enum SlStatus status =
         SlFolder_ReplaceCheckedFile(&self->folder, SL_STEP_VOTE, STATE_NAME,
@@ -483,7 +489,8 @@
         .voted_for = le64toh(words[1]),
         .incarnation = le64toh(words[2]),
         .node_id = le64toh(words[3]),
-        .caught_up = words[4] != 0,
+        .caught_up = (le64toh(words[4]) & STATE_CAUGHT_UP) != 0,
+        .promised_election_us = le64toh(words[4]) >> STATE_FLAG_BITS,
     };
     return SL_OK;
 }
--- a/test/control_fixture.h
+++ b/test/control_fixture.h
@@ -163,6 +163,21 @@
     }
 }
 
+/// Raises the delay between nodes in steps, so that the leader stays.
+static inline void
+fixture_slow_down(struct control_fixture *fixture, uint64_t extra_delay_us)
+{
+    enum {
+        DELAY_STEP_US = 10 * 1000,
+        STEPS = 10
+    };
+
+    while (fixture->simulation.extra_delay_us < extra_delay_us) {
+        fixture->simulation.extra_delay_us += DELAY_STEP_US;
+        fixture_run(fixture, STEPS);
+    }
+}
+
 static inline uint32_t
 find_leader(struct control_fixture *fixture)
 {
--- a/test/control_publish_test.c
+++ b/test/control_publish_test.c
@@ -6,8 +6,8 @@
 enum {
     INSTANCES = 3,
     CHANGES = 40,
-    /// Rounds so rare that the lease of a follower ends before the next one.
-    SLOW_HEARTBEAT_US = 180 * 1000,
+    /// Links so slow that what a leader sends is not recent when it arrives.
+    SLOW_DELAY_US = 1000 * 1000,
 };
 
 /// What a subscriber received, and from whom.
@@ -30,8 +30,8 @@
     }
     CU_ASSERT(SlVersion_Compare(message->config.to, subscriber->version) > 0);
     CU_ASSERT(!message->config.fresh ||
-              SlControl_IsFresh(simulation->nodes[from].control,
-                                simulation->now_us));
+              SlControl_IsRecent(simulation->nodes[from].control,
+                                 simulation->now_us));
     subscriber->version = message->config.to;
     subscriber->outdated_parts += !message->config.fresh;
 }
@@ -47,12 +47,11 @@
     fixture->simulation.context = fixture;
     fixture->simulation.self_forming = true;
     fixture->simulation.seeds = INSTANCES;
-    fixture->simulation.heartbeat_us = SLOW_HEARTBEAT_US;
     for (uint32_t i = 0; i < INSTANCES; i++) {
         fixture_start_node(fixture, i);
     }
     find_leader(fixture);
-    fixture_run(fixture, 60);
+    fixture_slow_down(fixture, SLOW_DELAY_US);
     return subscriber;
 }
 
@@ -95,7 +94,7 @@
         change = make_change(1, i, SL_VERB_CREATE, name);
         change.base = SlControl_AppliedVersion(control);
         send_change(fixture, leader, &change);
-        for (uint32_t j = 0; j < 10; j++) {
+        for (uint32_t j = 0; j < 10 || (i == CHANGES && j < 200); j++) {
             fixture_step(fixture);
             late_steps +=
                 SlVersion_Compare(subscriber->version,
--- a/test/control_simulation.h
+++ b/test/control_simulation.h
@@ -66,6 +66,8 @@
     uint64_t unreachable_us;
     uint64_t heartbeat_us;
     uint64_t election_us;
+    /// Added to the delay of each message between nodes.
+    uint64_t extra_delay_us;
     /// Nodes manage their membership themselves; the first `seeds` nodes found
     /// the site.
     bool self_forming;
@@ -184,7 +186,7 @@
     struct simulated_message *queued = calloc(1, sizeof(*queued));
     uint64_t due_us = simulation->now_us +
                       simulation_random(simulation, SIMULATION_MAX_DELAY_US) +
-                      1000;
+                      simulation->extra_delay_us + 1000;
 
     if (due_us < simulation->link_due_us[from][to]) {
         due_us = simulation->link_due_us[from][to];
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -6,6 +6,8 @@
 
 enum {
     RACES = 1000,
+    /// Delay with which a follower's lease is over before it arrives.
+    SLOW_DELAY_US = 200 * 1000,
 };
 
 static void
@@ -483,6 +485,7 @@
     struct SlControlMember named;
     uint32_t steps_without_lease = 0;
 
+    fixture_slow_down(fixture, SLOW_DELAY_US);
     for (uint32_t i = 0; i < 300; i++) {
         fixture_step(fixture);
         steps_without_lease +=
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -26,6 +26,9 @@
         (SIMULATION_ELECTION_US * 3 / 4 + SIMULATION_MAX_DELAY_US) /
             SIMULATION_STEP_US +
         2,
+    /// The same for a state that is passed on as recent: at most 1.5 s old.
+    RECENT_LIMIT_STEPS =
+        (1500 * 1000 + SIMULATION_MAX_DELAY_US) / SIMULATION_STEP_US + 2,
 };
 
 /// A change that an operator requested.
@@ -50,7 +53,7 @@
     struct SlVersion newest_accepted;
     /// The newest accepted version at the end of each of the last steps.
     uint32_t steps;
-    struct SlVersion accepted_by_step[FRESHNESS_LIMIT_STEPS];
+    struct SlVersion accepted_by_step[RECENT_LIMIT_STEPS];
     /// The last node whose data folder was wiped, and the version at which the
     /// log had promoted it before that.
     uint32_t wiped_node;
@@ -110,6 +113,15 @@
     }
 }
 
+/// The newest version that had been accepted so many steps ago.
+static struct SlVersion
+accepted_before(const struct schedule *schedule, uint32_t steps)
+{
+    uint32_t index = schedule->steps + RECENT_LIMIT_STEPS - steps;
+
+    return schedule->accepted_by_step[index % RECENT_LIMIT_STEPS];
+}
+
 static void
 check_node(struct schedule *schedule, uint32_t index)
 {
@@ -145,10 +157,14 @@
     }
     if (SlControl_IsFresh(control, simulation->now_us) &&
         SlVersion_Compare(
-            applied, schedule->accepted_by_step[schedule->steps %
-                                                FRESHNESS_LIMIT_STEPS]) < 0) {
+            applied, accepted_before(schedule, FRESHNESS_LIMIT_STEPS)) < 0) {
         report_violation(schedule, "an outdated state is reported as current");
     }
+    if (SlControl_IsRecent(control, simulation->now_us) &&
+        SlVersion_Compare(applied,
+                          accepted_before(schedule, RECENT_LIMIT_STEPS)) < 0) {
+        report_violation(schedule, "an old state is reported as recent");
+    }
 }
 
 static void
@@ -171,7 +187,7 @@
     if (fresh_leaders > 1) {
         report_violation(schedule, "two leaders with a lease");
     }
-    schedule->accepted_by_step[schedule->steps % FRESHNESS_LIMIT_STEPS] =
+    schedule->accepted_by_step[schedule->steps % RECENT_LIMIT_STEPS] =
         schedule->newest_accepted;
     schedule->steps++;
 }
