Let a new leader wait for leases that a leader gave before it resigned

The members may elect at once after a resignation, although the leases that they granted still last.

Votes now tell for how long such a lease may last. The next leader commits nothing before that, unless all members but the one that resigned have answered in its term: then nobody holds one. So a planned stop is as fast as it was, but when a member is silent it takes up to the election timeout longer.

--- a/packages/coordination/src/raft.h
+++ b/packages/coordination/src/raft.h
@@ -73,6 +73,9 @@
     uint64_t acked_us;
     /// End of the lease that the member has granted by its answers.
     uint64_t lease_until_us;
+    /// Until when followers of the former leader may hold a lease that the
+    /// member granted, by its vote.
+    uint64_t former_lease_until_us;
     uint64_t last_received_us;
     /// Send time in the member's last reply, by the member's clock, which is
     /// echoed to it; and the time at which that reply arrived here.
@@ -160,8 +163,15 @@
     uint64_t announced_election_us;
     /// When the durable promise was last needed.
     uint64_t promise_needed_us;
-    /// No vote is granted before, since a leader may hold a lease.
+    /// No vote is granted before, since a leader may hold a lease; and the
+    /// same, not shortened by its resignation.
     uint64_t votes_refused_until_us;
+    uint64_t lease_granted_until_us;
+    /// The leader that resigned last.
+    uint64_t resigned_id;
+    /// Leader: nothing is committed before, unless all other members have
+    /// answered in this term.
+    uint64_t former_lease_until_us;
     /// Follower: until when reads may be answered by the leader's last lease,
     /// and until when the state is recent.
     uint64_t fresh_until_us;
@@ -425,6 +435,9 @@
 /// The same after a start, for as long as was promised before it at most.
 void
 SlRaft_RefuseVotesAfterStart(struct SlRaft *raft);
+/// Returns for how long a lease may last that this instance has granted.
+uint64_t
+SlRaft_GrantedLeaseLeftUs(const struct SlRaft *raft);
 
 /// raft_leader.c
 void
--- a/packages/coordination/src/raft_election.c
+++ b/packages/coordination/src/raft_election.c
@@ -261,7 +261,8 @@
         .kind = SL_MESSAGE_VOTED,
         .voted = {.pre_vote = vote->pre_vote,
                   .incarnation = raft->hard_state.incarnation,
-                  .sent_us = vote->sent_us}};
+                  .sent_us = vote->sent_us,
+                  .lease_left_us = SlRaft_GrantedLeaseLeftUs(raft)}};
     bool granted;
 
     /* A request refused because of a lease must not raise the term either. */
@@ -312,6 +313,7 @@
     }
     progress->vote_granted = true;
     progress->incarnation = voted->incarnation;
+    progress->former_lease_until_us = raft->now_us + voted->lease_left_us;
     vote_count = count_votes(raft);
     if (!has_quorum(&vote_count)) {
         return;
--- a/packages/coordination/src/raft_follower.c
+++ b/packages/coordination/src/raft_follower.c
@@ -152,6 +152,7 @@
 static void
 handle_resignation(struct SlRaft *raft)
 {
+    raft->resigned_id = raft->leader_id;
     raft->leader_id = 0;
     raft->last_leader_message_us = 0;
     raft->votes_refused_until_us = 0;
--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -52,10 +52,15 @@
     raft->ack_due = false;
     raft->term_start_index = next;
     raft->majority_acked_us = 0;
+    raft->former_lease_until_us = raft->lease_granted_until_us;
     begin_round(raft);
     for (uint32_t i = 0; i < raft->members.count; i++) {
         struct SlRaftProgress *progress = &raft->progress[i];
 
+        if (progress->vote_granted &&
+            progress->former_lease_until_us > raft->former_lease_until_us) {
+            raft->former_lease_until_us = progress->former_lease_until_us;
+        }
         *progress = (struct SlRaftProgress){
             .node_id = progress->node_id,
             .incarnation = progress->vote_granted ? progress->incarnation : 0,
@@ -174,6 +179,25 @@
     return majority_value(until_us, voters);
 }
 
+/// True while a follower of the former leader, which resigned, may hold a
+/// lease: it would not see what is committed now.
+static bool
+may_former_lease_last(const struct SlRaft *raft)
+{
+    if (raft->now_us >= raft->former_lease_until_us) {
+        return false;
+    }
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        uint64_t node_id = raft->members.items[i].node_id;
+
+        if (node_id != raft->options.node_id && node_id != raft->resigned_id &&
+            raft->progress[i].acked_us == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 advance_commit(struct SlRaft *raft)
 {
@@ -192,6 +216,9 @@
             voters++;
         }
     }
+    if (may_former_lease_last(raft)) {
+        return;
+    }
     quorum_index = majority_value(match, voters);
     /* Only the commit of a record of the present term commits the records
        before it (Raft, 5.4.2). */
@@ -276,6 +303,7 @@
         .kind = SL_MESSAGE_APPEND,
         .append = {.term = raft->hard_state.term, .resigns = true}};
 
+    raft->lease_granted_until_us = SlRaft_QuorumLeaseUntilUs(raft);
     for (uint32_t i = 0; i < raft->members.count; i++) {
         uint64_t node_id = raft->members.items[i].node_id;
 
--- a/packages/coordination/src/raft_pace.c
+++ b/packages/coordination/src/raft_pace.c
@@ -142,6 +142,9 @@
     if (until_us > raft->votes_refused_until_us) {
         raft->votes_refused_until_us = until_us;
     }
+    if (until_us > raft->lease_granted_until_us) {
+        raft->lease_granted_until_us = until_us;
+    }
 }
 
 void
@@ -150,3 +153,11 @@
     raft->promise_needed_us = raft->now_us;
     SlRaft_RefuseVotesFor(raft, durable_election_us(raft));
 }
+
+uint64_t
+SlRaft_GrantedLeaseLeftUs(const struct SlRaft *raft)
+{
+    return raft->lease_granted_until_us > raft->now_us
+               ? raft->lease_granted_until_us - raft->now_us
+               : 0;
+}
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -181,6 +181,10 @@
     uint64_t incarnation;
     /// The sending time of the request that is answered.
     uint64_t sent_us;
+    /// How long followers of the former leader may still hold leases that the
+    /// sender has granted, microseconds. Above 0 only after that leader
+    /// resigned.
+    uint64_t lease_left_us;
 };
 
 /// One entry of the replicated log. data is a borrowed, encoded SlChange.
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -192,11 +192,12 @@
 static const struct SlLayout VOTE = SL_LAYOUT_OPTIONAL(SlVote, VOTE_FIELDS, 1);
 
 static const struct SlField VOTED_FIELDS[] = {
-    U64(SlVoted, term),        BOOL(SlVoted, pre_vote), BOOL(SlVoted, granted),
-    U64(SlVoted, incarnation), U64(SlVoted, sent_us),
+    U64(SlVoted, term),     BOOL(SlVoted, pre_vote),
+    BOOL(SlVoted, granted), U64(SlVoted, incarnation),
+    U64(SlVoted, sent_us),  U64(SlVoted, lease_left_us),
 };
 static const struct SlLayout VOTED =
-    SL_LAYOUT_OPTIONAL(SlVoted, VOTED_FIELDS, 1);
+    SL_LAYOUT_OPTIONAL(SlVoted, VOTED_FIELDS, 2);
 
 static const struct SlField LOG_ENTRY_FIELDS[] = {
     U64(SlLogEntry, term),
