Keep flows that a run may have opened before its first status

A status tells its run's start by the wall clock that the agent shares. Flows since then are tried; those before are dropped as before.

--- a/packages/coordination/include/savoryledge/coordination/relay_agent.h
+++ b/packages/coordination/include/savoryledge/coordination/relay_agent.h
@@ -31,6 +31,9 @@
     /// upstream does not report the time.
     char id[SL_NAME_BYTES];
     uint64_t started_ms;
+    /// When the status arrived, by the clock of this machine, which is the
+    /// upstream's too; milliseconds since 1970, 0 when unknown.
+    uint64_t received_ms;
     /// Sequence number of the status; increases with each status of one run.
     uint64_t seq;
     /// Name of the service that the upstream belongs to.
--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -14,9 +14,6 @@
     /// New flows per second that any upstream can take in addition to the
     /// slow-start rate in the plan.
     COLD_EXTRA_FLOWS = 3,
-    /// A first status with a sequence number up to this comes from a run of
-    /// the upstream that started while this process was running.
-    FIRST_STATUS_SEQ_MAX = 1,
     DEFAULT_CAPACITY_FLOWS = 2000,
     /// Initial limit of queries per tick. The link of an agent is sized for
     /// the downloads that its upstream serves, so it can carry this many.
@@ -317,19 +314,32 @@
     }
 }
 
+/// Returns the time from which on the new run may have opened flows.
+static uint64_t
+next_run_from_us(const struct SlRelayAgent *agent, uint64_t now_us,
+                 const struct SlUpstreamStatus *status)
+{
+    struct SlNextRunEvidence run = {.previous_us = agent->last_status_us,
+                                    .previous_wall_ms =
+                                        agent->upstream.received_ms,
+                                    .received_us = now_us,
+                                    .received_wall_ms = status->received_ms,
+                                    .started_wall_ms = status->started_ms};
+    uint64_t started_us = SlNextRunEvidence_StartUs(&run);
+    uint64_t end_us = run_end_us(agent);
+
+    return started_us > end_us ? started_us : end_us;
+}
+
 /// Resets the state for a new run of the upstream, which holds no flow of the
-/// previous run. When earlier statuses of the new run were missed or not
-/// taken, flows that the upstream has opened since may be the new run's. The
+/// previous run. It may have opened flows before its first status that is
+/// taken: of these it is unknown which run holds them, and they are tried. The
 /// first status after the start of this process does not mean that the
 /// upstream restarted, so flows learned until then are kept.
 static void
 reset_for_new_upstream(struct SlRelayAgent *agent, struct SlRelaySink *sink,
-                       uint64_t now_us, const struct SlUpstreamStatus *status,
-                       enum SlRunVerdict verdict)
+                       uint64_t now_us, const struct SlUpstreamStatus *status)
 {
-    bool is_first_status =
-        verdict == SL_RUN_NEXT && status->seq <= FIRST_STATUS_SEQ_MAX;
-
     SlFlowRecorder_BeginRun(agent, agent->last_status_us == 0);
     if (agent->last_status_us == 0) {
         record_run_start(agent, now_us, status);
@@ -338,8 +348,8 @@
     else {
         agent->table.saw_start = true;
         collect_lost_flows(agent, sink, now_us, status);
-        SlAgentFlow_RemoveHeld(
-            agent, now_us, is_first_status ? UINT64_MAX : run_end_us(agent));
+        SlAgentFlow_RemoveHeld(agent, now_us,
+                               next_run_from_us(agent, now_us, status));
     }
     agent->admission.full_until_us = 0;
     agent->admission.answer_us = 0;
@@ -394,7 +404,7 @@
         SlAgentWork_Forget(agent, sink, now_us);
     }
     if (agent->last_status_us == 0 || !is_same_start(&previous, status)) {
-        reset_for_new_upstream(agent, sink, now_us, status, verdict);
+        reset_for_new_upstream(agent, sink, now_us, status);
     }
     agent->upstream = *status;
     agent->upstream_known = true;
--- a/packages/coordination/src/relay_evidence.c
+++ b/packages/coordination/src/relay_evidence.c
@@ -8,6 +8,10 @@
     /// Minimum time from the first upstream status that an agent process
     /// receives to the start of the next agent process.
     PROCESS_RESTART_MIN_MS = 100,
+    /// Difference of two intervals by the wall clock and the steady clock
+    /// above which the wall clock has jumped, and by which a start time may be
+    /// late.
+    CLOCK_DIFFERENCE_MAX_MS = 50,
     US_PER_MS = 1000,
 };
 
@@ -75,6 +79,26 @@
                : SL_REFUSAL_ENDED;
 }
 
+uint64_t
+SlNextRunEvidence_StartUs(const struct SlNextRunEvidence *run)
+{
+    uint64_t steady_ms = (run->received_us - run->previous_us) / US_PER_MS;
+    uint64_t wall_ms = run->received_wall_ms - run->previous_wall_ms;
+    uint64_t age_us = (run->received_wall_ms - run->started_wall_ms +
+                       CLOCK_DIFFERENCE_MAX_MS) *
+                      US_PER_MS;
+
+    if (run->previous_wall_ms == 0 || run->received_wall_ms == 0 ||
+        run->started_wall_ms == 0 ||
+        run->received_wall_ms < run->started_wall_ms ||
+        run->received_wall_ms < run->previous_wall_ms ||
+        wall_ms > steady_ms + CLOCK_DIFFERENCE_MAX_MS ||
+        steady_ms > wall_ms + CLOCK_DIFFERENCE_MAX_MS) {
+        return 0;
+    }
+    return run->received_us > age_us ? run->received_us - age_us : 0;
+}
+
 bool
 SlRunStartEvidence_IsFirstProcess(const struct SlRunStartEvidence *run,
                                   uint32_t cold_ms)
--- a/packages/coordination/src/relay_evidence.h
+++ b/packages/coordination/src/relay_evidence.h
@@ -108,6 +108,21 @@
 SlRefusalEvidence_Judge(const struct SlRefusalEvidence *refusal,
                         uint64_t now_us);
 
+/// The first status of a run that is taken, and the last one of the run before
+/// it. Wall-clock times are milliseconds since 1970, 0 when unknown.
+struct SlNextRunEvidence {
+    uint64_t previous_us;
+    uint64_t previous_wall_ms;
+    uint64_t received_us;
+    uint64_t received_wall_ms;
+    uint64_t started_wall_ms;
+};
+
+/// Returns the earliest time at which the run can have started; 0 when the
+/// wall clock does not tell, or has jumped since the run before.
+uint64_t
+SlNextRunEvidence_StartUs(const struct SlNextRunEvidence *run);
+
 /// The first status that an agent process receives, and when the process
 /// started.
 struct SlRunStartEvidence {
--- a/packages/daemon/src/shell_relay.c
+++ b/packages/daemon/src/shell_relay.c
@@ -555,15 +555,17 @@
 shell_relay_report_status(struct shell_relay *relay, uint64_t now_us,
                           const struct SlUpstreamStatus *upstream_status)
 {
+    struct SlUpstreamStatus received = *upstream_status;
     bool accepted;
 
+    received.received_ms = SlClock_Wall() / US_PER_MS;
     if (relay->agent == NULL ||
         strcmp(upstream_status->service,
                relay->shell->settings.relay.service) != 0) {
         return false;
     }
     accepted = SlRelayAgent_UpdateStatus(relay->agent, &relay->sink, now_us,
-                                         upstream_status);
+                                         &received);
     announce_upstream(relay, now_us);
     relay->shell->has_inputs = true;
     return accepted;
--- a/replay/fleet/upstreams.c
+++ b/replay/fleet/upstreams.c
@@ -21,6 +21,8 @@
     struct fleet *fleet = host->fleet;
     struct fleet_upstream *upstream = &host->upstream;
     struct SlUpstreamStatus status = {.started_ms = upstream->incarnation,
+                                      .received_ms =
+                                          fleet->now_us / US_PER_MS + 1,
                                       .seq = ++upstream->seq,
                                       .service = "orders",
                                       .slots = fleet->settings->slots};
--- a/test/relay_search_test.c
+++ b/test/relay_search_test.c
@@ -135,7 +135,7 @@
 {
     for (uint32_t i = 0; i < sim->agent_count; i++) {
         sim->upstreams[i].held_count = 0;
-        sim->upstreams[i].status.started_ms = 5000;
+        sim->upstreams[i].status.started_ms = relay_wall_ms(sim);
         sim->upstreams[i].status.seq = 0;
         CU_ASSERT(relay_report_status(sim, i));
     }
--- a/test/relay_simulation.h
+++ b/test/relay_simulation.h
@@ -26,6 +26,8 @@
     /// A caller accepts a reset whose sequence number is within this distance
     /// of the number that it acknowledged last.
     RESET_WINDOW = 76800,
+    /// The wall clock at the time 0 of the simulation.
+    RELAY_WALL_MS = 1000 * 1000,
     RELAY_PORT = 443,
     /// Port of a route of the same service with a lower priority.
     RELAY_STATUS_PORT = 444,
@@ -144,6 +146,8 @@
     /// The wall clock at the start of processes that start now, milliseconds;
     /// 0 when they do not know it.
     uint64_t start_wall_ms;
+    /// By how much the wall clock has jumped.
+    int64_t wall_offset_ms;
     /// Share of frames that are lost, in units of 1/1000.
     uint32_t loss_permille;
     /// Number of frames sent, by kind.
@@ -559,6 +563,13 @@
     }
 }
 
+/// The wall clock, milliseconds.
+static inline uint64_t
+relay_wall_ms(const struct relay_simulation *sim)
+{
+    return RELAY_WALL_MS + sim->now_us / 1000 + (uint64_t)sim->wall_offset_ms;
+}
+
 /// Reports the upstream's status to its agent.
 static inline bool
 relay_report_status(struct relay_simulation *sim, uint32_t agent_index)
@@ -567,6 +578,7 @@
     struct relay_upstream *upstream = &sim->upstreams[agent_index];
 
     upstream->status.seq++;
+    upstream->status.received_ms = relay_wall_ms(sim);
     return SlRelayAgent_UpdateStatus(node->agent, &node->sink, sim->now_us,
                                      &upstream->status);
 }
