--- a/soak/processes.c
+++ b/soak/processes.c
@@ -204,19 +204,28 @@
     }
 }
 
+/// Returns the share of each tenth of a second in which the process runs, in
+/// percent; 0 for all of it.
+static uint32_t
+quota_percent(const struct soak *soak, const struct soak_node *node)
+{
+    if (soak->thin_quota > 0 && node->role != SOAK_AGENT) {
+        return soak->thin_quota;
+    }
+    return node->has_disk ? soak->control_quota : 0;
+}
+
 void
 soak_throttle_nodes(struct soak *soak, uint64_t now_us)
 {
-    uint64_t quota_us = soak->control_quota * QUOTA_PERIOD_US / 100;
-
-    for (uint32_t i = 0; soak->control_quota > 0 && i < soak->node_count;
-         i++) {
+    for (uint32_t i = 0; i < soak->node_count; i++) {
         struct soak_node *node = &soak->nodes[i];
+        uint64_t quota_us = quota_percent(soak, node) * QUOTA_PERIOD_US / 100;
         uint64_t phase_us =
             (now_us + i * QUOTA_PERIOD_US / 7) % QUOTA_PERIOD_US;
         bool is_throttled = phase_us >= quota_us;
 
-        if (!node->has_disk || node->pid == 0 || node->is_paused ||
+        if (quota_us == 0 || node->pid == 0 || node->is_paused ||
             node->is_throttled == is_throttled) {
             continue;
         }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -109,6 +109,8 @@
     /// Share of each tenth of a second in which control instances run, in
     /// percent; 0 for all of it.
     uint32_t control_quota;
+    /// The same for entries and control processes, with or without a disk.
+    uint32_t thin_quota;
     /// Control instances that are still to be replaced by new ones at other
     /// addresses.
     uint32_t replacements;
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -598,6 +598,9 @@
     struct arg_int *quota =
         arg_int0(NULL, "control-quota", "PERCENT",
                  "share of each tenth of a second for control instances");
+    struct arg_int *thin_quota =
+        arg_int0(NULL, "thin-quota", "PERCENT",
+                 "the same for entries and all control processes");
     struct arg_lit *restarts =
         arg_lit0("r", "restarts-only", "no faults but kills and stops");
     struct arg_file *program =
@@ -605,10 +608,10 @@
     struct arg_file *folder =
         arg_file1(NULL, NULL, "FOLDER", "for settings, data and logs");
     struct arg_end *end = arg_end(4);
-    void *table[] = {seed,     seconds,      net,      size,
-                     entries,  controls,     diskless, callers,
-                     losses,   replacements, delay,    quota,
-                     restarts, program,      folder,   end};
+    void *table[] = {seed,     seconds,  net,        size,     entries,
+                     controls, diskless, callers,    losses,   replacements,
+                     delay,    quota,    thin_quota, restarts, program,
+                     folder,   end};
     uint32_t agents;
     bool is_valid;
 
@@ -616,7 +619,7 @@
     *entries->ival = 0;
     *controls->ival = 4;
     *diskless->ival = *callers->ival = *losses->ival = *replacements->ival =
-        *delay->ival = *quota->ival = 0;
+        *delay->ival = *quota->ival = *thin_quota->ival = 0;
     is_valid = arg_parse(argc, argv, table) == 0;
     agents = (uint32_t)*size->ival;
     if (*entries->ival == 0) {
@@ -640,6 +643,7 @@
     soak.replacements = (uint32_t)*replacements->ival;
     soak.control_delay_us = (uint64_t)*delay->ival * US_PER_MS;
     soak.control_quota = (uint32_t)*quota->ival;
+    soak.thin_quota = (uint32_t)*thin_quota->ival;
     soak.restarts_only = restarts->count > 0;
     soak.program = program->filename[0];
     snprintf(soak.folder, sizeof(soak.folder), "%s", folder->filename[0]);
