--- a/packages/coordination/include/savoryledge/coordination/control.h
+++ b/packages/coordination/include/savoryledge/coordination/control.h
@@ -106,6 +106,14 @@
 /// latest lease ended, or since the instance started if it had none.
 int64_t
 SlControl_LeaseUs(const struct SlControl *control, uint64_t now_us);
+/// Returns the election timeout in force, microseconds: the configured one, or
+/// a longer one that follows the round trips to a majority.
+uint64_t
+SlControl_ElectionUs(const struct SlControl *control);
+/// Returns the smoothed round trip from this instance to a majority,
+/// microseconds; 0 before the first.
+uint64_t
+SlControl_RoundTripUs(const struct SlControl *control);
 /// Returns how often the instance ceased to be current.
 uint64_t
 SlControl_LeaseLossCount(const struct SlControl *control);
--- a/packages/coordination/src/control.c
+++ b/packages/coordination/src/control.c
@@ -314,6 +314,18 @@
     return -(int64_t)(now_us - control->current_until_us);
 }
 
+uint64_t
+SlControl_ElectionUs(const struct SlControl *control)
+{
+    return SlRaft_ElectionUs(&control->raft);
+}
+
+uint64_t
+SlControl_RoundTripUs(const struct SlControl *control)
+{
+    return control->raft.majority_trip.smoothed_us;
+}
+
 uint64_t
 SlControl_LeaseLossCount(const struct SlControl *control)
 {
--- a/packages/daemon/src/shell_metrics.c
+++ b/packages/daemon/src/shell_metrics.c
@@ -70,6 +70,10 @@
                 applied.index);
     append_line(out, "control_fresh=%s",
                 SlControl_IsFresh(control, now_us) ? "yes" : "no");
+    append_count(out, "control_election_ms",
+                 SlControl_ElectionUs(control) / 1000);
+    append_count(out, "control_round_trip_ms",
+                 SlControl_RoundTripUs(control) / 1000);
     append_line(out, "control_lease_ms=%" PRId64,
                 SlControl_LeaseUs(control, now_us) / 1000);
     append_count(out, "control_leader_silent_ms",
