Believe that an upstream has ended only once it would have reported

An agent that restarted with a configuration older than its upstream's present run said for certain that the upstream holds nothing, until the next status (up to 1 s): callers of its open flows would be reset. Found by reading. The word of the configuration now counts after 1.5 s, in which an upstream that runs reports.

relay_stop_test, "an agent restarts with an old configuration": the flow is reset without the change.

--- a/packages/coordination/src/relay_agent.c
+++ b/packages/coordination/src/relay_agent.c
@@ -82,9 +82,13 @@
 bool
 SlRelayAgent_MayHoldUnknown(const struct SlRelayAgent *agent, uint64_t now_us)
 {
-    return !agent->upstream_gone &&
-           !SlTableEvidence_IsComplete(&agent->table, &agent->flow_life,
-                                       now_us);
+    /* The configuration's word that the upstream has ended may be older than
+       its next run, which reports its status soon. */
+    bool is_gone = agent->upstream_gone &&
+                   !SlRelayAgent_UsesAnnouncedState(agent, now_us);
+
+    return !is_gone && !SlTableEvidence_IsComplete(&agent->table,
+                                                   &agent->flow_life, now_us);
 }
 
 /// Reads the settings of the upstream's service from the plan.
--- a/test/relay_stop_test.c
+++ b/test/relay_stop_test.c
@@ -155,6 +155,42 @@
     relay_simulation_destroy(sim);
 }
 
+/// An agent restarts with a configuration that is older than the present run
+/// of its upstream, and says that the run before had ended. The flow that the
+/// present run holds stays. Once the agent could have heard from an upstream,
+/// the word counts.
+static void
+test_restart_with_old_configuration(void)
+{
+    struct relay_simulation *sim = relay_simulation_create(2, 2, 2, 50);
+    uint32_t flow = relay_open_flow_and_request(sim, 0);
+    uint32_t holder = relay_find_holder(sim, flow);
+    struct relay_node *node = &sim->nodes[2 + holder];
+    struct SlConfig *present = sim->config;
+    struct SlObject object;
+
+    sim->upstreams[holder].status_paused = true;
+    sim->config = SlConfig_Create();
+    for (uint32_t i = 0; i < SlConfig_ObjectCount(present, SL_KIND_NODE);
+         i++) {
+        object = *SlConfig_ObjectAt(present, SL_KIND_NODE, i);
+        if (strcmp(object.name, node->name) == 0) {
+            SlLabels_Unset(&object.node.announced, "service");
+        }
+        CU_ASSERT_EQUAL(SlConfig_PutObject(sim->config, &object), SL_OK);
+    }
+    relay_restart_node(sim, 2 + holder);
+    SlConfig_Destroy(sim->config);
+    sim->config = present;
+    CU_ASSERT(SlRelayAgent_IsUpstreamGone(node->agent));
+    relay_simulation_run(sim, 100);
+    relay_send_request(sim, 1, flow);
+    relay_simulation_run(sim, 500);
+    CU_ASSERT_EQUAL(sim->callers[flow].answers, 2);
+    CU_ASSERT_EQUAL(sim->callers[flow].resets, 0);
+    relay_simulation_destroy(sim);
+}
+
 /// An upstream drains and refuses connections, but keeps an idle flow. Its
 /// agent, which has_status says whether the upstream has reported to, is
 /// stopped and started. The flow stays.
@@ -268,6 +304,8 @@
          test_refusing_upstream_answers},
         {"an agent restarts after its upstream has gone",
          test_restart_after_gone},
+        {"an agent restarts with an old configuration",
+         test_restart_with_old_configuration},
         {"a draining upstream no longer listens",
          test_draining_upstream_refuses},
         {"a draining upstream answers a request",
