--- a/packages/coordination/src/raft_leader.c
+++ b/packages/coordination/src/raft_leader.c
@@ -135,48 +135,61 @@
     return voters == 0 ? 0 : values[voters / 2];
 }
 
-uint64_t
-SlRaft_QuorumAckedUs(const struct SlRaft *raft)
+/// Returns the largest value that a majority of the voters has reached. own:
+/// the value of this instance.
+static uint64_t
+majority_of_voters(const struct SlRaft *raft, uint64_t own,
+                   uint64_t (*value_of)(const struct SlRaftProgress *progress))
 {
-    uint64_t acked_us[SL_MEMBERS_CONTROL_MAX] = {0};
+    uint64_t values[SL_MEMBERS_CONTROL_MAX] = {0};
     uint32_t voters = 0;
 
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        if (raft->members.items[i].is_voter) {
-            bool self =
-                raft->members.items[i].node_id == raft->options.node_id;
-
-            acked_us[voters] =
-                self ? raft->now_us : raft->progress[i].acked_us;
-            acked_us[voters] =
-                is_counted_voter(raft, i) ? acked_us[voters] : 0;
-            voters++;
+        const struct SlRaftMember *member = &raft->members.items[i];
+        bool self = member->node_id == raft->options.node_id;
+
+        if (!member->is_voter) {
+            continue;
         }
+        if (is_counted_voter(raft, i)) {
+            values[voters] = self ? own : value_of(&raft->progress[i]);
+        }
+        voters++;
     }
-    return majority_value(acked_us, voters);
+    return majority_value(values, voters);
+}
+
+static uint64_t
+acked_us_of(const struct SlRaftProgress *progress)
+{
+    return progress->acked_us;
+}
+
+static uint64_t
+lease_until_us_of(const struct SlRaftProgress *progress)
+{
+    return progress->lease_until_us;
+}
+
+static uint64_t
+match_index_of(const struct SlRaftProgress *progress)
+{
+    return progress->match_index;
+}
+
+uint64_t
+SlRaft_QuorumAckedUs(const struct SlRaft *raft)
+{
+    return majority_of_voters(raft, raft->now_us, acked_us_of);
 }
 
 uint64_t
 SlRaft_QuorumLeaseUntilUs(const struct SlRaft *raft)
 {
-    uint64_t until_us[SL_MEMBERS_CONTROL_MAX] = {0};
     uint64_t own_us =
         raft->now_us + SlRaft_LeaseUs(raft->announced_election_us);
-    uint32_t voters = 0;
 
-    for (uint32_t i = 0; i < raft->members.count; i++) {
-        if (raft->members.items[i].is_voter) {
-            bool self =
-                raft->members.items[i].node_id == raft->options.node_id;
-
-            until_us[voters] =
-                self ? own_us : raft->progress[i].lease_until_us;
-            until_us[voters] =
-                is_counted_voter(raft, i) ? until_us[voters] : 0;
-            voters++;
-        }
-    }
-    return majority_value(until_us, voters);
+    return majority_of_voters(raft, own_us, lease_until_us_of);
 }
 
 /// True while a follower of the former leader, which resigned, may hold a
@@ -201,25 +214,13 @@
 static void
 advance_commit(struct SlRaft *raft)
 {
-    uint64_t match[SL_MEMBERS_CONTROL_MAX] = {0};
-    uint32_t voters = 0;
     uint64_t quorum_index;
 
-    for (uint32_t i = 0; i < raft->members.count; i++) {
-        if (raft->members.items[i].is_voter) {
-            bool self =
-                raft->members.items[i].node_id == raft->options.node_id;
-
-            match[voters] =
-                self ? raft->synced_index : raft->progress[i].match_index;
-            match[voters] = is_counted_voter(raft, i) ? match[voters] : 0;
-            voters++;
-        }
-    }
     if (may_former_lease_last(raft)) {
         return;
     }
-    quorum_index = majority_value(match, voters);
+    quorum_index =
+        majority_of_voters(raft, raft->synced_index, match_index_of);
     /* Only the commit of a record of the present term commits the records
        before it (Raft, 5.4.2). */
     if (quorum_index > raft->commit_index &&
