Measure the round trips of heartbeats without the time that they are kept

A process that had run over quick links left its sources as silent when links became slow, and was cut off again and again: the waits for confirmations grew by the least age of the last minutes, which is a quick one then. Control tells now how long it kept the heartbeat that it answers, and the waits grow by the smoothed round trip.

replica_slow_test, "the network becomes slow", fails with the least age.

--- a/packages/coordination/src/control_core.h
+++ b/packages/coordination/src/control_core.h
@@ -51,6 +51,8 @@
     /// Send time of the peer's last heartbeat, by the peer's clock; returned
     /// to the peer in the next heartbeat.
     uint64_t echo_us;
+    /// When that heartbeat arrived.
+    uint64_t echo_received_us;
 };
 
 /// An operator request that waits for the result of the log record at index
--- a/packages/coordination/src/control_publish.c
+++ b/packages/coordination/src/control_publish.c
@@ -262,6 +262,7 @@
 
     if (link != NULL) {
         link->echo_us = heartbeat->sent_us;
+        link->echo_received_us = control->now_us;
         link->held_version = heartbeat->version;
     }
 }
@@ -283,6 +284,8 @@
             link->heartbeat_due_us =
                 control->now_us + SL_CONTROL_HEARTBEAT_INTERVAL_US;
             message.heartbeat.echo_us = link->echo_us;
+            message.heartbeat.kept_us =
+                control->now_us - link->echo_received_us;
             control->sink->type->send_message(control->sink, link->link,
                                               &message);
         }
--- a/packages/coordination/src/replica.c
+++ b/packages/coordination/src/replica.c
@@ -69,11 +69,17 @@
     *counters = replica->counters;
 }
 
+/// A confirmation takes a round trip to arrive.
+static uint64_t
+cut_off_limit_us(const struct SlReplica *replica)
+{
+    return replica->options.lease_us + replica->trip.smoothed_us;
+}
+
 bool
 SlReplica_IsCutOff(const struct SlReplica *replica, uint64_t now_us)
 {
-    return now_us - replica->last_fresh_us >
-           replica->options.lease_us + replica->confirmation_age.min_us;
+    return now_us - replica->last_fresh_us > cut_off_limit_us(replica);
 }
 
 bool
@@ -276,7 +282,7 @@
                    .now_us = now_us,
                    .reason = cut_off ? "control_silent" : "control_fresh",
                    .value = (int64_t)(now_us - replica->last_fresh_us),
-                   .limit = (int64_t)replica->options.lease_us});
+                   .limit = (int64_t)cut_off_limit_us(replica)});
 }
 
 static void
@@ -540,7 +546,6 @@
         return;
     }
     replica->last_fresh_us = fresh_us;
-    SlAnswerTimeout_AddSample(&replica->confirmation_age, now_us - fresh_us);
     if (fresh_us < replica->control.since_us) {
         return;
     }
@@ -554,6 +559,18 @@
     }
 }
 
+/// Records the round trip that the answer to a heartbeat took.
+static void
+record_trip(struct SlReplica *replica, uint64_t now_us,
+            const struct SlHeartbeat *heartbeat)
+{
+    uint64_t answered_us = heartbeat->echo_us + heartbeat->kept_us;
+
+    if (heartbeat->echo_us != 0 && answered_us <= now_us) {
+        SlAnswerTimeout_AddSample(&replica->trip, now_us - answered_us);
+    }
+}
+
 /// Handles a heartbeat of the control instance in use. The heartbeat confirms
 /// that the configuration of this replica is current only when the reported
 /// version is not newer than the version in force here; for a newer version
@@ -568,6 +585,7 @@
 
     replica->echo_us = heartbeat->sent_us;
     replica->is_control_outdated = !heartbeat->fresh;
+    record_trip(replica, input->now_us, heartbeat);
     if (!heartbeat->fresh) {
         replica->is_control_empty = heartbeat->version.index == 0;
         return;
--- a/packages/coordination/src/replica_core.h
+++ b/packages/coordination/src/replica_core.h
@@ -58,9 +58,8 @@
     uint64_t answer_timeout_us;
     uint32_t answer_timeout_doublings;
     uint64_t answer_jitter_us;
-    /// How old confirmations are when they arrive. The least age of the last
-    /// minutes is the round trip; the others were kept for a heartbeat.
-    struct SlAnswerTimeout confirmation_age;
+    /// Round trips of heartbeats to control instances.
+    struct SlAnswerTimeout trip;
     /// A peer that holds a newer version than this replica; node_id is 0 when
     /// no such peer is known.
     struct config_source peer;
--- a/packages/coordination/src/replica_wait.c
+++ b/packages/coordination/src/replica_wait.c
@@ -117,7 +117,7 @@
 {
     const struct config_source *control = &replica->control;
     uint64_t answer_us = replica->answer_timeout_us +
-                         CONFIRMATION_TRIPS * replica->confirmation_age.min_us;
+                         CONFIRMATION_TRIPS * replica->trip.smoothed_us;
     uint64_t connect_us = doubled_timeout_us(CONNECT_TIMEOUT_US,
                                              replica->unreached_control_streak,
                                              CONNECT_DOUBLINGS_MAX);
--- a/packages/protocol/include/savoryledge/protocol/message.h
+++ b/packages/protocol/include/savoryledge/protocol/message.h
@@ -76,13 +76,15 @@
 
 struct SlHeartbeat {
     struct SlVersion version;
-    /// From control: the sender is a leader with a valid lease, or follows
-    /// one, so version is current.
+    /// From control: the sender is a leader with a valid lease, or follows one
+    /// closely, so version is current.
     bool fresh;
     /// Time of sending by the sender's monotonic clock, microseconds.
     uint64_t sent_us;
-    /// The sent_us of the latest heartbeat that the sender received.
+    /// The sent_us of the latest heartbeat that the sender received, and how
+    /// long ago it arrived.
     uint64_t echo_us;
+    uint64_t kept_us;
 };
 
 struct SlSubscribe {
--- a/packages/protocol/src/message.c
+++ b/packages/protocol/src/message.c
@@ -133,13 +133,12 @@
 static const struct SlLayout HELLO = SL_LAYOUT(SlHello, HELLO_FIELDS);
 
 static const struct SlField HEARTBEAT_FIELDS[] = {
-    PART(SlHeartbeat, version, VERSION),
-    BOOL(SlHeartbeat, fresh),
-    U64(SlHeartbeat, sent_us),
-    U64(SlHeartbeat, echo_us),
+    PART(SlHeartbeat, version, VERSION), BOOL(SlHeartbeat, fresh),
+    U64(SlHeartbeat, sent_us),           U64(SlHeartbeat, echo_us),
+    U64(SlHeartbeat, kept_us),
 };
 static const struct SlLayout HEARTBEAT =
-    SL_LAYOUT(SlHeartbeat, HEARTBEAT_FIELDS);
+    SL_LAYOUT_OPTIONAL(SlHeartbeat, HEARTBEAT_FIELDS, 1);
 
 static const struct SlField SUBSCRIBE_FIELDS[] = {
     PART(SlSubscribe, version, VERSION),
--- a/test/replica_slow_test.c
+++ b/test/replica_slow_test.c
@@ -15,7 +15,8 @@
     /// One way between two processes, and for a link: the connection and two
     /// messages of the handshake, each with its answer.
     DELAY_US = 500 * MS,
-    LINK_US = 6 * DELAY_US,
+    LINK_DELAYS = 6,
+    LINK_US = LINK_DELAYS * DELAY_US,
     BEAT_US = 500 * MS,
 };
 
@@ -37,12 +38,15 @@
     bool is_subscribed;
     uint64_t beat_due_us;
     uint64_t echo_us;
+    uint64_t echo_received_us;
 };
 
 struct slow_site {
     struct SlSink sink;
     struct SlReplica *replica;
     uint64_t now_us;
+    /// One way between two processes.
+    uint64_t delay_us;
     uint64_t next_link;
     struct slow_source sources[SOURCES];
     uint32_t event_count;
@@ -80,7 +84,7 @@
 {
     CU_ASSERT_FATAL(site->event_count < QUEUE_MAX);
     site->events[site->event_count++] =
-        (struct event){.due_us = site->now_us + DELAY_US,
+        (struct event){.due_us = site->now_us + site->delay_us,
                        .source = source,
                        .to_replica = to_replica,
                        .message = *message};
@@ -107,7 +111,7 @@
 
     (void)to;
     source->is_dialled = true;
-    source->link_due_us = site->now_us + LINK_US;
+    source->link_due_us = site->now_us + LINK_DELAYS * site->delay_us;
 }
 
 static void
@@ -172,10 +176,12 @@
     struct SlObject object = source_object(index);
     struct SlPeer peer = {.node_id = object.node.node_id,
                           .roles = SL_ROLE_CONTROL};
-    struct SlMessage beat = {.kind = SL_MESSAGE_HEARTBEAT,
-                             .heartbeat = {.version = {.term = 1, .index = 5},
-                                           .fresh = true,
-                                           .echo_us = source->echo_us}};
+    struct SlMessage beat = {
+        .kind = SL_MESSAGE_HEARTBEAT,
+        .heartbeat = {.version = {.term = 1, .index = 5},
+                      .fresh = true,
+                      .echo_us = source->echo_us,
+                      .kept_us = site->now_us - source->echo_received_us}};
 
     if (source->is_lost) {
         return;
@@ -218,6 +224,7 @@
     }
     else if (event->message.kind == SL_MESSAGE_HEARTBEAT) {
         source->echo_us = event->message.heartbeat.sent_us;
+        source->echo_received_us = site->now_us;
     }
 }
 
@@ -252,7 +259,8 @@
         .discover_controls = true,
         .announce = {.kind = SL_KIND_NODE, .name = "entry-1"}};
 
-    *site = (struct slow_site){.sink = {.type = &SLOW_SINK}};
+    *site =
+        (struct slow_site){.sink = {.type = &SLOW_SINK}, .delay_us = DELAY_US};
     for (uint32_t i = 0; i < SEEDS; i++) {
         options.control_ids[i] = source_object(i).node.node_id;
     }
@@ -330,6 +338,35 @@
     }
 }
 
+/// The network becomes slow while the process runs. After 30 s it leaves no
+/// source any more and is not cut off.
+static void
+test_network_becomes_slow(void)
+{
+    static struct slow_site site;
+
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        create_site(&site, seed);
+        site.delay_us = MS;
+        for (uint32_t i = 0; i < 60000 * MS / STEP_US; i++) {
+            run_step(&site);
+        }
+        CU_ASSERT_EQUAL(site.cut_off_count, 0);
+        site.delay_us = DELAY_US;
+        for (uint32_t i = 0; i < 30000 * MS / STEP_US; i++) {
+            run_step(&site);
+        }
+        site.left_count = 0;
+        site.cut_off_count = 0;
+        for (uint32_t i = 0; i < 60000 * MS / STEP_US; i++) {
+            run_step(&site);
+        }
+        CU_ASSERT_EQUAL(site.left_count, 0);
+        CU_ASSERT_EQUAL(site.cut_off_count, 0);
+        SlReplica_Destroy(site.replica);
+    }
+}
+
 int
 main(void)
 {
@@ -338,6 +375,7 @@
          test_slow_links_are_reached},
         {"confirmations take a second",
          test_late_confirmations_are_no_silence},
+        {"the network becomes slow", test_network_becomes_slow},
     };
 
     return RUN_SUITE("replica slow", CASES);
