--- a/test/control_slow_test.c
+++ b/test/control_slow_test.c
@@ -110,9 +110,10 @@
 {
     struct control_fixture *fixture = create_site(11, 0);
     struct control_simulation *simulation = &fixture->simulation;
-    uint32_t leader = find_leader(fixture);
+    uint32_t leader;
     uint64_t term;
 
+    (void)find_leader(fixture);
     fixture_run(fixture, 5 * STEPS_PER_S);
     simulation->extra_delay_us = SLOW_DELAY_US;
     fixture_run(fixture, 20 * STEPS_PER_S);
--- a/test/replica_slow_test.c
+++ b/test/replica_slow_test.c
@@ -294,7 +294,6 @@
     static struct slow_site site;
 
     for (uint64_t seed = 1; seed <= 10; seed++) {
-        CU_ASSERT(LINK_US < 10000 * MS);
         create_site(&site, seed);
         CU_ASSERT(await_current(&site) < 3 * LINK_US);
         for (uint32_t i = 0; i < SOURCES; i++) {
