Review: a late heartbeat after a planned restart resets open flows

Cause: the first status that an agent process gets is taken for the present run, and the next one for a run that the process saw start. Change: a script with a crash, a heartbeat held up for 4.5 s and a planned restart of one agent.

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -212,6 +212,54 @@
                                                         : EXIT_BROKEN;
 }
 
+/// An endpoint crashes while its heartbeat is held up, and the next
+/// incarnation starts at its address. Later the node beside it is restarted as
+/// planned, and gets the late heartbeat first.
+static int
+run_late_heartbeat(struct site *site)
+{
+    struct endpoint *former = &site->endpoints[1];
+    struct endpoint *endpoint = &site->endpoints[0];
+    struct machine *side = &site->machines[4];
+    uint64_t sent_ms;
+    uint32_t reset;
+
+    if (!start_site(site, 4, 1)) {
+        return EXIT_NOT_RUN;
+    }
+    endpoint->seq++;
+    *former = *endpoint;
+    former->running = false;
+    sent_ms = now_ms();
+    note(site, "endpoint i-1: heartbeat seq=%llu is held up",
+         (unsigned long long)former->seq);
+    stop_endpoint(site, endpoint);
+    pump(site, 500);
+    start_endpoint(site, endpoint, "i-2", side);
+    endpoint->cold_until_ms = now_ms() + COLD_START_MS;
+    pump(site, 500);
+    (void)open_flows(site, 4, 3);
+    pump(site, 700);
+    (void)open_flows(site, 4, 3);
+    if (count_flows(site, endpoint, false) == 0) {
+        return EXIT_NOT_RUN;
+    }
+    pump(site, (uint32_t)(sent_ms + 3900 - now_ms()));
+    stop_process(site, side, "agent");
+    pump(site, RESTART_DELAY_MS);
+    start_process(site, side, "agent");
+    pump(site, 100);
+    if (has_trouble()) {
+        (void)deliver_late_heartbeat(site, former, sent_ms);
+    }
+    pump(site, CONTACT_MS + 300);
+    request_on_open_flows(site);
+    reset = count_flows(site, endpoint, true);
+    note(site, "FLOW: %u of %u open flows of i-2, which runs, were reset",
+         reset, count_flows(site, endpoint, false));
+    return reset > 0 ? EXIT_BROKEN : EXIT_HELD;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -228,6 +276,9 @@
     else if (strcmp(argv[1], "seed-lost") == 0) {
         outcome = run_seed_lost(&site);
     }
+    else if (strcmp(argv[1], "late-heartbeat") == 0) {
+        outcome = run_late_heartbeat(&site);
+    }
     note(&site, "outcome %d", outcome);
     site_close(&site);
     return outcome;
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -77,7 +77,6 @@
     uint64_t seq;
     bool draining;
     uint64_t heartbeat_due_ms;
-    uint64_t acknowledged_ms;
     uint64_t cold_until_ms;
     struct endpoint_flow flows[FLOWS_MAX];
     uint32_t runs;
@@ -188,6 +187,11 @@
 /// Reports the endpoint's status now. Returns the status of the answer.
 int
 send_heartbeat(struct site *site, struct endpoint *endpoint);
+/// Delivers a heartbeat that an endpoint, which may have ended, sent at
+/// sent_ms and that was held up since.
+int
+deliver_late_heartbeat(struct site *site, const struct endpoint *endpoint,
+                       uint64_t sent_ms);
 int
 send_leave(struct site *site, struct endpoint *endpoint);
 void
--- a/review/standin-2/site_packets.c
+++ b/review/standin-2/site_packets.c
@@ -192,16 +192,14 @@
     note(site, "endpoint %s: has ended", endpoint->id);
 }
 
-int
-send_heartbeat(struct site *site, struct endpoint *endpoint)
+/// Calls the endpoint's node with its status. Returns the status of the
+/// answer.
+static int
+report_status(const struct endpoint *endpoint, uint64_t cold_ms)
 {
     char path[TEXT_BYTES];
     char body[512];
     char answer[1024];
-    uint64_t now = now_ms();
-    uint64_t cold_ms =
-        endpoint->cold_until_ms > now ? endpoint->cold_until_ms - now : 0;
-    int status;
 
     snprintf(path, sizeof(path), "/api/instances/%s", endpoint->id);
     snprintf(body, sizeof(body),
@@ -211,19 +209,41 @@
              endpoint->machine->service, endpoint->machine->ip, PORT_APP,
              endpoint->machine->zone,
              endpoint->draining ? "draining" : "ready",
-             (unsigned long long)cold_ms, (unsigned long long)endpoint->seq++,
+             (unsigned long long)cold_ms, (unsigned long long)endpoint->seq,
              (unsigned long long)endpoint->born_ms);
-    status = http_call(endpoint->machine->ip, PORT_CONTROL, "PUT", path, body,
-                       CALL_TIMEOUT_MS, answer, sizeof(answer));
-    if (status / 100 == 2) {
-        endpoint->acknowledged_ms = now_ms();
-    }
+    return http_call(endpoint->machine->ip, PORT_CONTROL, "PUT", path, body,
+                     CALL_TIMEOUT_MS, answer, sizeof(answer));
+}
+
+int
+send_heartbeat(struct site *site, struct endpoint *endpoint)
+{
+    uint64_t now = now_ms();
+    uint64_t cold_ms =
+        endpoint->cold_until_ms > now ? endpoint->cold_until_ms - now : 0;
+    int status;
+
+    endpoint->seq++;
+    status = report_status(endpoint, cold_ms);
     endpoint->heartbeat_due_ms = now_ms() + HEARTBEAT_MS;
-    note(site, "endpoint %s: heartbeat cold_left_ms=%llu -> %d", endpoint->id,
+    note(site, "endpoint %s: heartbeat seq=%llu cold_left_ms=%llu -> %d",
+         endpoint->id, (unsigned long long)endpoint->seq,
          (unsigned long long)cold_ms, status);
     return status;
 }
 
+int
+deliver_late_heartbeat(struct site *site, const struct endpoint *endpoint,
+                       uint64_t sent_ms)
+{
+    int status = report_status(endpoint, 0);
+
+    note(site, "endpoint %s: heartbeat seq=%llu, held up for %llu ms -> %d",
+         endpoint->id, (unsigned long long)endpoint->seq,
+         (unsigned long long)(now_ms() - sent_ms), status);
+    return status;
+}
+
 int
 send_leave(struct site *site, struct endpoint *endpoint)
 {
