Review: flows that no search finds after all processes were killed

Cause: claims of restarted agents overflow the query, and each search spends its tries on the same agents.

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -13,6 +13,9 @@
     EXIT_NOT_RUN = 2,
     FORM_MS = 12000,
     ACK_MS = 5000,
+    REORDER_MS = 2000,
+    /// `contact_ms` of the grown deployments.
+    GROWN_CONTACT_MS = 5000,
 };
 
 static bool
@@ -49,7 +52,8 @@
     }
 }
 
-/// Starts a site of fronts and endpoints, and its first configuration.
+/// Starts a site of fronts and endpoints, and its first configuration. Both
+/// are spread over the zones, of which there are as many as fronts.
 static bool
 start_site(struct site *site, uint32_t fronts, uint32_t sides)
 {
@@ -58,7 +62,8 @@
     open_clients(site);
     add_fronts(site, fronts);
     for (uint32_t i = 0; i < sides; i++) {
-        (void)add_machine(site, i, 10, false, "workroom");
+        (void)add_machine(site, i % fronts, 10 + i / fronts, false,
+                          "workroom");
     }
     start_fronts(site, fronts);
     for (uint32_t i = 0; i < sides; i++) {
@@ -260,6 +265,82 @@
     return reset > 0 ? EXIT_BROKEN : EXIT_HELD;
 }
 
+/// Endpoints are added while many flows are open. Later all processes of the
+/// system are killed, and the flows are idle until every machine is in touch
+/// again.
+static int
+run_all_killed(struct site *site)
+{
+    static const char *const ROLES[] = {"entry", "control", "agent"};
+    uint32_t fronts = 4;
+    uint32_t sides = 36;
+    uint32_t added = 9;
+    uint32_t astray = 0;
+
+    if (!start_site(site, fronts, sides)) {
+        return EXIT_NOT_RUN;
+    }
+    for (uint32_t i = 0; i < sides; i++) {
+        site->endpoints[i].work_ms = 250;
+    }
+    if (open_flows(site, fronts, 100) < 90) {
+        return EXIT_NOT_RUN;
+    }
+    pump(site, 500);
+    for (uint32_t i = 0; i < sides; i++) {
+        site->endpoints[i].work_ms = 0;
+    }
+    for (uint32_t i = 0; i < added; i++, sides++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "i-%u", sides + 1);
+        start_process(site,
+                      add_machine(site, sides % fronts, 10 + sides / fronts,
+                                  false, "workroom"),
+                      "agent");
+        pump(site, 200);
+        start_endpoint(site, &site->endpoints[sides], id,
+                       &site->machines[fronts + sides]);
+    }
+    pump(site, 4000);
+    request_on_open_flows(site);
+    if (has_trouble()) {
+        for (uint32_t i = 0; i < site->machine_count; i++) {
+            for (size_t j = 0; j < sizeof(ROLES) / sizeof(ROLES[0]); j++) {
+                if (is_running(&site->machines[i], ROLES[j])) {
+                    kill_process(site, &site->machines[i], ROLES[j]);
+                }
+            }
+        }
+        pump(site, 1000);
+        start_fronts(site, fronts);
+        for (uint32_t i = 0; i < sides; i++) {
+            start_process(site, &site->machines[fronts + i], "agent");
+        }
+    }
+    pump(site, 2 * GROWN_CONTACT_MS + 300);
+    site->watches_packets = true;
+    request_on_open_flows(site);
+    pump(site, 4000);
+    for (uint32_t i = 0; i < site->flow_count; i++) {
+        struct client_flow *flow = &site->flows[i];
+
+        if (flow->astray_sends >= 3 &&
+            now_ms() - flow->astray_since_ms > flow->astray_longest_ms) {
+            flow->astray_longest_ms = now_ms() - flow->astray_since_ms;
+        }
+        if (flow->astray_longest_ms >= REORDER_MS) {
+            note(site,
+                 "FLOW: for %llu ms three or more packets of open flow %u "
+                 "reached other endpoints and none its own",
+                 (unsigned long long)flow->astray_longest_ms, flow->port);
+            astray++;
+        }
+    }
+    note(site, "FLOW: %u of %u flows", astray, site->flow_count);
+    return astray > 0 ? EXIT_BROKEN : EXIT_HELD;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -279,6 +360,9 @@
     else if (strcmp(argv[1], "late-heartbeat") == 0) {
         outcome = run_late_heartbeat(&site);
     }
+    else if (strcmp(argv[1], "all-killed") == 0) {
+        outcome = run_all_killed(&site);
+    }
     note(&site, "outcome %d", outcome);
     site_close(&site);
     return outcome;
--- a/review/standin-2/site.h
+++ b/review/standin-2/site.h
@@ -12,9 +12,10 @@
 #include <sys/types.h>
 
 enum {
-    MACHINES_MAX = 12,
-    ENDPOINTS_MAX = 8,
-    FLOWS_MAX = 64,
+    MACHINES_MAX = 56,
+    ENDPOINTS_MAX = 48,
+    ENDPOINT_FLOWS_MAX = 64,
+    FLOWS_MAX = 256,
     SEEDS_MAX = 3,
     TEXT_BYTES = 128,
     PACKET_BYTES = 1236,
@@ -65,6 +66,8 @@
     uint32_t acked;
     uint64_t resend_ms;
     uint32_t resends;
+    /// When the request that runs is answered; 0 when none runs.
+    uint64_t answer_due_ms;
 };
 
 struct endpoint {
@@ -78,7 +81,9 @@
     bool draining;
     uint64_t heartbeat_due_ms;
     uint64_t cold_until_ms;
-    struct endpoint_flow flows[FLOWS_MAX];
+    struct endpoint_flow flows[ENDPOINT_FLOWS_MAX];
+    /// How long a request takes.
+    uint32_t work_ms;
     uint32_t runs;
     uint32_t forged;
 };
@@ -114,6 +119,14 @@
     char stamp[64];
     uint8_t request[PACKET_BYTES];
     uint32_t request_bytes;
+    /// Packets of the open flow since one last reached its own endpoint: how
+    /// many of the client's sends reached other endpoints, the first time, and
+    /// the longest span without the own endpoint in which there were three or
+    /// more.
+    uint32_t astray_sends;
+    uint32_t astray_last;
+    uint64_t astray_since_ms;
+    uint64_t astray_longest_ms;
 };
 
 struct site {
@@ -130,6 +143,7 @@
     uint32_t service_ip;
     int client_udp;
     uint32_t foreign_packets;
+    bool watches_packets;
 };
 
 uint64_t
@@ -156,6 +170,8 @@
 void
 signal_process(struct site *site, const struct machine *machine,
                const char *role, int number);
+bool
+is_running(struct machine *machine, const char *role);
 /// Sends SIGTERM and waits until the process has ended, with SIGKILL after 6
 /// s.
 void
--- a/review/standin-2/site_packets.c
+++ b/review/standin-2/site_packets.c
@@ -28,6 +28,7 @@
     CLIENT_PORT_FIRST = 40001,
     POLLED_MAX = 2 * ENDPOINTS_MAX + 1,
     CALL_TIMEOUT_MS = 1000,
+    ASTRAY_MIN = 3,
 };
 
 struct packet {
@@ -292,7 +293,7 @@
 static struct endpoint_flow *
 find_endpoint_flow(struct endpoint *endpoint, const struct packet *packet)
 {
-    for (uint32_t i = 0; i < FLOWS_MAX; i++) {
+    for (uint32_t i = 0; i < ENDPOINT_FLOWS_MAX; i++) {
         struct endpoint_flow *flow = &endpoint->flows[i];
 
         if (flow->used && flow->client_ip == packet->source_ip &&
@@ -309,7 +310,7 @@
 handle_opening(struct endpoint *endpoint, struct endpoint_flow *flow,
                const struct packet *packet)
 {
-    for (uint32_t i = 0; flow == NULL && i < FLOWS_MAX; i++) {
+    for (uint32_t i = 0; flow == NULL && i < ENDPOINT_FLOWS_MAX; i++) {
         if (!endpoint->flows[i].used) {
             flow = &endpoint->flows[i];
             *flow = (struct endpoint_flow){
@@ -330,6 +331,20 @@
     }
 }
 
+static void
+answer_request(struct endpoint *endpoint, struct endpoint_flow *flow)
+{
+    char answer[512];
+    int length = snprintf(answer, sizeof(answer),
+                          "HTTP/1.1 200 OK\r\nX-Savoryledge-Server-Stamp: "
+                          "%s-%u\r\nContent-Length: 2\r\n\r\nok",
+                          endpoint->id, endpoint->runs);
+
+    flow->answer_due_ms = 0;
+    endpoint_send(endpoint, flow, FLAG_ACK, (const uint8_t *)answer,
+                  (uint32_t)length);
+}
+
 /// Runs the request in the packet, and answers it.
 static void
 run_request(struct site *site, struct endpoint *endpoint,
@@ -337,9 +352,7 @@
 {
     char request[PACKET_BYTES + 1];
     char id[48] = "?";
-    char answer[512];
     const char *field;
-    int length;
 
     memcpy(request, packet->data, packet->data_bytes);
     request[packet->data_bytes] = '\0';
@@ -348,13 +361,46 @@
         sscanf(field + 26, "%47s", id);
     }
     endpoint->runs++;
-    length = snprintf(answer, sizeof(answer),
-                      "HTTP/1.1 200 OK\r\nX-Savoryledge-Server-Stamp: "
-                      "%s-%u\r\nContent-Length: 2\r\n\r\nok",
-                      endpoint->id, endpoint->runs);
     note(site, "endpoint %s: runs %s", endpoint->id, id);
-    endpoint_send(endpoint, flow, FLAG_ACK, (const uint8_t *)answer,
-                  (uint32_t)length);
+    if (endpoint->work_ms > 0) {
+        flow->answer_due_ms = now_ms() + endpoint->work_ms;
+        endpoint_send(endpoint, flow, FLAG_ACK, NULL, 0);
+    }
+    else {
+        answer_request(endpoint, flow);
+    }
+}
+
+/// Records whether a packet of an open flow reached the flow's own endpoint.
+static void
+watch_packet(struct site *site, const struct packet *packet, bool own)
+{
+    uint32_t index = (uint32_t)packet->source_port - CLIENT_PORT_FIRST;
+    struct client_flow *flow;
+    uint64_t now = now_ms();
+
+    if (!site->watches_packets || index >= site->flow_count) {
+        return;
+    }
+    flow = &site->flows[index];
+    if (flow->astray_sends >= ASTRAY_MIN &&
+        now - flow->astray_since_ms > flow->astray_longest_ms) {
+        flow->astray_longest_ms = now - flow->astray_since_ms;
+    }
+    if (own) {
+        flow->astray_sends = 0;
+        return;
+    }
+    if (flow->astray_sends == 0) {
+        flow->astray_since_ms = now;
+    }
+    /* A send that is tried at several endpoints counts once. */
+    if (flow->astray_sends == 0 || flow->astray_last != flow->resends) {
+        flow->astray_sends++;
+        flow->astray_last = flow->resends;
+        note(site, "flow %u: send %u of %s reaches another endpoint",
+             flow->port, flow->resends, flow->id);
+    }
 }
 
 static void
@@ -375,6 +421,7 @@
         handle_opening(endpoint, flow, &packet);
         return;
     }
+    watch_packet(site, &packet, flow != NULL);
     if (flow == NULL) {
         bytes[28] |= FLAG_BOUNCED;
         memset(bytes + 29, 0, 5);
@@ -409,9 +456,13 @@
 {
     uint64_t now = now_ms();
 
-    for (uint32_t i = 0; i < FLOWS_MAX; i++) {
+    for (uint32_t i = 0; i < ENDPOINT_FLOWS_MAX; i++) {
         struct endpoint_flow *flow = &endpoint->flows[i];
 
+        if (flow->used && flow->answer_due_ms != 0 &&
+            now >= flow->answer_due_ms) {
+            answer_request(endpoint, flow);
+        }
         if (flow->used && flow->resend_ms != 0 && now >= flow->resend_ms) {
             uint32_t wait_ms = RESEND_MS << ++flow->resends;
 
--- a/review/standin-2/site_process.c
+++ b/review/standin-2/site_process.c
@@ -310,6 +310,12 @@
          role, machine->ip);
 }
 
+bool
+is_running(struct machine *machine, const char *role)
+{
+    return *process_of(machine, role) != 0;
+}
+
 void
 stop_process(struct site *site, struct machine *machine, const char *role)
 {
