--- a/review/standin-2/site_process.c
+++ b/review/standin-2/site_process.c
@@ -151,6 +151,7 @@
             const char *service)
 {
     struct machine *machine = &site->machines[site->machine_count++];
+    char folder[sizeof(site->folder)];
 
     snprintf(machine->ip, sizeof(machine->ip), "127.%u.%u.%u", site->block,
              zone + 1, host);
@@ -158,7 +159,8 @@
     snprintf(machine->service, sizeof(machine->service), "%s", service);
     machine->has_disk = has_disk;
     machine->bootstrap = true;
-    snprintf(machine->folder, sizeof(machine->folder), "%s/%s", site->folder,
+    memcpy(folder, site->folder, sizeof(folder));
+    snprintf(machine->folder, sizeof(machine->folder), "%s/%s", folder,
              machine->ip);
     mkdir(machine->folder, 0700);
     return machine;
