--- a/review/standin-2/site_process.c
+++ b/review/standin-2/site_process.c
@@ -151,17 +151,16 @@
             const char *service)
 {
     struct machine *machine = &site->machines[site->machine_count++];
-    char folder[sizeof(site->folder)];
+    char ip[sizeof(machine->ip)];
 
-    snprintf(machine->ip, sizeof(machine->ip), "127.%u.%u.%u", site->block,
-             zone + 1, host);
+    snprintf(ip, sizeof(ip), "127.%u.%u.%u", site->block, zone + 1, host);
     snprintf(machine->zone, sizeof(machine->zone), "ub-%c", 'a' + (int)zone);
     snprintf(machine->service, sizeof(machine->service), "%s", service);
     machine->has_disk = has_disk;
     machine->bootstrap = true;
-    memcpy(folder, site->folder, sizeof(folder));
-    snprintf(machine->folder, sizeof(machine->folder), "%s/%s", folder,
-             machine->ip);
+    memcpy(machine->ip, ip, sizeof(ip));
+    snprintf(machine->folder, sizeof(machine->folder), "%s/%s", site->folder,
+             ip);
     mkdir(machine->folder, 0700);
     return machine;
 }
