review: case 11, a stale announcement resets open flows

Cause: an announcement that is held up at one control process overrides a newer one when it arrives, since nothing orders them. If it says that the upstream is gone, the agent is asked no more, and its flows are reset.

The resets in bursts become case 12.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in flows; do
+for program in flows announce; do
     ${CC:-cc} -std=gnu11 -O2 -Wall -Wextra -o "target/review-3/$program" \
         "review/standin-3/$program.c" review/standin-3/site.c -lpthread
 done
--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -1,3 +1,5 @@
+#define _GNU_SOURCE
+
 #include "site.h"
 
 #include <arpa/inet.h>
@@ -140,15 +142,22 @@
     FILE *file = fopen(path, "w");
     char ip[32];
     uint16_t link = node->role == ROLE_ENTRY ? ENTRY_LINK_PORT : LINK_PORT;
+    uint32_t control_group = site->has_proxies ? 1 : 0;
+    uint32_t group = node->role == ROLE_CONTROL ? control_group : 0;
     uint32_t seeds = 0;
 
     snprintf(ip, sizeof(ip), "127.%u.0.%u", site->net, node->number);
     fprintf(file,
-            "[node]\nname = %s-%s\nzone = %s\nroles = %s\ntunnel = %s:%u\n"
-            "link = %s:%u\nlog_to_stdout = yes\nlog_lines_per_s = 150\n"
-            "stop_timeout_ms = 5000\n\n[security]\nopen = yes\n\n[control]\n",
-            ROLE_NAMES[node->role], ip, node->zone, ROLE_NAMES[node->role], ip,
-            link, ip, link);
+            "[node]\nname = %s-127.%u.%u.%u\nzone = %s\nroles = %s\n"
+            "tunnel = %s:%u\nlink = %s:%u\nlog_to_stdout = yes\n"
+            "log_lines_per_s = 150\nstop_timeout_ms = 5000\n",
+            ROLE_NAMES[node->role], site->net, group, node->number, node->zone,
+            ROLE_NAMES[node->role], ip, link, ip, link);
+    if (group != 0) {
+        fprintf(file, "advertise = 127.%u.%u.%u\n", site->net, group,
+                node->number);
+    }
+    fprintf(file, "\n[security]\nopen = yes\n\n[control]\n");
     if (node->role == ROLE_CONTROL) {
         fprintf(file, "data_folder = %s/data-%u\nbootstrap = %s\n",
                 site->folder, node->number, node->bootstrap ? "yes" : "no");
@@ -156,8 +165,9 @@
     fprintf(file, "seeds = ");
     for (uint32_t i = 0; i < site->node_count && seeds < 3; i++) {
         if (site->nodes[i].role == ROLE_CONTROL) {
-            fprintf(file, "%s127.%u.0.%u:%u", seeds++ > 0 ? "," : "",
-                    site->net, site->nodes[i].number, CONTROL_PORT);
+            fprintf(file, "%s127.%u.%u.%u:%u", seeds++ > 0 ? "," : "",
+                    site->net, control_group, site->nodes[i].number,
+                    CONTROL_PORT);
         }
     }
     fprintf(file, "\nseed_port = %u\nself_forming = yes\n", LINK_PORT);
@@ -249,6 +259,116 @@
     }
 }
 
+/// One direction of a connection through a proxy.
+struct pump {
+    int from;
+    int to;
+    bool to_control;
+};
+
+enum {
+    /// One way between zones.
+    PROXY_DELAY_US = 900,
+};
+
+/// Passes bytes on. The end of the other processes' direction is passed on as
+/// such; what the control process sends after that is answered with a reset a
+/// round trip later, as on a network.
+static void *
+run_pump(void *argument)
+{
+    struct pump pump = *(struct pump *)argument;
+    char bytes[16 * 1024];
+    ssize_t length;
+
+    free(argument);
+    while ((length = recv(pump.from, bytes, sizeof(bytes), 0)) > 0) {
+        usleep(PROXY_DELAY_US);
+        for (ssize_t sent = 0; sent < length;) {
+            ssize_t count = send(pump.to, bytes + sent,
+                                 (size_t)(length - sent), MSG_NOSIGNAL);
+
+            if (count <= 0) {
+                length = 0;
+                break;
+            }
+            sent += count;
+        }
+        if (length == 0) {
+            break;
+        }
+    }
+    usleep(PROXY_DELAY_US);
+    if (pump.to_control) {
+        shutdown(pump.to, SHUT_WR);
+    }
+    else {
+        shutdown(pump.to, SHUT_RDWR);
+        close(pump.from);
+    }
+    return NULL;
+}
+
+static void
+start_pump(int from, int to, bool to_control)
+{
+    struct pump *pump = malloc(sizeof(*pump));
+    pthread_t thread;
+
+    *pump = (struct pump){.from = from, .to = to, .to_control = to_control};
+    pthread_create(&thread, NULL, run_pump, pump);
+    pthread_detach(thread);
+}
+
+struct proxy {
+    int listener;
+    struct sockaddr_in to;
+};
+
+static void *
+run_proxy(void *argument)
+{
+    struct proxy *proxy = argument;
+    int enabled = 1;
+    int client;
+
+    while ((client = accept4(proxy->listener, NULL, NULL, SOCK_CLOEXEC)) >=
+           0) {
+        int control = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+        if (connect(control, (struct sockaddr *)&proxy->to,
+                    sizeof(proxy->to)) != 0) {
+            close(control);
+            close(client);
+            continue;
+        }
+        setsockopt(control, IPPROTO_TCP, TCP_NODELAY, &enabled,
+                   sizeof(enabled));
+        setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &enabled,
+                   sizeof(enabled));
+        start_pump(client, control, true);
+        start_pump(control, client, false);
+    }
+    return NULL;
+}
+
+bool
+site_start_proxy(struct site *site, const struct node *node)
+{
+    struct sockaddr_in name =
+        make_name(site_ip(site, 1, node->number), LINK_PORT);
+    struct proxy *proxy = malloc(sizeof(*proxy));
+    pthread_t thread;
+
+    proxy->to = make_name(site_ip(site, 0, node->number), LINK_PORT);
+    proxy->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(proxy->listener, (struct sockaddr *)&name, sizeof(name)) != 0 ||
+        listen(proxy->listener, 64) != 0) {
+        return false;
+    }
+    return pthread_create(&thread, NULL, run_proxy, proxy) == 0;
+}
+
 static int
 wait_for(int descriptor, short events, uint64_t until_us)
 {
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -7,6 +7,7 @@
 /// PROTOCOL.md describes them.
 ///
 ///     127.NET.0.n  process n (control, entry or agent)
+///     127.NET.1.n  control process n for the others, if there is a proxy
 ///     127.NET.2.n  clients
 ///     127.NET.3.1  host of all routes
 
@@ -59,6 +60,9 @@
     char folder[256];
     const char *program;
     FILE *record;
+    /// Control processes are reached through proxies, which add the delay of
+    /// a link between zones.
+    bool has_proxies;
     uint32_t node_count;
     struct node nodes[NODES_MAX];
 };
@@ -106,6 +110,10 @@
 uint32_t
 site_ip(const struct site *site, uint32_t group, uint32_t number);
 
+/// Starts the proxy of a control process.
+bool
+site_start_proxy(struct site *site, const struct node *node);
+
 /// Sends an HTTP request and waits for its response. Returns its status, 0
 /// when none arrived in time. body_out: receives the body, or NULL.
 int
