review: case 11 starts over when all agents are linked to the leader

Cause: with one chance in 27 no agent is linked to a follower, and the script could not run.

Change: it then starts the site again, up to five times; the range of addresses stays claimed while a script runs.

--- a/review/standin-3/announce.c
+++ b/review/standin-3/announce.c
@@ -31,6 +31,9 @@
     REQUEST_BYTES = 200,
     ANSWER_BYTES = 600,
     RESET_WINDOW = 76800,
+    /// Until all agents are linked, and how often the site is started.
+    LINKED_MS = 1500,
+    TRIES_MAX = 5,
     /// Until every agent has passed all packets for the idle time-out.
     SETTLED_MS = 20 * 1000,
     /// Times from the last heartbeat of the endpoint that ends, until the
@@ -666,6 +669,22 @@
          answered, 2 * FLOWS, resets, broken);
 }
 
+/// Starts over, with another choice of links, if all agents are linked to the
+/// control process that leads. Does not return then.
+static void
+start_over(char **argv)
+{
+    const char *tries = getenv("ANNOUNCE_TRIES");
+    char text[16];
+
+    snprintf(text, sizeof(text), "%d", tries != NULL ? atoi(tries) + 1 : 1);
+    if (atoi(text) < TRIES_MAX) {
+        site_close(&site);
+        setenv("ANNOUNCE_TRIES", text, 1);
+        execv("/proc/self/exe", argv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -682,6 +701,10 @@
         clients[i].port = (uint16_t)(20000 + i);
     }
     if (ok) {
+        run_until(after_ms(now_us(), LINKED_MS));
+        if (choose_endpoint(&endpoint) == NULL) {
+            start_over(argv);
+        }
         run_until(after_ms(now_us(), SETTLED_MS));
         control = choose_endpoint(&endpoint);
     }
--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -113,8 +113,8 @@
          site->net++) {
         int probe = udp_open(site_ip(site, 0, 250), DATAGRAM_PORT);
 
+        /* Stays open, so that no other script takes the same range. */
         if (probe >= 0) {
-            close(probe);
             return true;
         }
     }
@@ -358,10 +358,13 @@
     struct sockaddr_in name =
         make_name(site_ip(site, 1, node->number), LINK_PORT);
     struct proxy *proxy = malloc(sizeof(*proxy));
+    int enabled = 1;
     pthread_t thread;
 
     proxy->to = make_name(site_ip(site, 0, node->number), LINK_PORT);
     proxy->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(proxy->listener, SOL_SOCKET, SO_REUSEADDR, &enabled,
+               sizeof(enabled));
     if (bind(proxy->listener, (struct sockaddr *)&name, sizeof(name)) != 0 ||
         listen(proxy->listener, 64) != 0) {
         return false;
